feat(types): lay out the workspace, domain types, checked document and messages

Cause: the project has no code; five parts are to be built side by side and need one set of shared types and borders first. Change: workspace of prefixed crates; names, ids, outcomes, the document with its checks and deltas, messages between processes, the platform trait, the plug-in registry, and the borders of routing and placement policies. Before: nothing. Conclusion: the borders stand; each part is built next.

--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! The agent daemon: the last gate before a target.
--- /dev/null
+++ b/crates/core/src/burn/mod.rs
@@ -0,0 +1,1 @@
+//! Service-level burn: how fast a service spends its error budget over several windows.
--- /dev/null
+++ b/crates/core/src/gate/mod.rs
@@ -0,0 +1,1 @@
+//! The agent's gate before its target: slots, queue, duplicate attempts, fences and drain.
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,20 @@
+//! The decisions of the system, without IO.
+//!
+//! Each part takes its state, an event and the time, and answers with an enum of what to do next.
+//! Nothing here opens a socket, spawns a task or reads a clock; random numbers come from a seeded
+//! generator that the caller passes in. The daemons, the tests and the measuring tool all drive
+//! this very code.
+
+pub mod admission;
+pub mod burn;
+pub mod gate;
+pub mod kernel;
+pub mod lease;
+pub mod ledger;
+pub mod member;
+pub mod memory;
+pub mod placement;
+pub mod request;
+pub mod retry;
+pub mod routing;
+pub mod spread;
--- /dev/null
+++ b/crates/core/src/request/mod.rs
@@ -0,0 +1,1 @@
+//! The course of one request over its attempts.
--- /dev/null
+++ b/crates/core/src/spread/mod.rs
@@ -0,0 +1,1 @@
+//! The spread of configuration revisions and member reports through relays.
--- /dev/null
+++ b/crates/daemon/src/rpc.rs
@@ -0,0 +1,36 @@
+//! The JSON-RPC interfaces between the system's processes.
+
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::proc_macros::rpc;
+use kumquatkeel_types::message::{
+    FenceReply, FenceRequest, Member, Order, OrderReply, PollReply, PollRequest, ProbeReply,
+    ProbeRequest,
+};
+
+/// What an agent answers.
+#[rpc(client, server, namespace = "agent")]
+pub trait AgentApi {
+    /// Says how soon a request for a model could start.
+    #[method(name = "probe")]
+    async fn probe(&self, request: ProbeRequest) -> RpcResult<ProbeReply>;
+
+    /// Makes sure that an attempt never starts from now on, and says what became of it.
+    #[method(name = "fence")]
+    async fn fence(&self, request: FenceRequest) -> RpcResult<FenceReply>;
+
+    /// Takes an order from the holder of the placement lease.
+    #[method(name = "order")]
+    async fn order(&self, order: Order) -> RpcResult<OrderReply>;
+
+    /// Reports the agent and its target.
+    #[method(name = "status")]
+    async fn status(&self) -> RpcResult<Member>;
+}
+
+/// What a relay answers; any entry can be one.
+#[rpc(client, server, namespace = "relay")]
+pub trait RelayApi {
+    /// Returns what is newer than the sender's state, waiting for it if need be.
+    #[method(name = "poll")]
+    async fn poll(&self, request: PollRequest) -> RpcResult<PollReply>;
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry daemon: caller API, routing, admission, retries, bookings, control leases, console.
--- /dev/null
+++ b/crates/kumquatkeel/src/lib.rs
@@ -0,0 +1,8 @@
+//! The facade: re-exports the crates that a program embedding the system needs.
+
+pub use kumquatkeel_agent as agent;
+pub use kumquatkeel_core as core;
+pub use kumquatkeel_daemon as daemon;
+pub use kumquatkeel_entry as entry;
+pub use kumquatkeel_platform as platform;
+pub use kumquatkeel_types as types;
--- /dev/null
+++ b/crates/kumquatkeel/src/main.rs
@@ -0,0 +1,3 @@
+//! The operator's program.
+
+fn main() {}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform, engines and plain services, and the measuring tool.
