--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod engine;
 pub mod jsonc;
 pub mod message;
+pub mod operator;
 pub mod secret;
 
 mod ids;
