feat(cli): add the operator's program

Cause: operators need to check and apply documents and to read status and burn. Change: clap commands check, apply, status and report burn (table, JSON, SVG); demo and measure answer that they are not wired yet. Conclusion: the surface stands.

--- /dev/null
+++ b/crates/kumquatkeel/src/commands/mod.rs
@@ -0,0 +1,24 @@
+//! The commands, a module each.
+
+mod apply;
+mod burn;
+mod check;
+mod demo;
+mod measure;
+mod status;
+
+use crate::cli::{Cli, Command, Measure, Report};
+use crate::error::CommandError;
+
+/// Runs the command that was asked for.
+pub(crate) async fn run(cli: Cli) -> Result<(), CommandError> {
+    match cli.command {
+        Command::Check { file } => check::run(&file),
+        Command::Apply(args) => apply::run(args).await,
+        Command::Status { entry, json } => status::run(&entry, json).await,
+        Command::Report(Report::Burn(args)) => burn::run(args).await,
+        Command::Demo { once } => demo::run(once).await,
+        Command::Measure(Measure::Policy(args)) => measure::policy(&args),
+        Command::Measure(Measure::Slopes { json }) => measure::slopes(json),
+    }
+}
--- /dev/null
+++ b/crates/kumquatkeel/src/commands/status.rs
@@ -0,0 +1,75 @@
+//! `status`: shows who is alive, the revision in force, the placement and who lags.
+
+use kumquatkeel::types::message::{Member, MemberState, Residency, Role};
+use kumquatkeel::types::operator::StatusReport;
+
+use crate::cli::EntryArgs;
+use crate::client::OperatorClient;
+use crate::error::CommandError;
+
+/// Prints the status as a table or as JSON.
+pub(super) async fn run(entry: &EntryArgs, json: bool) -> Result<(), CommandError> {
+    let status = OperatorClient::new(entry.entry, &entry.key_file)?
+        .status()
+        .await?;
+    if json {
+        println!("{}", serde_json::to_string(&status).unwrap_or_default());
+    } else {
+        print!("{}", table_of(&status));
+    }
+    Ok(())
+}
+
+/// Returns the names of processes, separated by commas.
+pub(super) fn names_of<'a>(members: impl Iterator<Item = &'a Member>) -> String {
+    let live = members.filter(|m| m.state != MemberState::Gone);
+    live.map(|m| m.role.as_ref()).collect::<Vec<_>>().join(", ")
+}
+
+fn table_of(status: &StatusReport) -> String {
+    let mut lines = vec![format!("revision {}", status.revision)];
+    let lagging = names_of(status.lagging());
+    if !lagging.is_empty() {
+        lines.push(format!("lagging: {lagging}"));
+    }
+    lines.push(format!(
+        "{:<6} {:<24} {:<16} {:<9} {:>8} {:>4}  {}",
+        "role", "name", "data centre", "state", "revision", "life", "replicas"
+    ));
+    lines.extend(status.members.iter().map(line_of));
+    lines.join("\n") + "\n"
+}
+
+fn line_of(member: &Member) -> String {
+    let role = match member.role {
+        Role::Entry(_) => "entry",
+        Role::Agent(_) => "agent",
+    };
+    let state = match member.state {
+        MemberState::Starting => "starting",
+        MemberState::Serving => "serving",
+        MemberState::Draining => "draining",
+        MemberState::Gone => "gone",
+    };
+    let replicas = member
+        .target
+        .iter()
+        .flat_map(|t| &t.replicas)
+        .map(replica_of);
+    format!(
+        "{role:<6} {:<24} {:<16} {state:<9} {:>8} {:>4}  {}",
+        member.role.as_ref(),
+        member.data_centre.as_str(),
+        member.revision,
+        member.version.incarnation,
+        replicas.collect::<Vec<_>>().join(" "),
+    )
+}
+
+fn replica_of(replica: &Residency) -> String {
+    format!(
+        "{}:{}={:?}",
+        replica.accelerator, replica.model, replica.state
+    )
+    .to_lowercase()
+}
--- a/crates/kumquatkeel/src/main.rs
+++ b/crates/kumquatkeel/src/main.rs
@@ -1,3 +1,32 @@
-//! The operator's program.
+//! The operator's program: check and apply documents, read status and burn, run the demo.
 
-fn main() {}
+use std::process::ExitCode;
+
+use clap::Parser;
+
+mod cli;
+mod client;
+mod commands;
+mod error;
+
+use cli::Cli;
+
+/// The exit code of a document or request that is wrong.
+const EXIT_INVALID: u8 = 2;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let cli = Cli::parse();
+    kumquatkeel::daemon::logging::start_logging("kumquatkeel", "warn");
+    match commands::run(cli).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            if error.is_invalid_input() {
+                ExitCode::from(EXIT_INVALID)
+            } else {
+                ExitCode::FAILURE
+            }
+        }
+    }
+}
