feat(routing): choose targets by plug-in policies over a view of the fleet

The view keeps the newest report of each agent by incarnation and sequence and never goes back. Retry budgets, full-jitter back-off, ejection with a floor and slow start stand beside it.

--- /dev/null
+++ b/crates/core/src/retry/backoff.rs
@@ -0,0 +1,44 @@
+//! Back-off with full jitter.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+
+/// The longest wait before the first retry.
+const BASE: Duration = Duration::from_millis(20);
+/// The longest wait before any retry.
+const MOST: Duration = Duration::from_secs(1);
+/// Doublings after which the wait grows no more.
+const MAX_DOUBLINGS: u32 = 16;
+
+/// Draws waits between attempts: uniform from zero to a bound that doubles with each retry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Backoff {
+    base: Duration,
+    most: Duration,
+}
+
+impl Backoff {
+    /// Makes a back-off whose bound starts at `base` and ends at `most`.
+    pub const fn new(base: Duration, most: Duration) -> Self {
+        Self { base, most }
+    }
+
+    /// Returns the bound of the wait before retry number `retry`, counted from 1.
+    pub fn bound(&self, retry: u32) -> Duration {
+        let doublings = retry.saturating_sub(1).min(MAX_DOUBLINGS);
+        self.base.saturating_mul(1 << doublings).min(self.most)
+    }
+
+    /// Draws the wait before retry number `retry`, counted from 1.
+    pub fn delay(&self, retry: u32, rng: &mut dyn Rng) -> Duration {
+        let micros = self.bound(retry).as_micros() as u64;
+        Duration::from_micros(rng.random_range(0..=micros))
+    }
+}
+
+impl Default for Backoff {
+    fn default() -> Self {
+        Self::new(BASE, MOST)
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/router.rs
@@ -0,0 +1,280 @@
+//! A routing policy joined with all that an entry knows.
+
+use kumquatkeel_types::message::{MemberState, ProbeReply};
+use kumquatkeel_types::{TargetName, Timestamp};
+use rand::Rng;
+use rand::seq::SliceRandom;
+
+use super::link::{LinkBudget, LinkStep};
+use super::prefix::PrefixIndex;
+use super::{
+    AgentView, Candidate, Distance, FleetView, InFlight, ReplicaView, RouteRequest, RouteStep,
+    RoutingPlugin, RoutingPolicy,
+};
+use crate::kernel::{UnknownPlugin, find_plugin};
+use crate::retry::{Ejector, slow_start};
+
+/// Candidates that a policy is shown; a model with more replicas shows a random part of them.
+const MAX_CANDIDATES: usize = 24;
+/// Rounds of probes for one attempt.
+const MAX_PROBE_ROUNDS: u32 = 2;
+
+/// How far the routing of one attempt is.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RouteRound {
+    /// Targets that the request has tried.
+    pub tried: Vec<TargetName>,
+    /// A target that an agent has named as one that may take the request.
+    pub hint: Option<TargetName>,
+    /// Rounds of probes that are behind this attempt.
+    pub probed: u32,
+}
+
+/// Chooses targets for attempts.
+pub struct Router {
+    view: FleetView,
+    policy: Box<dyn RoutingPolicy>,
+    name: String,
+    in_flight: InFlight,
+    prefixes: PrefixIndex,
+    ejector: Ejector,
+    link: LinkBudget,
+}
+
+impl Router {
+    /// Makes a router with the policy that the view's document names.
+    ///
+    /// # Errors
+    ///
+    /// Returns the known policies when the name is not registered.
+    pub fn new(view: FleetView, now: Timestamp) -> Result<Self, UnknownPlugin> {
+        let name = view.document().policy.routing.clone();
+        let policy = (find_plugin::<RoutingPlugin>(&name)?.make)();
+        let rate = LinkBudget::share(view.document().policy.link_bytes, view.live_entries());
+        Ok(Self {
+            view,
+            policy,
+            name,
+            in_flight: InFlight::default(),
+            prefixes: PrefixIndex::default(),
+            ejector: Ejector::default(),
+            link: LinkBudget::new(rate, now),
+        })
+    }
+
+    /// Returns the view of the fleet.
+    pub const fn view(&self) -> &FleetView {
+        &self.view
+    }
+
+    /// Returns the view of the fleet for news of documents and members.
+    pub const fn view_mut(&mut self) -> &mut FleetView {
+        &mut self.view
+    }
+
+    /// Returns the index of prompt prefixes.
+    pub const fn prefixes_mut(&mut self) -> &mut PrefixIndex {
+        &mut self.prefixes
+    }
+
+    /// Returns the record of failures by target.
+    pub const fn ejector_mut(&mut self) -> &mut Ejector {
+        &mut self.ejector
+    }
+
+    /// Returns the attempts in progress.
+    pub const fn in_flight(&self) -> &InFlight {
+        &self.in_flight
+    }
+
+    /// Takes over the policy and the link's rate after a change of the document or the entries.
+    ///
+    /// # Errors
+    ///
+    /// Returns the known policies when the name is not registered; the old policy goes on.
+    pub fn refresh(&mut self, now: Timestamp) -> Result<(), UnknownPlugin> {
+        let policy = &self.view.document().policy;
+        let rate = LinkBudget::share(policy.link_bytes, self.view.live_entries());
+        self.link.set_rate(rate, now);
+        if policy.routing != self.name {
+            self.policy = (find_plugin::<RoutingPlugin>(&policy.routing)?.make)();
+            self.name.clone_from(&policy.routing);
+        }
+        Ok(())
+    }
+
+    /// Returns what to do next for an attempt of `request`.
+    pub fn route(
+        &mut self,
+        request: &RouteRequest,
+        round: &RouteRound,
+        now: Timestamp,
+        rng: &mut dyn Rng,
+    ) -> RouteStep {
+        let mut candidates = self.candidates(request, round, now, rng);
+        if let Some(hinted) = hinted(&candidates, round) {
+            return RouteStep::Dispatch(hinted);
+        }
+        let step = self.choose(request, round, &candidates, rng);
+        match step {
+            RouteStep::Dispatch(target)
+                if self.link_refuses(&candidates, &target, request, now) =>
+            {
+                candidates.retain(|c| c.distance != Distance::OtherRegion);
+                self.choose(request, round, &candidates, rng)
+            }
+            step => step,
+        }
+    }
+
+    /// Returns the targets that could take an attempt of `request`, the nearest first.
+    pub fn candidates(
+        &self,
+        request: &RouteRequest,
+        round: &RouteRound,
+        now: Timestamp,
+        rng: &mut dyn Rng,
+    ) -> Vec<Candidate> {
+        let replicas = self.view.replicas(&request.service, request.model.as_ref());
+        let open = |r: &&ReplicaView| self.is_open(r, round);
+        let mut near = Vec::with_capacity(replicas.len());
+        near.extend(replicas.iter().filter(open));
+        let panic = self
+            .ejector
+            .panics(near.iter().map(|r| &self.agent(r).target), now);
+        if !panic {
+            near.retain(|r| !self.ejector.is_ejected(&self.agent(r).target, now));
+        }
+        if near.len() > MAX_CANDIDATES {
+            near.shuffle(rng);
+        }
+        near.sort_by_key(|r| self.agent(r).distance);
+        near.truncate(MAX_CANDIDATES);
+        near.into_iter()
+            .map(|r| self.candidate(r, request, now))
+            .collect()
+    }
+
+    /// Takes in an agent's answer to a probe.
+    pub fn probed(
+        &mut self,
+        request: &RouteRequest,
+        target: &TargetName,
+        reply: &ProbeReply,
+        now: Timestamp,
+    ) {
+        self.view
+            .apply_probe(target, request.model.as_ref(), reply, now);
+    }
+
+    /// Counts an attempt that is sent to a target.
+    pub fn started(&mut self, request: &RouteRequest, target: &TargetName) {
+        self.in_flight.start(target);
+        let model = request.model.as_ref();
+        if let Some(replica) = self.view.replica_mut(&request.service, model, target) {
+            replica.count_start();
+        }
+        self.prefixes.note_run(target, &request.prefix);
+    }
+
+    /// Counts the end of an attempt, however it ended.
+    pub fn ended(&mut self, request: &RouteRequest, target: &TargetName) {
+        self.in_flight.end(target);
+        let model = request.model.as_ref();
+        if let Some(replica) = self.view.replica_mut(&request.service, model, target) {
+            replica.count_end();
+        }
+    }
+
+    fn choose(
+        &mut self,
+        request: &RouteRequest,
+        round: &RouteRound,
+        candidates: &[Candidate],
+        rng: &mut dyn Rng,
+    ) -> RouteStep {
+        match self.policy.choose(request, candidates, rng) {
+            RouteStep::Probe(targets) if round.probed >= MAX_PROBE_ROUNDS => {
+                after_probes(candidates, &targets)
+            }
+            step => step,
+        }
+    }
+
+    fn is_open(&self, replica: &ReplicaView, round: &RouteRound) -> bool {
+        let agent = self.agent(replica);
+        agent.state == MemberState::Serving && !round.tried.contains(&agent.target)
+    }
+
+    fn agent(&self, replica: &ReplicaView) -> &AgentView {
+        &self.view.agents()[replica.slot]
+    }
+
+    fn candidate(
+        &self,
+        replica: &ReplicaView,
+        request: &RouteRequest,
+        now: Timestamp,
+    ) -> Candidate {
+        let agent = self.agent(replica);
+        let ready = |name| replica.adapters.contains(name);
+        Candidate {
+            target: agent.target.clone(),
+            distance: agent.distance,
+            incarnation: agent.version.incarnation,
+            adapter_ready: request.adapter.as_ref().is_none_or(ready),
+            load: replica.load,
+            load_age: now.since(replica.heard),
+            in_flight: self.in_flight.on(&agent.target),
+            prefix_hits: self.prefixes.hits(&agent.target, &request.prefix),
+            weight: self.weight(replica, now),
+        }
+    }
+
+    fn weight(&self, replica: &ReplicaView, now: Timestamp) -> f64 {
+        let ejection = self.ejector.weight(&self.agent(replica).target, now);
+        let load = replica.loaded.map_or(1.0, |at| slow_start(at, now));
+        ejection.min(load)
+    }
+
+    fn link_refuses(
+        &mut self,
+        candidates: &[Candidate],
+        target: &TargetName,
+        request: &RouteRequest,
+        now: Timestamp,
+    ) -> bool {
+        let far = candidates
+            .iter()
+            .any(|c| c.target == *target && c.distance == Distance::OtherRegion);
+        far && self.link.take(request.bytes, now) != LinkStep::Granted
+    }
+}
+
+impl std::fmt::Debug for Router {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Router")
+            .field("policy", &self.name)
+            .field("view", &self.view)
+            .finish_non_exhaustive()
+    }
+}
+
+fn hinted(candidates: &[Candidate], round: &RouteRound) -> Option<TargetName> {
+    let hint = round.hint.as_ref()?;
+    candidates
+        .iter()
+        .find(|c| c.target == *hint && c.distance != Distance::OtherRegion)
+        .map(|c| c.target.clone())
+}
+
+/// Settles on a target when the probes are used up: the one with the youngest load.
+fn after_probes(candidates: &[Candidate], asked: &[TargetName]) -> RouteStep {
+    let youngest = candidates
+        .iter()
+        .min_by_key(|c| (c.load_age, c.load.waiting, c.load.running));
+    match youngest.map(|c| &c.target).or_else(|| asked.first()) {
+        Some(target) => RouteStep::Dispatch(target.clone()),
+        None => RouteStep::NoTarget,
+    }
+}
