--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -220,7 +220,8 @@
 
     fn apply_entry(&mut self, name: EntryName, member: &Member) -> ViewStep {
         let known = self.entries.get(&name).map(|(version, _)| *version);
-        if known >= Some(member.version) {
+        let taken_for_dead = member.state == MemberState::Gone;
+        if known > Some(member.version) || (known == Some(member.version) && !taken_for_dead) {
             return ViewStep::Stale;
         }
         self.entries.insert(name, (member.version, member.state));
@@ -233,7 +234,8 @@
         };
         let known = self.agents[slot].version;
         let first = !self.reports.contains_key(&target);
-        if member.version < known || (member.version == known && !first) {
+        let taken_for_dead = member.state == MemberState::Gone;
+        if member.version < known || (member.version == known && !first && !taken_for_dead) {
             return ViewStep::Stale;
         }
         self.place_report(slot, &member, now);
@@ -319,6 +321,7 @@
 
     fn rebuild(&mut self) {
         let document = Arc::clone(&self.document);
+        let before = std::mem::take(&mut self.agents);
         self.agents = document.targets.iter().map(|t| self.agent_of(t)).collect();
         self.slots = (self.agents.iter().enumerate())
             .map(|(slot, agent)| (agent.target.clone(), slot))
@@ -333,6 +336,21 @@
                 self.reports.insert(target, (member, heard));
             }
         }
+        for agent in before {
+            self.keep_newer(&agent);
+        }
+    }
+
+    /// Keeps what an agent has said itself after its last report.
+    fn keep_newer(&mut self, before: &AgentView) {
+        let Some(&slot) = self.slots.get(&before.target) else {
+            return;
+        };
+        let agent = &mut self.agents[slot];
+        if before.version >= agent.version {
+            agent.version = before.version;
+            agent.state = before.state;
+        }
     }
 
     fn agent_of(&self, target: &Target) -> AgentView {
