feat(request): follow one request over its attempts

A late event of another attempt is dropped, tokens pass only in order, a cut answer is resumed after the tokens passed on, and a call that is not idempotent is repeated only after its agent has fenced it as not run.

--- /dev/null
+++ b/crates/core/src/request/answer.rs
@@ -0,0 +1,189 @@
+//! The events of an attempt's answer.
+
+use std::time::Duration;
+
+use kumquatkeel_types::message::{AttemptEvent, FinishReason, NotRunReason};
+use kumquatkeel_types::{AttemptId, ErrorCode, Incarnation, Timestamp};
+
+use super::attempt::{Attempt, AttemptState};
+use super::flow::RETRY_AFTER;
+use super::{FlowAnswer, FlowFailure, FlowStep, FlowTools, RequestFlow, TokenStep};
+
+impl RequestFlow {
+    pub(super) fn attempt_event(
+        &mut self,
+        event: AttemptEvent,
+        now: Timestamp,
+        tools: &mut FlowTools<'_>,
+    ) -> FlowStep {
+        if event_id(&event).is_some_and(|id| !self.is_current(id)) {
+            return FlowStep::Ignore;
+        }
+        match event {
+            AttemptEvent::Accepted { incarnation, .. } => self.accepted(incarnation, now, tools),
+            AttemptEvent::NotRun {
+                incarnation,
+                reason,
+                hint,
+                retry_after_ms,
+                ..
+            } => {
+                if !self.is_proven(incarnation, reason) {
+                    return self.cut(now, tools);
+                }
+                self.round.hint = hint;
+                let after = retry_after_ms.map(Duration::from_millis);
+                self.refused(reason, after, now, tools)
+            }
+            _ if !self.is_accepted() => self.cut(now, tools),
+            AttemptEvent::Token { index, text } => self.token(index, text, now, tools),
+            AttemptEvent::Finished { reason, tokens, .. } => {
+                self.finished(reason, tokens, now, tools)
+            }
+            AttemptEvent::Answered {
+                status,
+                content_type,
+                body,
+                ..
+            } => FlowStep::Finish(FlowAnswer::Plain {
+                status,
+                content_type,
+                body,
+            }),
+            AttemptEvent::Failed { code, message, .. } => self.failed(code, message, now, tools),
+        }
+    }
+
+    fn is_accepted(&self) -> bool {
+        self.attempt
+            .as_ref()
+            .is_some_and(|a| a.state == AttemptState::Accepted)
+    }
+
+    fn accepted(
+        &mut self,
+        incarnation: Incarnation,
+        now: Timestamp,
+        tools: &mut FlowTools<'_>,
+    ) -> FlowStep {
+        let Some(attempt) = &mut self.attempt else {
+            return FlowStep::Ignore;
+        };
+        if attempt
+            .incarnation
+            .is_some_and(|known| known != incarnation)
+        {
+            return self.cut(now, tools);
+        }
+        attempt.incarnation = Some(incarnation);
+        attempt.state = AttemptState::Accepted;
+        self.wait(now)
+    }
+
+    fn is_proven(&self, incarnation: Incarnation, reason: NotRunReason) -> bool {
+        let wrong_life = reason == NotRunReason::WrongIncarnation;
+        let proven = |a: &Attempt| a.is_proof(incarnation, wrong_life);
+        self.attempt.as_ref().is_some_and(proven)
+    }
+
+    fn refused(
+        &mut self,
+        reason: NotRunReason,
+        after: Option<Duration>,
+        now: Timestamp,
+        tools: &mut FlowTools<'_>,
+    ) -> FlowStep {
+        match reason {
+            NotRunReason::WrongIncarnation => self.attempt = None,
+            _ => self.give_up_target(),
+        }
+        self.last = Some((code_of(reason), after));
+        if reason == NotRunReason::Deadline && self.round.hint.is_none() {
+            let failure = self.failure(ErrorCode::Deadline, "the deadline can't be met");
+            return FlowStep::Fail(FlowFailure {
+                retry_after: after.or(Some(RETRY_AFTER)),
+                ..failure
+            });
+        }
+        self.again(now, tools, costs_budget(reason))
+    }
+
+    fn token(
+        &mut self,
+        index: u32,
+        text: String,
+        now: Timestamp,
+        tools: &mut FlowTools<'_>,
+    ) -> FlowStep {
+        match self.transcript.offer(index, &text) {
+            TokenStep::Duplicate => FlowStep::Ignore,
+            TokenStep::Gap => self.cut(now, tools),
+            TokenStep::Next => {
+                if let Some(attempt) = &mut self.attempt {
+                    attempt.progress = true;
+                }
+                self.due = self.next_due(now);
+                FlowStep::Emit { index, text }
+            }
+        }
+    }
+
+    fn finished(
+        &mut self,
+        reason: FinishReason,
+        tokens: u32,
+        now: Timestamp,
+        tools: &mut FlowTools<'_>,
+    ) -> FlowStep {
+        if tokens != self.transcript.len() {
+            return self.cut(now, tools);
+        }
+        FlowStep::Finish(FlowAnswer::Completed { reason, tokens })
+    }
+
+    fn failed(
+        &mut self,
+        code: ErrorCode,
+        message: String,
+        now: Timestamp,
+        tools: &mut FlowTools<'_>,
+    ) -> FlowStep {
+        self.may_have_run = true;
+        self.give_up_target();
+        if !self.spec.may_repeat() {
+            return FlowStep::Fail(self.failure(code, message));
+        }
+        self.last = Some((code, None));
+        self.again(now, tools, true)
+    }
+}
+
+/// Returns the attempt that an event names itself.
+const fn event_id(event: &AttemptEvent) -> Option<&AttemptId> {
+    match event {
+        AttemptEvent::Accepted { attempt, .. }
+        | AttemptEvent::NotRun { attempt, .. }
+        | AttemptEvent::Finished { attempt, .. }
+        | AttemptEvent::Answered { attempt, .. }
+        | AttemptEvent::Failed { attempt, .. } => Some(attempt),
+        AttemptEvent::Token { .. } => None,
+    }
+}
+
+const fn code_of(reason: NotRunReason) -> ErrorCode {
+    match reason {
+        NotRunReason::Busy => ErrorCode::Overloaded,
+        NotRunReason::Deadline => ErrorCode::Deadline,
+        _ => ErrorCode::Unavailable,
+    }
+}
+
+/// Says whether a retry after this refusal counts against the budget.
+///
+/// A refusal that only shows that the view was behind costs the agent next to nothing.
+const fn costs_budget(reason: NotRunReason) -> bool {
+    !matches!(
+        reason,
+        NotRunReason::Draining | NotRunReason::NotResident | NotRunReason::WrongIncarnation
+    )
+}
--- /dev/null
+++ b/crates/core/src/request/flow.rs
@@ -0,0 +1,278 @@
+//! The state machine of one request.
+
+use std::time::Duration;
+
+use kumquatkeel_types::message::{Dispatch, Work};
+use kumquatkeel_types::{AttemptId, ErrorCode, Incarnation, Outcome, TargetName, Timestamp};
+use rand::Rng;
+
+use super::attempt::{Attempt, AttemptState};
+use super::{FlowEvent, FlowFailure, FlowSpec, FlowStep, Transcript};
+use crate::retry::{Backoff, RetryBudget};
+use crate::routing::RouteRound;
+
+/// Attempts of one request, the first one included.
+pub(super) const MAX_ATTEMPTS: u32 = 5;
+/// An answer that brings no event for this long is cut.
+const STALL: Duration = Duration::from_secs(5);
+/// When a caller may come back after a request that found no target.
+pub(super) const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What a flow borrows for its decisions.
+pub struct FlowTools<'a> {
+    /// The service's retry budget.
+    pub budget: &'a mut RetryBudget,
+    /// The waits between attempts.
+    pub backoff: Backoff,
+    /// The generator of the waits.
+    pub rng: &'a mut dyn Rng,
+}
+
+/// One request on its way over its attempts.
+#[derive(Debug, Clone)]
+pub struct RequestFlow {
+    pub(super) spec: FlowSpec,
+    pub(super) transcript: Transcript,
+    pub(super) round: RouteRound,
+    pub(super) attempts: u32,
+    pub(super) attempt: Option<Attempt>,
+    pub(super) may_have_run: bool,
+    pub(super) over: bool,
+    pub(super) due: Timestamp,
+    pub(super) last: Option<(ErrorCode, Option<Duration>)>,
+}
+
+impl RequestFlow {
+    /// Starts a request; the first step is to find a target.
+    pub fn start(spec: FlowSpec, tools: &mut FlowTools<'_>) -> (Self, FlowStep) {
+        tools.budget.first_attempt();
+        let due = spec.deadline;
+        let flow = Self {
+            spec,
+            transcript: Transcript::default(),
+            round: RouteRound::default(),
+            attempts: 0,
+            attempt: None,
+            may_have_run: false,
+            over: false,
+            due,
+            last: None,
+        };
+        let step = FlowStep::Route(flow.round.clone());
+        (flow, step)
+    }
+
+    /// Returns the request.
+    pub const fn spec(&self) -> &FlowSpec {
+        &self.spec
+    }
+
+    /// Returns the tokens that have been passed on.
+    pub const fn transcript(&self) -> &Transcript {
+        &self.transcript
+    }
+
+    /// Returns when [`FlowEvent::Timer`] is due.
+    pub const fn due(&self) -> Timestamp {
+        self.due
+    }
+
+    /// Returns the attempt in progress.
+    pub fn attempt(&self) -> Option<&AttemptId> {
+        self.attempt.as_ref().map(|a| &a.id)
+    }
+
+    /// Returns the target of the attempt in progress.
+    pub fn target(&self) -> Option<&TargetName> {
+        self.attempt.as_ref().map(|a| &a.target)
+    }
+
+    /// Takes in what has happened, and returns what to do next.
+    pub fn on(&mut self, event: FlowEvent, now: Timestamp, tools: &mut FlowTools<'_>) -> FlowStep {
+        if self.over {
+            return FlowStep::Ignore;
+        }
+        let step = self.decide(event, now, tools);
+        self.over = matches!(
+            step,
+            FlowStep::Finish(_) | FlowStep::Fail(_) | FlowStep::Stop
+        );
+        step
+    }
+
+    fn decide(&mut self, event: FlowEvent, now: Timestamp, tools: &mut FlowTools<'_>) -> FlowStep {
+        match event {
+            FlowEvent::ProbeWanted(targets) => self.probe(targets, now),
+            FlowEvent::Probed => self.probed(now),
+            FlowEvent::Chosen {
+                target,
+                incarnation,
+            } => self.dispatch(target, incarnation, now),
+            FlowEvent::NoTarget => self.no_target(now, tools),
+            FlowEvent::NotSent(id) if self.is_current(&id) => self.not_sent(now, tools),
+            FlowEvent::Attempt { attempt, event } if self.is_current(&attempt) => {
+                self.attempt_event(event, now, tools)
+            }
+            FlowEvent::Cut(id) if self.is_current(&id) => self.cut(now, tools),
+            FlowEvent::Fenced { attempt, reply } if self.is_fencing(&attempt) => {
+                self.fenced(reply, now, tools)
+            }
+            FlowEvent::FenceLost(id) if self.is_fencing(&id) => self.wait_for_fence(now),
+            FlowEvent::Timer => self.timer(now, tools),
+            FlowEvent::CallerLeft => self.caller_left(),
+            _ => FlowStep::Ignore,
+        }
+    }
+
+    pub(super) fn is_current(&self, id: &AttemptId) -> bool {
+        self.attempt
+            .as_ref()
+            .is_some_and(|a| a.id == *id && a.state != AttemptState::Fencing)
+    }
+
+    fn is_fencing(&self, id: &AttemptId) -> bool {
+        self.attempt
+            .as_ref()
+            .is_some_and(|a| a.id == *id && a.state == AttemptState::Fencing)
+    }
+
+    fn probe(&self, targets: Vec<TargetName>, now: Timestamp) -> FlowStep {
+        if self.attempt.is_some() {
+            return FlowStep::Ignore;
+        }
+        if now >= self.spec.deadline {
+            return self.fail(ErrorCode::Deadline, "the deadline has passed");
+        }
+        FlowStep::Probe(targets)
+    }
+
+    fn probed(&mut self, now: Timestamp) -> FlowStep {
+        if self.attempt.is_some() {
+            return FlowStep::Ignore;
+        }
+        if now >= self.spec.deadline {
+            return self.fail(ErrorCode::Deadline, "the deadline has passed");
+        }
+        self.round.probed += 1;
+        FlowStep::Route(self.round.clone())
+    }
+
+    fn dispatch(
+        &mut self,
+        target: TargetName,
+        incarnation: Option<Incarnation>,
+        now: Timestamp,
+    ) -> FlowStep {
+        if self.attempt.is_some() {
+            return FlowStep::Ignore;
+        }
+        let left = self.spec.deadline.since(now);
+        if left.is_zero() {
+            return self.fail(ErrorCode::Deadline, "the deadline has passed");
+        }
+        self.attempts += 1;
+        let id = AttemptId {
+            request: self.spec.id.clone(),
+            number: self.attempts,
+        };
+        let dispatch = Dispatch {
+            attempt: id.clone(),
+            incarnation,
+            service: self.spec.service.clone(),
+            priority: self.spec.priority,
+            deadline_ms: left.as_millis() as u64,
+            first_token_ms: self.spec.first_token.min(left).as_millis() as u64,
+            work: self.work(),
+        };
+        self.attempt = Some(Attempt::new(id, target.clone(), incarnation));
+        self.due = self.next_due(now);
+        FlowStep::Dispatch {
+            target,
+            dispatch: Box::new(dispatch),
+        }
+    }
+
+    /// Returns the work of the next attempt, which goes on after the tokens passed on.
+    fn work(&self) -> Work {
+        let mut work = self.spec.work.clone();
+        if let Work::Completion(completion) = &mut work {
+            completion.resume = self.transcript.tokens().to_vec();
+        }
+        work
+    }
+
+    fn no_target(&mut self, now: Timestamp, tools: &mut FlowTools<'_>) -> FlowStep {
+        if self.attempt.is_some() {
+            return FlowStep::Ignore;
+        }
+        let tried_all = !self.round.tried.is_empty();
+        if tried_all && self.may_have_run && self.attempts < MAX_ATTEMPTS {
+            self.round = RouteRound::default();
+            return self.back_off(now, tools);
+        }
+        let (code, after) = self.last.unwrap_or((ErrorCode::Unavailable, None));
+        let mut failure = self.failure(code, "no target can take the request now");
+        failure.retry_after = after.or(Some(RETRY_AFTER));
+        FlowStep::Fail(failure)
+    }
+
+    fn timer(&mut self, now: Timestamp, tools: &mut FlowTools<'_>) -> FlowStep {
+        if now >= self.spec.deadline {
+            return self.deadline();
+        }
+        if now < self.due {
+            return FlowStep::Ignore;
+        }
+        match self.attempt.as_ref().map(|a| a.state) {
+            None => FlowStep::Route(self.round.clone()),
+            Some(AttemptState::Fencing) => self.ask_fence(),
+            Some(AttemptState::Sent | AttemptState::Accepted) => self.cut(now, tools),
+        }
+    }
+
+    pub(super) fn wait(&mut self, now: Timestamp) -> FlowStep {
+        self.due = self.next_due(now);
+        FlowStep::Await
+    }
+
+    fn deadline(&mut self) -> FlowStep {
+        if self.attempt.is_some() {
+            self.may_have_run = true;
+        }
+        self.fail(ErrorCode::Deadline, "the deadline has passed")
+    }
+
+    /// Stops, unless a call is under way whose end must still be recorded.
+    fn caller_left(&self) -> FlowStep {
+        if self.attempt.is_some() && !self.spec.may_repeat() {
+            return FlowStep::Ignore;
+        }
+        FlowStep::Stop
+    }
+
+    /// Returns until when the next event of the attempt is waited for.
+    pub(super) fn next_due(&self, now: Timestamp) -> Timestamp {
+        match self.spec.work {
+            Work::Completion(_) => now.after(STALL).min(self.spec.deadline),
+            Work::Plain(_) => self.spec.deadline,
+        }
+    }
+
+    pub(super) fn fail(&self, code: ErrorCode, message: &str) -> FlowStep {
+        FlowStep::Fail(self.failure(code, message))
+    }
+
+    pub(super) fn failure(&self, code: ErrorCode, message: impl Into<String>) -> FlowFailure {
+        let outcome = if self.may_have_run {
+            Outcome::Unknown
+        } else {
+            Outcome::NotRun
+        };
+        FlowFailure {
+            outcome,
+            code,
+            message: message.into(),
+            retry_after: Some(RETRY_AFTER),
+        }
+    }
+}
