feat(gate): admit attempts at the agent, each at most once

The agent needs one place that decides which attempt starts, waits, joins a call with the same idempotency key, or is never run. Add the gate as a state machine without IO: slots by lane, a bounded queue by priority and deadline, fences, records bounded in number and age with a floor for dropped ones, and the check of an engine's stream.

--- /dev/null
+++ b/crates/core/src/gate/offer.rs
@@ -0,0 +1,165 @@
+//! The admission of an attempt.
+
+use std::time::Duration;
+
+use kumquatkeel_types::message::{Dispatch, NotRunReason, Work};
+use kumquatkeel_types::{AttemptId, Timestamp};
+
+use super::floor::Past;
+use super::keys::KeyState;
+use super::lane::Lane;
+use super::record::{Job, Record};
+use super::{Admission, Gate};
+
+/// Shortest time after which a refused caller is asked to come back.
+const MIN_RETRY: Duration = Duration::from_millis(10);
+/// Longest time after which a refused caller is asked to come back.
+const MAX_RETRY: Duration = Duration::from_secs(5);
+
+impl Gate {
+    /// Decides on an attempt that has reached the agent.
+    ///
+    /// When it displaces one that waits, the next [`Gate::tick`] says so.
+    #[must_use]
+    pub fn offer(&mut self, dispatch: &Dispatch, now: Timestamp) -> Admission {
+        if let Some(repeat) = self.repeat_of(&dispatch.attempt) {
+            return repeat;
+        }
+        if dispatch.incarnation.is_some_and(|i| i != self.incarnation) {
+            return not_run(NotRunReason::WrongIncarnation);
+        }
+        self.arrivals += 1;
+        let job = Job::new(dispatch, self.arrivals, now);
+        if let Some(known) = self.known_key(&dispatch.attempt, &job, now) {
+            return known;
+        }
+        if let Some((reason, retry)) = self.objection(dispatch, &job, now) {
+            self.end_record(&dispatch.attempt, Record::NotRun(reason), now);
+            return Admission::NotRun {
+                reason,
+                retry_after_ms: retry.map(|r| r.as_millis() as u64),
+            };
+        }
+        self.admit(&dispatch.attempt, job, now)
+    }
+
+    pub(super) fn repeat_of(&self, attempt: &AttemptId) -> Option<Admission> {
+        match self.records.get(attempt) {
+            Some(Record::NotRun(reason)) => Some(not_run(*reason)),
+            Some(Record::Keyed(scope)) => Some(match self.keys.get(scope).map(|k| &k.state) {
+                Some(KeyState::Answered(answer)) => Admission::Stored(answer.clone()),
+                _ => Admission::Unknown,
+            }),
+            Some(Record::Ran) => Some(Admission::Unknown),
+            Some(Record::Waiting(_) | Record::Running { .. } | Record::Joined(_)) => {
+                Some(Admission::Repeated)
+            }
+            None => match self.floors.past(attempt) {
+                Past::New => None,
+                Past::MayBeFenced => Some(not_run(NotRunReason::Fenced)),
+                Past::MayHaveRun => Some(Admission::Unknown),
+            },
+        }
+    }
+
+    pub(super) fn known_key(
+        &mut self,
+        attempt: &AttemptId,
+        job: &Job,
+        now: Timestamp,
+    ) -> Option<Admission> {
+        let scope = job.key.as_ref()?;
+        let entry = self.keys.get(scope)?.clone();
+        if entry.digest != job.digest {
+            return Some(Admission::KeyReused);
+        }
+        match entry.state {
+            KeyState::Answered(answer) => {
+                self.end_record(attempt, Record::Keyed(scope.clone()), now);
+                Some(Admission::Stored(answer))
+            }
+            KeyState::Unknown => {
+                self.end_record(attempt, Record::Keyed(scope.clone()), now);
+                Some(Admission::Unknown)
+            }
+            KeyState::Open(leader) => {
+                let record = Record::Joined(scope.clone());
+                self.records.insert(attempt.clone(), record);
+                self.joined.entry(leader).or_default().push(attempt.clone());
+                Some(Admission::Joined)
+            }
+        }
+    }
+
+    /// Returns why an attempt can't be taken in now, and when it may come back.
+    pub(super) fn objection(
+        &self,
+        dispatch: &Dispatch,
+        job: &Job,
+        now: Timestamp,
+    ) -> Option<(NotRunReason, Option<Duration>)> {
+        if self.draining {
+            return Some((NotRunReason::Draining, None));
+        }
+        if job.turn.deadline <= now {
+            return Some((NotRunReason::Deadline, None));
+        }
+        let Some(lane) = self.lanes.get(&job.lane).filter(|l| l.slots > 0) else {
+            return Some((NotRunReason::NotResident, None));
+        };
+        if job.key.is_some() && self.keys.len() >= self.limits.keys {
+            return Some((NotRunReason::Busy, Some(MAX_RETRY)));
+        }
+        if self.may_start(lane) {
+            return None;
+        }
+        let retry = lane.wait_behind(0).clamp(MIN_RETRY, MAX_RETRY);
+        if self.waiting >= self.limits.queue && !self.displaces(job) {
+            return Some((NotRunReason::Busy, Some(retry)));
+        }
+        let wait = lane.wait_behind(lane.ahead_of(job.turn));
+        let is_completion = matches!(dispatch.work, Work::Completion(_));
+        (is_completion && now.after(wait) > job.turn.deadline)
+            .then_some((NotRunReason::Deadline, Some(retry)))
+    }
+
+    pub(super) fn may_start(&self, lane: &Lane) -> bool {
+        lane.has_slot() && lane.waiting.is_empty() && self.running < self.limits.slots
+    }
+
+    /// Says whether a job goes before the last one that waits.
+    pub(super) fn displaces(&self, job: &Job) -> bool {
+        let turns = self.lanes.values().flat_map(|l| l.waiting.keys());
+        turns
+            .max()
+            .is_some_and(|last| job.turn.priority < last.priority)
+    }
+
+    pub(super) fn admit(&mut self, attempt: &AttemptId, job: Job, now: Timestamp) -> Admission {
+        if let Some(scope) = &job.key {
+            self.keys.open(scope.clone(), job.digest, attempt.clone());
+        }
+        let starts = self.lanes.get(&job.lane).is_some_and(|l| self.may_start(l));
+        let Some(lane) = self.lanes.get_mut(&job.lane) else {
+            return not_run(NotRunReason::NotResident);
+        };
+        if starts {
+            lane.running += 1;
+            self.running += 1;
+            let record = Record::Running { job, since: now };
+            self.records.insert(attempt.clone(), record);
+            return Admission::Start;
+        }
+        lane.waiting.insert(job.turn, attempt.clone());
+        self.waiting += 1;
+        self.records.insert(attempt.clone(), Record::Waiting(job));
+        Admission::Queued
+    }
+}
+
+const fn not_run(reason: NotRunReason) -> Admission {
+    Admission::NotRun {
+        reason,
+        retry_after_ms: None,
+    }
+}
--- /dev/null
+++ b/crates/core/src/gate/settle.rs
@@ -0,0 +1,144 @@
+//! Ends of attempts, fences, and what is kept of both.
+
+use kumquatkeel_types::message::{FenceReply, FenceRequest, NotRunReason};
+use kumquatkeel_types::{AttemptId, Timestamp};
+
+use super::floor::Past;
+use super::keys::KeyState;
+use super::record::{Job, Record};
+use super::{CancelStep, Ending, Gate, GateStep};
+
+impl Gate {
+    /// Makes sure that an attempt never starts from now on, and says what became of it.
+    #[must_use]
+    pub fn fence(&mut self, request: &FenceRequest, now: Timestamp) -> (FenceReply, Vec<GateStep>) {
+        if request.incarnation != self.incarnation {
+            let incarnation = self.incarnation;
+            return (FenceReply::WrongIncarnation { incarnation }, Vec::new());
+        }
+        let attempt = &request.attempt;
+        if let Some(Record::Waiting(_)) = self.records.get(attempt) {
+            let steps = self.refuse_all([attempt.clone()], NotRunReason::Fenced, now);
+            return (FenceReply::NotRun, steps);
+        }
+        let reply = match self.records.get(attempt) {
+            Some(Record::NotRun(_)) => FenceReply::NotRun,
+            Some(Record::Running { .. } | Record::Joined(_) | Record::Waiting(_)) => {
+                FenceReply::Running
+            }
+            Some(Record::Ran) => FenceReply::Unknown,
+            Some(Record::Keyed(scope)) => match self.keys.get(scope).map(|k| &k.state) {
+                Some(KeyState::Answered(answer)) => answer.fence_reply(),
+                _ => FenceReply::Unknown,
+            },
+            None if self.floors.past(attempt) == Past::MayHaveRun => FenceReply::Unknown,
+            None => {
+                self.end_record(attempt, Record::NotRun(NotRunReason::Fenced), now);
+                FenceReply::NotRun
+            }
+        };
+        (reply, Vec::new())
+    }
+
+    /// Takes in that an attempt which was started has ended.
+    #[must_use]
+    pub fn finish(&mut self, attempt: &AttemptId, end: Ending, now: Timestamp) -> Vec<GateStep> {
+        let Some(Record::Running { job, since }) = self.records.get(attempt).cloned() else {
+            return Vec::new();
+        };
+        self.release(&job.lane, now.since(since));
+        let mut steps = self.settle_joined(attempt, &end, now);
+        self.settle_key(&job, &end, now);
+        let record = match (end, job.key) {
+            (Ending::NotSent(reason), _) => Record::NotRun(reason),
+            (_, Some(scope)) => Record::Keyed(scope),
+            _ => Record::Ran,
+        };
+        self.end_record(attempt, record, now);
+        steps.extend(self.fill(now));
+        steps
+    }
+
+    /// Takes in that the caller of an attempt has left.
+    #[must_use]
+    pub fn cancel(&mut self, attempt: &AttemptId, now: Timestamp) -> (CancelStep, Vec<GateStep>) {
+        match self.records.get(attempt) {
+            Some(Record::Waiting(_)) => {
+                let steps = self.refuse_all([attempt.clone()], NotRunReason::Cancelled, now);
+                (CancelStep::NotRun, steps)
+            }
+            Some(Record::Running { job, .. }) if job.key.is_none() => {
+                (CancelStep::CancelTarget, Vec::new())
+            }
+            _ => (CancelStep::Nothing, Vec::new()),
+        }
+    }
+
+    pub(super) fn settle_key(&mut self, job: &Job, end: &Ending, now: Timestamp) {
+        let Some(scope) = &job.key else {
+            return;
+        };
+        let bytes = self.limits.answer_bytes;
+        match end {
+            Ending::NotSent(_) => self.keys.forget(scope),
+            Ending::Answered(answer) => self.keys.end(scope, Some(answer.clone()), bytes, now),
+            Ending::Finished | Ending::Unknown => self.keys.end(scope, None, bytes, now),
+        }
+    }
+
+    pub(super) fn settle_joined(
+        &mut self,
+        leader: &AttemptId,
+        end: &Ending,
+        now: Timestamp,
+    ) -> Vec<GateStep> {
+        let joined = self.joined.remove(leader).unwrap_or_default();
+        let mut steps = Vec::new();
+        for attempt in joined {
+            let Some(Record::Joined(scope)) = self.records.get(&attempt).cloned() else {
+                continue;
+            };
+            let record = match end {
+                Ending::NotSent(reason) => Record::NotRun(*reason),
+                _ => Record::Keyed(scope),
+            };
+            self.end_record(&attempt, record, now);
+            steps.push(joined_step(attempt, end));
+        }
+        steps
+    }
+
+    pub(super) fn end_record(&mut self, attempt: &AttemptId, record: Record, now: Timestamp) {
+        self.records.insert(attempt.clone(), record);
+        self.ended.push_back((now, attempt.clone()));
+        while self.ended.len() > self.limits.records {
+            self.drop_oldest();
+        }
+    }
+
+    pub(super) fn drop_oldest(&mut self) {
+        let Some((_, attempt)) = self.ended.pop_front() else {
+            return;
+        };
+        let Some(record) = self.records.remove(&attempt) else {
+            return;
+        };
+        let ran = !matches!(record, Record::NotRun(_));
+        self.floors.raise(&attempt, ran, self.limits.entries);
+    }
+}
+
+/// Returns what a joined attempt is told at the end of the call that it joined.
+fn joined_step(attempt: AttemptId, end: &Ending) -> GateStep {
+    match end {
+        Ending::NotSent(reason) => GateStep::NotRun {
+            attempt,
+            reason: *reason,
+        },
+        Ending::Answered(answer) => GateStep::Answer {
+            attempt,
+            answer: answer.clone(),
+        },
+        Ending::Finished | Ending::Unknown => GateStep::Unknown(attempt),
+    }
+}
--- /dev/null
+++ b/crates/core/src/gate/state.rs
@@ -0,0 +1,122 @@
+//! The gate's state and its decisions.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use kumquatkeel_types::message::{LoadSummary, NotRunReason};
+use kumquatkeel_types::{AdapterName, AttemptId, Incarnation, ModelId, Timestamp};
+
+use super::floor::Floors;
+use super::keys::Keys;
+use super::lane::Lane;
+use super::record::Record;
+use super::{GateLimits, GateStep, LaneId};
+
+/// Admits attempts to the target behind an agent, each at most once.
+#[derive(Debug)]
+pub struct Gate {
+    pub(super) limits: GateLimits,
+    pub(super) incarnation: Incarnation,
+    pub(super) draining: bool,
+    pub(super) lanes: BTreeMap<LaneId, Lane>,
+    pub(super) records: BTreeMap<AttemptId, Record>,
+    pub(super) ended: VecDeque<(Timestamp, AttemptId)>,
+    pub(super) joined: BTreeMap<AttemptId, Vec<AttemptId>>,
+    pub(super) keys: Keys,
+    pub(super) floors: Floors,
+    pub(super) running: u32,
+    pub(super) waiting: usize,
+    pub(super) arrivals: u64,
+}
+
+impl Gate {
+    /// Makes the gate of an agent in this life; it has no lanes yet.
+    pub fn new(mut limits: GateLimits, incarnation: Incarnation) -> Self {
+        limits.key_age = limits.key_age.max(limits.record_age);
+        Self {
+            limits,
+            incarnation,
+            draining: false,
+            lanes: BTreeMap::new(),
+            records: BTreeMap::new(),
+            ended: VecDeque::new(),
+            joined: BTreeMap::new(),
+            keys: Keys::default(),
+            floors: Floors::default(),
+            running: 0,
+            waiting: 0,
+            arrivals: 0,
+        }
+    }
+
+    /// Returns the agent's life.
+    pub const fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Says whether the gate takes no new work.
+    pub const fn is_draining(&self) -> bool {
+        self.draining
+    }
+
+    /// Says whether nothing runs or waits.
+    pub const fn is_idle(&self) -> bool {
+        self.running == 0 && self.waiting == 0
+    }
+
+    /// Returns the load of one lane; all zero when it is closed.
+    pub fn lane_load(&self, lane: &LaneId) -> LoadSummary {
+        self.lanes.get(lane).map(Lane::load).unwrap_or_default()
+    }
+
+    /// Returns the load of the whole target.
+    pub fn load(&self) -> LoadSummary {
+        LoadSummary {
+            running: self.running,
+            waiting: u32::try_from(self.waiting).unwrap_or(u32::MAX),
+            slots: self.limits.slots,
+        }
+    }
+
+    /// Says whether an attempt that uses this adapter waits or runs.
+    pub fn uses_adapter(&self, model: &ModelId, adapter: &AdapterName) -> bool {
+        let lane = LaneId::Model(model.clone());
+        self.records.values().any(|record| match record {
+            Record::Waiting(job) | Record::Running { job, .. } => {
+                job.lane == lane && job.adapter.as_ref() == Some(adapter)
+            }
+            _ => false,
+        })
+    }
+
+    /// Opens a lane with this many slots, or changes its slots.
+    #[must_use]
+    pub fn open_lane(&mut self, lane: LaneId, slots: u32, now: Timestamp) -> Vec<GateStep> {
+        self.lanes.entry(lane).or_default().slots = slots;
+        self.fill(now)
+    }
+
+    /// Closes a lane: what waits is not run, what runs goes on.
+    #[must_use]
+    pub fn close_lane(&mut self, lane: &LaneId, now: Timestamp) -> Vec<GateStep> {
+        let Some(state) = self.lanes.get_mut(lane) else {
+            return Vec::new();
+        };
+        state.slots = 0;
+        let waiting: Vec<_> = state.waiting.values().cloned().collect();
+        let idle = state.running == 0;
+        let steps = self.refuse_all(waiting, NotRunReason::NotResident, now);
+        if idle {
+            self.lanes.remove(lane);
+        }
+        steps
+    }
+
+    /// Takes no new work from now on; what waits is not run, what runs goes on.
+    #[must_use]
+    pub fn drain(&mut self, now: Timestamp) -> Vec<GateStep> {
+        self.draining = true;
+        let waiting = self.lanes.values().flat_map(|l| l.waiting.values());
+        let waiting = waiting.cloned().collect::<Vec<_>>();
+        self.refuse_all(waiting, NotRunReason::Draining, now)
+    }
+}
