feat(platform): reach the object API and the instance list over HTTP

Every fault is mapped: a refused connection or 503 wrote nothing, a lost answer to a write leaves it open, and put_settled settles it by reading the write's id again. Calls are counted by kind.

--- /dev/null
+++ b/crates/platform/src/http/mod.rs
@@ -0,0 +1,9 @@
+//! The platform over HTTP.
+
+mod list;
+mod store;
+mod transport;
+
+pub use list::HttpInstanceList;
+pub use store::HttpObjectStore;
+pub use transport::HttpOptions;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -2,14 +2,20 @@
 //!
 //! The traits are the border: daemons use the HTTP client, tests a stand-in in memory.
 
+mod count;
 mod error;
+mod http;
 mod instance;
 mod object;
+mod settle;
 
 pub mod wire;
 
+pub use count::{CallCounts, CallKind, CallTotals};
 pub use error::{StoreError, StoreFault};
+pub use http::{HttpInstanceList, HttpObjectStore, HttpOptions};
 pub use instance::{InstanceList, InstanceRecord, InstanceState};
 pub use object::{
     Object, ObjectKey, ObjectStore, ObjectVersion, Precondition, WatchReply, WriteId,
 };
+pub use settle::{Settled, put_settled};
