--- /dev/null
+++ b/crates/core/src/spread/tree.rs
@@ -0,0 +1,116 @@
+//! Whom a process polls: a tree in each data centre by rendezvous order.
+
+use kumquatkeel_types::digest::rendezvous;
+use kumquatkeel_types::{DataCentreName, EntryName};
+
+/// Entries in each data centre that watch the store.
+pub const RELAYS: usize = 2;
+
+/// Entries that poll one entry.
+pub const FAN_OUT: usize = 4;
+
+/// Where a process gets its news from, the preferred source first.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Upstream {
+    /// The process watches the store and polls one relay of each other data centre.
+    Store {
+        /// The relays of the other data centres, in each the preferred one first.
+        peers: Vec<Vec<EntryName>>,
+    },
+    /// The process polls the first of these that answers.
+    Entries(Vec<EntryName>),
+    /// No entry is known to be alive.
+    Nobody,
+}
+
+/// The entries of each data centre in rendezvous order.
+///
+/// An entry polls only entries before it in the order, which does not depend on who is alive. Two
+/// processes with different views can therefore never poll each other in a circle.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct SpreadTree {
+    centres: Vec<Centre>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Centre {
+    name: DataCentreName,
+    entries: Vec<EntryName>,
+}
+
+impl SpreadTree {
+    /// Builds the tree of the live entries.
+    pub fn new<'a>(live: impl IntoIterator<Item = (&'a DataCentreName, &'a EntryName)>) -> Self {
+        let mut by_centre = std::collections::BTreeMap::<_, Vec<_>>::new();
+        for (centre, entry) in live {
+            by_centre.entry(centre).or_default().push(entry);
+        }
+        let centres = by_centre.into_iter().map(|(name, entries)| Centre {
+            name: name.clone(),
+            entries: rendezvous(name.as_str(), entries)
+                .into_iter()
+                .cloned()
+                .collect(),
+        });
+        Self {
+            centres: centres.collect(),
+        }
+    }
+
+    /// Returns the relays of a data centre, the preferred one first.
+    pub fn relays(&self, centre: &DataCentreName) -> &[EntryName] {
+        let entries = self.entries(centre);
+        &entries[..entries.len().min(RELAYS)]
+    }
+
+    /// Returns the upstream of an entry.
+    pub fn upstream_of_entry(&self, centre: &DataCentreName, entry: &EntryName) -> Upstream {
+        let entries = self.entries(centre);
+        let Some(rank) = entries.iter().position(|e| e == entry) else {
+            return self.upstream_of_stranger(centre, entry.as_str());
+        };
+        if rank < RELAYS {
+            return Upstream::Store {
+                peers: self.peers(centre),
+            };
+        }
+        let parent = (rank - RELAYS) / FAN_OUT;
+        let before = entries[..rank].iter().enumerate();
+        let mut candidates: Vec<_> = before.collect();
+        candidates.sort_by_key(|(i, _)| (i.abs_diff(parent), *i));
+        Upstream::Entries(candidates.into_iter().map(|(_, e)| e.clone()).collect())
+    }
+
+    /// Returns the upstream of an agent.
+    pub fn upstream_of_agent(&self, centre: &DataCentreName, agent: impl AsRef<str>) -> Upstream {
+        self.upstream_of_stranger(centre, agent.as_ref())
+    }
+
+    /// Returns the upstream of a process that is not in the tree itself: entries of its own data
+    /// centre first.
+    fn upstream_of_stranger(&self, centre: &DataCentreName, name: &str) -> Upstream {
+        let own = rendezvous(name, self.entries(centre));
+        let others = self.centres.iter().filter(|c| c.name != *centre);
+        let others = others.flat_map(|c| &c.entries);
+        let candidates: Vec<_> = own
+            .into_iter()
+            .chain(rendezvous(name, others))
+            .cloned()
+            .collect();
+        if candidates.is_empty() {
+            Upstream::Nobody
+        } else {
+            Upstream::Entries(candidates)
+        }
+    }
+
+    fn peers(&self, centre: &DataCentreName) -> Vec<Vec<EntryName>> {
+        let others = self.centres.iter().filter(|c| c.name != *centre);
+        others.map(|c| c.entries.clone()).collect()
+    }
+
+    fn entries(&self, centre: &DataCentreName) -> &[EntryName] {
+        let found = self.centres.iter().find(|c| c.name == *centre);
+        found.map_or(&[], |c| &c.entries)
+    }
+}
