feat(daemon): add the listener, client, settings, logs and metrics of the daemons

Cause: entry and agent need one listener for JSON-RPC, work and metrics, and one way to know peers. Before: none. Conclusion: the daemons can be built on it.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,4 +1,10 @@
 //! What both daemons share: settings, logs, metrics, HTTP client and the RPC between processes.
 
 pub mod clock;
+pub mod http;
+pub mod logging;
+pub mod metrics;
+pub mod peer;
 pub mod rpc;
+pub mod server;
+pub mod settings;
--- /dev/null
+++ b/crates/daemon/src/settings.rs
@@ -0,0 +1,72 @@
+//! Settings files: JSON with comments, turned into checked types.
+
+use std::path::{Path, PathBuf};
+
+use derive_more::{Display, Error};
+use kumquatkeel_types::document::Faults;
+use kumquatkeel_types::jsonc;
+use serde::de::DeserializeOwned;
+
+/// Largest settings file, in bytes.
+const MAX_SETTINGS_BYTES: u64 = 1 << 20;
+
+/// Says why a settings file can't be used.
+#[derive(Debug, Display, Error)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[display("reading {}: {source}", path.display())]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The file is over the size limit.
+    #[display("{}: has {bytes} bytes; the limit is {MAX_SETTINGS_BYTES}", path.display())]
+    TooLarge {
+        /// The file.
+        path: PathBuf,
+        /// Its size.
+        bytes: u64,
+    },
+    /// Fields are wrong.
+    #[display("{}:\n{faults}", path.display())]
+    Fields {
+        /// The file.
+        path: PathBuf,
+        /// The faults, each with the path of its field.
+        faults: Faults,
+    },
+}
+
+/// Reads a settings file and turns its raw form `R` into the checked form `T`.
+///
+/// # Errors
+///
+/// Returns an error that names the file and each wrong field.
+pub fn load_settings<R, T>(path: impl AsRef<Path>) -> Result<T, SettingsError>
+where
+    R: DeserializeOwned,
+    T: TryFrom<R, Error = Faults>,
+{
+    let path = path.as_ref();
+    let read = |source| SettingsError::Read {
+        path: path.into(),
+        source,
+    };
+    let bytes = std::fs::metadata(path).map_err(read)?.len();
+    if bytes > MAX_SETTINGS_BYTES {
+        return Err(SettingsError::TooLarge {
+            path: path.into(),
+            bytes,
+        });
+    }
+    let content = std::fs::read(path).map_err(read)?;
+    jsonc::parse_bytes::<R>(content)
+        .map_err(Faults::from)
+        .and_then(T::try_from)
+        .map_err(|faults| SettingsError::Fields {
+            path: path.into(),
+            faults,
+        })
+}
