--- a/crates/core/src/placement/input.rs
+++ b/crates/core/src/placement/input.rs
@@ -53,6 +53,11 @@
     pub adapters: &'a BTreeMap<AdapterName, Demand>,
     /// Memory committed on each accelerator in the worst case, in megabytes.
     pub committed_mb: &'a BTreeMap<TargetName, Vec<u32>>,
+    /// Targets whose agents have seen the planner's own lease epoch.
+    ///
+    /// An earlier holder of the lease can unload nothing there any more. Only copies on these
+    /// targets let another copy be unloaded.
+    pub fenced: &'a BTreeSet<TargetName>,
     /// Model loads in progress over all data centres.
     pub loading: usize,
     /// Whether the store is out or the lease is in doubt: only additive steps are allowed.
--- /dev/null
+++ b/crates/core/src/placement/limiter.rs
@@ -0,0 +1,36 @@
+//! The weight store's limits, kept by the one planner for all data centres.
+
+use kumquatkeel_types::Timestamp;
+use kumquatkeel_types::document::Policy;
+
+/// Counts out model loads by rate and by number in flight.
+#[derive(Debug, Default)]
+pub(super) struct LoadLimiter {
+    tokens: f64,
+    last: Option<Timestamp>,
+}
+
+impl LoadLimiter {
+    /// Returns how many loads may start now.
+    ///
+    /// `loading` counts the loads in progress over all data centres. A new planner starts without
+    /// credit, so that taking over the lease gives the weight store no second burst.
+    pub(super) fn grant(&mut self, now: Timestamp, loading: usize, policy: &Policy) -> usize {
+        let elapsed = self.last.map_or(0.0, |last| now.since(last).as_secs_f64());
+        self.last = Some(now);
+        let flight = policy.load_flight.max(1);
+        let rate = if policy.load_rate.is_finite() {
+            policy.load_rate.max(0.0)
+        } else {
+            0.0
+        };
+        self.tokens = (self.tokens + elapsed * rate).min(f64::from(flight));
+        let free = usize::from(flight).saturating_sub(loading);
+        free.min(self.tokens as usize)
+    }
+
+    /// Notes that a load starts.
+    pub(super) fn take(&mut self) {
+        self.tokens = (self.tokens - 1.0).max(0.0);
+    }
+}
