--- /dev/null
+++ b/crates/standin/src/platform/store.rs
@@ -0,0 +1,336 @@
+//! The store in memory.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use kumquatkeel_platform::{
+    InstanceList, InstanceRecord, Object, ObjectKey, ObjectStore, ObjectVersion, Precondition,
+    StoreError, StoreFault, WatchReply, WriteId,
+};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use super::faults::Meeting;
+use super::table::Table;
+use super::{CallCounts, CallFault, CallKind, PlatformFaults, TokenBucket};
+
+/// The peer that the stand-in's errors name.
+const PEER: &str = "memory";
+
+#[derive(Debug)]
+struct Shared {
+    table: Mutex<Table>,
+    changes: watch::Sender<u64>,
+    limits: Mutex<Limits>,
+    instances: Mutex<Instances>,
+}
+
+#[derive(Debug, Default)]
+struct Limits {
+    reads: Option<TokenBucket>,
+    writes: Option<TokenBucket>,
+}
+
+#[derive(Debug, Default)]
+struct Instances {
+    lag: Duration,
+    lists: Vec<(Instant, Vec<InstanceRecord>)>,
+}
+
+/// The platform in memory: objects, watches and the list of instances; clones share it.
+#[derive(Debug, Clone)]
+pub struct MemoryStore {
+    shared: Arc<Shared>,
+    faults: PlatformFaults,
+    link: PlatformFaults,
+}
+
+impl MemoryStore {
+    /// Makes an empty store without limits or faults.
+    pub fn new() -> Self {
+        Self {
+            shared: Arc::new(Shared {
+                table: Mutex::default(),
+                changes: watch::Sender::new(0),
+                limits: Mutex::default(),
+                instances: Mutex::default(),
+            }),
+            faults: PlatformFaults::new(),
+            link: PlatformFaults::new(),
+        }
+    }
+
+    /// Returns a client's view of the same store, with faults of its own way to it.
+    #[must_use]
+    pub fn client(&self) -> Self {
+        Self {
+            link: PlatformFaults::new(),
+            ..self.clone()
+        }
+    }
+
+    /// Returns the handle on the faults that every client meets.
+    pub const fn faults(&self) -> &PlatformFaults {
+        &self.faults
+    }
+
+    /// Returns the handle on the faults of this view alone.
+    pub const fn link(&self) -> &PlatformFaults {
+        &self.link
+    }
+
+    /// Returns the calls of all clients so far.
+    pub fn calls(&self) -> CallCounts {
+        self.faults.calls()
+    }
+
+    /// Limits reads and writes a second.
+    pub fn set_limits(&self, reads: u32, writes: u32) {
+        *lock(&self.shared.limits) = Limits {
+            reads: Some(TokenBucket::new(reads)),
+            writes: Some(TokenBucket::new(writes)),
+        };
+    }
+
+    /// Forgets the changes so far: watches from before this point meet a gap.
+    pub fn compact(&self) {
+        lock(&self.shared.table).compact();
+        self.notify();
+    }
+
+    /// Sets the list of instances, which readers see after the lag.
+    pub fn set_instances(&self, instances: impl Into<Vec<InstanceRecord>>) {
+        let now = Instant::now();
+        lock(&self.shared.instances)
+            .lists
+            .push((now, instances.into()));
+    }
+
+    /// Sets how far the list of instances lags.
+    pub fn set_instance_lag(&self, lag: Duration) {
+        lock(&self.shared.instances).lag = lag;
+    }
+
+    /// Returns every object as it is, outside all limits and faults, for tests to compare with.
+    pub fn snapshot(&self) -> Vec<Object> {
+        lock(&self.shared.table).list("")
+    }
+
+    fn notify(&self) {
+        self.shared.changes.send_modify(|changes| *changes += 1);
+    }
+
+    /// Counts a call, holds it up, and returns the fault that it meets, if any.
+    async fn meet(&self, kind: CallKind) -> Option<CallFault> {
+        for Meeting { delay, fault } in [self.link.meet(kind), self.faults.meet(kind)] {
+            pause(delay).await;
+            match fault {
+                Some(CallFault::Slow(delay)) => pause(delay).await,
+                Some(fault) => return Some(fault),
+                None => {}
+            }
+        }
+        self.limited(kind).then_some(CallFault::RateLimited)
+    }
+
+    fn limited(&self, kind: CallKind) -> bool {
+        let mut limits = lock(&self.shared.limits);
+        let bucket = if kind.is_write() {
+            &mut limits.writes
+        } else {
+            &mut limits.reads
+        };
+        bucket
+            .as_mut()
+            .is_some_and(|bucket| !bucket.take(Instant::now()))
+    }
+
+    async fn read<T>(
+        &self,
+        kind: CallKind,
+        step: &'static str,
+        read: impl FnOnce(&Table) -> T + Send,
+    ) -> Result<T, StoreError> {
+        match self.meet(kind).await {
+            Some(fault) => Err(error(step, fault_of(fault))),
+            None => Ok(read(&lock(&self.shared.table))),
+        }
+    }
+
+    async fn write<T>(
+        &self,
+        kind: CallKind,
+        step: &'static str,
+        write: impl FnOnce(&mut Table) -> Result<T, StoreFault> + Send + 'static,
+    ) -> Result<T, StoreError>
+    where
+        T: Send + 'static,
+    {
+        match self.meet(kind).await {
+            None => self.change(write).map_err(|fault| error(step, fault)),
+            Some(CallFault::LostAfter) => {
+                let _ = self.change(write);
+                Err(error(step, StoreFault::Unknown))
+            }
+            Some(CallFault::LateEffect(delay)) => {
+                let store = self.clone();
+                tokio::spawn(async move {
+                    tokio::time::sleep(delay).await;
+                    let _ = store.change(write);
+                });
+                Err(error(step, StoreFault::Unknown))
+            }
+            Some(fault) => Err(error(step, fault_of(fault))),
+        }
+    }
+
+    fn change<T>(
+        &self,
+        write: impl FnOnce(&mut Table) -> Result<T, StoreFault>,
+    ) -> Result<T, StoreFault> {
+        let result = write(&mut lock(&self.shared.table));
+        if result.is_ok() {
+            self.notify();
+        }
+        result
+    }
+
+    fn watched(&self, prefix: &str, after: ObjectVersion) -> Result<WatchReply, StoreFault> {
+        let table = lock(&self.shared.table);
+        if !table.can_watch(after) {
+            return Err(StoreFault::WatchGap);
+        }
+        Ok(WatchReply {
+            objects: table.newer(prefix, after),
+            version: table.version(),
+        })
+    }
+
+    /// Returns the store's version together with the objects below `prefix`.
+    pub(super) async fn list_at(
+        &self,
+        prefix: &str,
+    ) -> Result<(Vec<Object>, ObjectVersion), StoreError> {
+        self.read(CallKind::List, "list", |table| {
+            (table.list(prefix), table.version())
+        })
+        .await
+    }
+}
+
+impl Default for MemoryStore {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+#[async_trait]
+impl ObjectStore for MemoryStore {
+    async fn get(&self, key: &ObjectKey) -> Result<Option<Object>, StoreError> {
+        self.read(CallKind::Get, "get", |table| table.get(key))
+            .await
+    }
+
+    async fn put(
+        &self,
+        key: &ObjectKey,
+        precondition: Precondition,
+        write: &WriteId,
+        value: Bytes,
+    ) -> Result<ObjectVersion, StoreError> {
+        let (key, write) = (key.clone(), write.clone());
+        self.write(CallKind::Put, "put", move |table| {
+            table.put(&key, precondition, &write, value)
+        })
+        .await
+    }
+
+    async fn remove(&self, key: &ObjectKey, version: ObjectVersion) -> Result<(), StoreError> {
+        let key = key.clone();
+        self.write(CallKind::Remove, "remove", move |table| {
+            table.remove(&key, version)
+        })
+        .await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<Object>, StoreError> {
+        self.list_at(prefix).await.map(|(objects, _)| objects)
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: ObjectVersion,
+        wait: Duration,
+    ) -> Result<WatchReply, StoreError> {
+        let end = Instant::now() + wait;
+        let mut changes = self.shared.changes.subscribe();
+        if let Some(fault) = self.meet(CallKind::Watch).await {
+            return Err(error("watch", fault_of(fault)));
+        }
+        loop {
+            changes.borrow_and_update();
+            if self.faults.outage() || self.link.outage() {
+                return Err(error("watch", StoreFault::Unavailable));
+            }
+            let reply = self
+                .watched(prefix, after)
+                .map_err(|fault| error("watch", fault))?;
+            if !reply.objects.is_empty() {
+                return Ok(reply);
+            }
+            if tokio::time::timeout_at(end, changes.changed())
+                .await
+                .is_err()
+            {
+                return Ok(reply);
+            }
+        }
+    }
+}
+
+#[async_trait]
+impl InstanceList for MemoryStore {
+    async fn instances(&self) -> Result<Vec<InstanceRecord>, StoreError> {
+        if let Some(fault) = self.meet(CallKind::Instances).await {
+            return Err(error("instances", fault_of(fault)));
+        }
+        let instances = lock(&self.shared.instances);
+        let now = Instant::now();
+        let seen = instances
+            .lists
+            .iter()
+            .rev()
+            .find(|(since, _)| now.saturating_duration_since(*since) >= instances.lag);
+        Ok(seen.map(|(_, list)| list.clone()).unwrap_or_default())
+    }
+}
+
+async fn pause(delay: Duration) {
+    if !delay.is_zero() {
+        tokio::time::sleep(delay).await;
+    }
+}
+
+fn fault_of(fault: CallFault) -> StoreFault {
+    match fault {
+        CallFault::RateLimited => StoreFault::RateLimited,
+        CallFault::LostBefore | CallFault::LostAfter | CallFault::LateEffect(_) => {
+            StoreFault::Unknown
+        }
+        CallFault::Gap => StoreFault::WatchGap,
+        CallFault::Unavailable | CallFault::Slow(_) => StoreFault::Unavailable,
+    }
+}
+
+fn error(step: &'static str, fault: StoreFault) -> StoreError {
+    StoreError::new(step, PEER, fault)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/standin/tests/platform.rs
@@ -0,0 +1,135 @@
+//! The platform's stand-in keeps to the platform's promises and brings about its faults.
+
+use std::time::Duration;
+
+use kumquatkeel_platform::{
+    InstanceList, InstanceRecord, InstanceState, ObjectKey, ObjectStore, ObjectVersion,
+    Precondition, StoreFault, WriteId,
+};
+use kumquatkeel_standin::platform::{CallFault, CallKind, MemoryStore};
+use rstest::rstest;
+
+fn key() -> ObjectKey {
+    ObjectKey::from("config/head")
+}
+
+async fn put(
+    store: &MemoryStore,
+    precondition: Precondition,
+    value: &'static str,
+) -> Result<ObjectVersion, StoreFault> {
+    store
+        .put(&key(), precondition, &WriteId::from(value), value.into())
+        .await
+        .map_err(|error| error.fault)
+}
+
+async fn value(store: &MemoryStore) -> Option<String> {
+    let object = store.get(&key()).await.expect("reads")?;
+    Some(String::from_utf8(object.value.to_vec()).expect("text"))
+}
+
+#[tokio::test(start_paused = true)]
+async fn conditional_updates_let_one_of_two_writers_win() {
+    let store = MemoryStore::new();
+    let first = put(&store, Precondition::Absent, "a").await.expect("new");
+    let second = put(&store, Precondition::Version(first), "b").await;
+    let late = put(&store, Precondition::Version(first), "c").await;
+    assert!(second.is_ok());
+    assert_eq!(
+        late,
+        Err(StoreFault::Conflict {
+            current: second.ok()
+        })
+    );
+    assert_eq!(value(&store).await.as_deref(), Some("b"));
+}
+
+#[rstest]
+#[case(CallFault::Unavailable, StoreFault::Unavailable, false)]
+#[case(CallFault::RateLimited, StoreFault::RateLimited, false)]
+#[case(CallFault::LostBefore, StoreFault::Unknown, false)]
+#[case(CallFault::LostAfter, StoreFault::Unknown, true)]
+#[tokio::test(start_paused = true)]
+async fn a_scripted_put_meets_its_fault(
+    #[case] fault: CallFault,
+    #[case] seen: StoreFault,
+    #[case] written: bool,
+) {
+    let store = MemoryStore::new();
+    store.faults().script(CallKind::Put, 1, fault);
+    assert_eq!(put(&store, Precondition::Absent, "a").await, Err(seen));
+    assert_eq!(value(&store).await.is_some(), written);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_late_effect_still_meets_its_precondition() {
+    let store = MemoryStore::new();
+    let late = CallFault::LateEffect(Duration::from_secs(5));
+    store.faults().script(CallKind::Put, 1, late);
+    assert!(put(&store, Precondition::Absent, "late").await.is_err());
+    put(&store, Precondition::Absent, "early")
+        .await
+        .expect("new");
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    assert_eq!(value(&store).await.as_deref(), Some("early"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_outage_of_one_link_leaves_other_clients_alone() {
+    let store = MemoryStore::new();
+    let cut = store.client();
+    cut.link().set_outage(true);
+    assert_eq!(
+        put(&cut, Precondition::Absent, "a").await,
+        Err(StoreFault::Unavailable)
+    );
+    assert!(put(&store, Precondition::Absent, "a").await.is_ok());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_watch_wakes_at_a_change_and_meets_gaps() {
+    let store = MemoryStore::new();
+    let watcher = store.clone();
+    let wait = Duration::from_secs(30);
+    let watch = tokio::spawn(async move { watcher.watch("config/", ObjectVersion(0), wait).await });
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let version = put(&store, Precondition::Absent, "a").await.expect("new");
+    let reply = watch.await.expect("joins").expect("watches");
+    assert_eq!((reply.objects.len(), reply.version), (1, version));
+
+    store.compact();
+    let gap = store.watch("config/", ObjectVersion(0), wait).await;
+    assert_eq!(gap.expect_err("gap").fault, StoreFault::WatchGap);
+    assert!(store.watch("config/", version, wait).await.is_ok());
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_rate_limit_counts_reads_and_writes_apart() {
+    let store = MemoryStore::new();
+    store.set_limits(2, 1);
+    assert!(put(&store, Precondition::Absent, "a").await.is_ok());
+    assert_eq!(
+        put(&store, Precondition::Absent, "b").await,
+        Err(StoreFault::RateLimited)
+    );
+    assert_eq!(value(&store).await.as_deref(), Some("a"));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let again = put(&store, Precondition::Absent, "b").await;
+    assert!(matches!(again, Err(StoreFault::Conflict { .. })));
+    assert_eq!((store.calls().writes(), store.calls().reads()), (3, 1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_list_of_instances_lags() {
+    let store = MemoryStore::new();
+    store.set_instance_lag(Duration::from_secs(10));
+    store.set_instances([InstanceRecord {
+        name: "i-1".try_into().expect("name"),
+        data_centre: "amman-a".try_into().expect("name"),
+        state: InstanceState::Leaving,
+    }]);
+    assert!(store.instances().await.expect("reads").is_empty());
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    assert_eq!(store.instances().await.expect("reads").len(), 1);
+}
