--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -1,10 +1,10 @@
 //! What an entry has heard of the fleet.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use kumquatkeel_types::document::{Document, Target};
+use kumquatkeel_types::document::{Document, ServedModel, Target};
 use kumquatkeel_types::message::{
     LoadSummary, Member, MemberState, MemberVersion, ProbeReply, ReplicaState, Residency, Role,
     TargetStatus,
@@ -41,6 +41,20 @@
     pub state: MemberState,
 }
 
+impl AgentView {
+    /// Takes over a later life of the agent, and says whether it is one.
+    fn raise_life(&mut self, incarnation: Incarnation) -> bool {
+        if incarnation <= self.version.incarnation {
+            return false;
+        }
+        self.version = MemberVersion {
+            incarnation,
+            sequence: 0,
+        };
+        true
+    }
+}
+
 /// The targets, their agents' reports and where each model is ready.
 #[derive(Debug, Clone)]
 pub struct FleetView {
@@ -115,6 +129,23 @@
             .map(|(name, _)| name)
     }
 
+    /// Returns the slots that the fleet has for a service, over all its models.
+    pub fn slots_of(&self, service: &ServiceName) -> u32 {
+        let offered = self.document.deployments.iter();
+        let models = offered
+            .filter(|d| d.service == *service)
+            .flat_map(|d| &d.models)
+            .map(ServedModel::id);
+        let ids: BTreeSet<ModelId> = models.collect();
+        let of_models = ids.iter().filter_map(|id| self.models.get(id));
+        let of_service = self.services.get(service).into_iter();
+        of_models
+            .chain(of_service)
+            .flatten()
+            .map(|replica| replica.load.slots)
+            .fold(0, u32::saturating_add)
+    }
+
     /// Takes over a newer document and keeps the reports of the targets that it still names.
     pub fn apply_document(&mut self, revision: Revision, document: Arc<Document>) -> ViewStep {
         if revision <= self.revision {
@@ -149,12 +180,7 @@
         if reply.incarnation < agent.version.incarnation {
             return ViewStep::Stale;
         }
-        if reply.incarnation > agent.version.incarnation {
-            agent.version = MemberVersion {
-                incarnation: reply.incarnation,
-                sequence: 0,
-            };
-        }
+        agent.raise_life(reply.incarnation);
         if reply.draining {
             agent.state = MemberState::Draining;
         }
@@ -183,6 +209,18 @@
         ViewStep::Applied
     }
 
+    /// Notes that a target's agent is in another life, as it has said itself.
+    pub fn mark_life(&mut self, target: &TargetName, incarnation: Incarnation) -> ViewStep {
+        let Some(&slot) = self.slots.get(target) else {
+            return ViewStep::UnknownTarget;
+        };
+        if self.agents[slot].raise_life(incarnation) {
+            ViewStep::Applied
+        } else {
+            ViewStep::Stale
+        }
+    }
+
     /// Takes a replica out of the view, because its agent says that it is not there.
     pub fn mark_absent(&mut self, target: &TargetName, model: &ModelId) {
         if let Some(&slot) = self.slots.get(target) {
--- /dev/null
+++ b/crates/entry/src/api/mod.rs
@@ -0,0 +1,26 @@
+//! The callers' API.
+//!
+//! | path | method | answer |
+//! |---|---|---|
+//! | `/v1/completions` | POST | a completion, or its tokens as server-sent events |
+//! | `/v1/chat/completions` | POST | a chat completion, or its tokens as server-sent events |
+//! | `/v1/models` | GET | the models and adapters that the caller may use |
+//! | `/v1/services/{service}/{path}` | POST | the plain service's answer |
+//!
+//! Every answer names its outcome in the header `kumquatkeel-outcome`; a stream names it in its
+//! last event. An answer that is not a whole result has an `ErrorBody`. See [`answer`] for the
+//! statuses.
+
+pub mod answer;
+
+mod body;
+mod chat;
+mod completions;
+mod headers;
+mod models;
+mod plain;
+mod request;
+mod serve;
+mod sse;
+
+pub use serve::{ApiContext, ApiError, start_api};
--- /dev/null
+++ b/crates/entry/src/fleet/poll.rs
@@ -0,0 +1,84 @@
+//! A fleet source that asks every agent itself, for small sites and tests.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use futures::future::join_all;
+use jsonrpsee::http_client::HttpClient;
+use kumquatkeel_daemon::http::rpc_client;
+use kumquatkeel_daemon::peer::PeerKey;
+use kumquatkeel_daemon::rpc::AgentApiClient;
+use kumquatkeel_types::message::{Member, Snapshot};
+use log::debug;
+use tokio::sync::{Mutex, watch};
+
+use super::{FleetNews, FleetSource};
+
+/// Pause between two rounds of questions.
+const PERIOD: Duration = Duration::from_secs(1);
+/// Longest wait for an agent's status.
+const TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Follows a configuration channel and asks each of its agents for its status every second.
+#[derive(Debug)]
+pub struct PollingFleet {
+    config: Mutex<watch::Receiver<Option<Snapshot>>>,
+    clients: Mutex<BTreeMap<SocketAddr, HttpClient>>,
+    key: PeerKey,
+}
+
+impl PollingFleet {
+    /// Makes a source that follows `config`.
+    pub fn new(config: watch::Receiver<Option<Snapshot>>, key: PeerKey) -> Self {
+        Self {
+            config: Mutex::new(config),
+            clients: Mutex::new(BTreeMap::new()),
+            key,
+        }
+    }
+
+    async fn status(&self, agent: SocketAddr) -> Option<Member> {
+        let client = self.client(agent).await?;
+        match client.status().await {
+            Ok(member) => Some(member),
+            Err(error) => {
+                debug!(target: "fleet", "fleet: agent {agent} gives no status: {error}");
+                None
+            }
+        }
+    }
+
+    async fn client(&self, agent: SocketAddr) -> Option<HttpClient> {
+        let mut clients = self.clients.lock().await;
+        if let Some(client) = clients.get(&agent) {
+            return Some(client.clone());
+        }
+        let client = rpc_client(agent, &self.key, TIMEOUT).ok()?;
+        clients.insert(agent, client.clone());
+        Some(client)
+    }
+}
+
+#[async_trait]
+impl FleetSource for PollingFleet {
+    async fn next(&self) -> Vec<FleetNews> {
+        let mut config = self.config.lock().await;
+        let snapshot = config.borrow_and_update().clone();
+        let Some(snapshot) = snapshot else {
+            let _ = tokio::time::timeout(PERIOD, config.changed()).await;
+            return Vec::new();
+        };
+        let agents = snapshot.document.targets.iter().map(|t| t.agent);
+        let members = join_all(agents.map(|agent| self.status(agent))).await;
+        let changed = tokio::time::timeout(PERIOD, config.changed()).await;
+        if matches!(changed, Ok(Err(_))) {
+            tokio::time::sleep(PERIOD).await;
+        }
+        let members = members.into_iter().flatten().map(FleetNews::Member);
+        std::iter::once(FleetNews::Config(snapshot))
+            .chain(members)
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,3 @@
+//! The program `kumquatkeel-entry`.
+
+fn main() {}
--- /dev/null
+++ b/crates/entry/src/path/run.rs
@@ -0,0 +1,286 @@
+//! Drives one request's flow over real connections.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquatkeel_core::request::{FlowAnswer, FlowEvent, FlowSpec, FlowStep, RequestFlow};
+use kumquatkeel_core::routing::{RouteRequest, RouteRound, RouteStep};
+use kumquatkeel_types::document::Service;
+use kumquatkeel_types::message::Dispatch;
+use kumquatkeel_types::{AttemptId, ErrorBody, Outcome, TargetName, Timestamp};
+use log::debug;
+use tokio::sync::mpsc;
+
+use super::agent::{address_of, fence, probe};
+use super::attempt::AttemptStream;
+use super::pace::Pace;
+use super::watch::OpenAttempt;
+use crate::EntryState;
+use crate::admission::Place;
+use crate::call::{CallEnd, ClaimStep, ClaimedAttempt, KeyedCall};
+use crate::state::{Decider, ServiceState, lock};
+
+/// Outputs that wait for a slow caller.
+const OUTPUTS: usize = 64;
+
+/// Longest wait for a slow caller to take the end of its answer.
+const LAST_OUTPUT: Duration = Duration::from_secs(30);
+
+/// What a caller gets of its request.
+#[derive(Debug, Clone, PartialEq)]
+pub enum FlowOutput {
+    /// The next token.
+    Token(String),
+    /// The whole answer.
+    Done(FlowAnswer),
+    /// There is no whole answer.
+    Failed(ErrorBody),
+}
+
+/// A request that may run.
+#[derive(Debug)]
+pub struct RunInput {
+    /// The request.
+    pub spec: FlowSpec,
+    /// What the routing policy needs to know of it.
+    pub route: RouteRequest,
+    /// The service.
+    pub service: Arc<Service>,
+    /// The call, when it has an idempotency key.
+    pub call: Option<KeyedCall>,
+    /// When the request arrived.
+    pub arrived: Timestamp,
+    /// The place at the service's gate.
+    pub place: Place,
+}
+
+/// Starts a request; its outputs come through the receiver, whose end means that the caller left.
+pub fn start_run(state: &Arc<EntryState>, input: RunInput) -> mpsc::Receiver<FlowOutput> {
+    let (outputs, receiver) = mpsc::channel(OUTPUTS);
+    let (run, spec) = Run::new(state.clone(), input, outputs);
+    state.tasks.spawn(run.drive(spec));
+    receiver
+}
+
+/// A request on its way.
+struct Run {
+    state: Arc<EntryState>,
+    retries: Arc<ServiceState>,
+    service: Arc<Service>,
+    route: Arc<RouteRequest>,
+    call: Option<KeyedCall>,
+    claimed: Option<AttemptId>,
+    place: Place,
+    outputs: mpsc::Sender<FlowOutput>,
+    open: Option<(AttemptStream, OpenAttempt)>,
+    pace: Pace,
+    left: bool,
+}
+
+impl Run {
+    fn new(
+        state: Arc<EntryState>,
+        input: RunInput,
+        outputs: mpsc::Sender<FlowOutput>,
+    ) -> (Self, FlowSpec) {
+        let run = Self {
+            retries: state.service(&input.service),
+            state,
+            service: input.service,
+            route: Arc::new(input.route),
+            call: input.call,
+            claimed: None,
+            place: input.place,
+            outputs,
+            open: None,
+            pace: Pace::new(input.arrived),
+            left: false,
+        };
+        (run, input.spec)
+    }
+
+    async fn drive(mut self, spec: FlowSpec) {
+        let (mut flow, mut step) = {
+            let mut retries = lock(&self.retries.retries);
+            RequestFlow::start(spec, &mut retries.tools())
+        };
+        while let Some(event) = self.carry_out(&flow, step).await {
+            let now = self.state.clock.now();
+            step = flow.on(event, now, &mut lock(&self.retries.retries).tools());
+        }
+    }
+
+    /// Does what a step asks for, and returns what happened; none when the request is over.
+    async fn carry_out(&mut self, flow: &RequestFlow, step: FlowStep) -> Option<FlowEvent> {
+        match step {
+            FlowStep::Await | FlowStep::Ignore => return Some(self.wait(flow).await),
+            FlowStep::Emit { text, .. } => {
+                self.emit(flow, text).await;
+                return Some(self.wait(flow).await);
+            }
+            _ => self.open = None,
+        }
+        match step {
+            FlowStep::Route(round) => Some(self.choose(&round)),
+            FlowStep::Probe(targets) => {
+                probe(&self.state, &self.route, &targets).await;
+                Some(FlowEvent::Probed)
+            }
+            FlowStep::Dispatch { target, dispatch } => self.send(flow, target, &dispatch).await,
+            FlowStep::Fence { target, request } => Some(fence(&self.state, &target, request).await),
+            FlowStep::Finish(answer) => {
+                self.finish(answer).await;
+                None
+            }
+            FlowStep::Fail(failure) => {
+                let body = failure.into_body(flow.spec().id.clone());
+                self.fail(body).await;
+                None
+            }
+            FlowStep::Stop => {
+                self.state
+                    .metrics
+                    .count_request(&self.service.name, Outcome::Unknown);
+                None
+            }
+            _ => Some(self.wait(flow).await),
+        }
+    }
+
+    fn choose(&self, round: &RouteRound) -> FlowEvent {
+        let now = self.state.clock.now();
+        let mut decider = self.state.decider();
+        let Decider { router, rng } = &mut *decider;
+        let Some(router) = router else {
+            return FlowEvent::NoTarget;
+        };
+        match router.route(&self.route, round, now, rng) {
+            RouteStep::NoTarget => FlowEvent::NoTarget,
+            RouteStep::Probe(targets) => FlowEvent::ProbeWanted(targets),
+            RouteStep::Dispatch(target) => {
+                let agent = router.view().agent(&target);
+                let incarnation = agent.map(|a| a.version.incarnation);
+                FlowEvent::Chosen {
+                    target,
+                    incarnation,
+                }
+            }
+        }
+    }
+
+    /// Sends an attempt, after the ledger has taken the claim of a call with a key.
+    async fn send(
+        &mut self,
+        flow: &RequestFlow,
+        target: TargetName,
+        dispatch: &Dispatch,
+    ) -> Option<FlowEvent> {
+        let Some(agent) = address_of(&self.state, &target) else {
+            return Some(FlowEvent::NotSent(dispatch.attempt.clone()));
+        };
+        match self.claim(&target, dispatch).await {
+            ClaimStep::Send => {}
+            ClaimStep::Replay(answer) => {
+                self.tell(FlowOutput::Done(answer), Outcome::Done).await;
+                return None;
+            }
+            ClaimStep::Refuse(mut body) => {
+                body.request = Some(flow.spec().id.clone());
+                let outcome = body.outcome;
+                self.tell(FlowOutput::Failed(body), outcome).await;
+                return None;
+            }
+        }
+        debug!(target: "path", "path: attempt {} goes to {target}", dispatch.attempt);
+        let counted = OpenAttempt::start(&self.state, &self.route, target);
+        let stream = AttemptStream::open(&self.state, agent, dispatch);
+        self.open = Some((stream, counted));
+        Some(self.wait(flow).await)
+    }
+
+    async fn claim(&mut self, target: &TargetName, dispatch: &Dispatch) -> ClaimStep {
+        let Some(call) = &self.call else {
+            return ClaimStep::Send;
+        };
+        let attempt = ClaimedAttempt {
+            attempt: dispatch.attempt.clone(),
+            target: target.clone(),
+            incarnation: dispatch.incarnation.unwrap_or_default(),
+        };
+        let step = self.state.ledger.claim(call, &attempt).await;
+        if step == ClaimStep::Send {
+            self.claimed = Some(attempt.attempt);
+        }
+        step
+    }
+
+    /// Waits for the attempt's next event, the flow's due time or the caller's leaving.
+    async fn wait(&mut self, flow: &RequestFlow) -> FlowEvent {
+        let due = self.state.clock.instant(flow.due());
+        let next = async {
+            match &mut self.open {
+                Some((stream, _)) => stream.next().await,
+                None => std::future::pending().await,
+            }
+        };
+        let event = tokio::select! {
+            biased;
+            event = next => event,
+            () = self.outputs.closed(), if !self.left => FlowEvent::CallerLeft,
+            () = tokio::time::sleep_until(due) => FlowEvent::Timer,
+        };
+        if event == FlowEvent::CallerLeft {
+            self.left = true;
+        }
+        if let Some((_, counted)) = &mut self.open {
+            counted.watch(&event);
+        }
+        event
+    }
+
+    async fn emit(&mut self, flow: &RequestFlow, text: String) {
+        let now = self.state.clock.now();
+        if let Some(time) = self.pace.token(now) {
+            self.state
+                .metrics
+                .record_first_token(&self.service.name, time);
+        }
+        let deadline = self.state.clock.instant(flow.spec().deadline);
+        let sent = self.outputs.send(FlowOutput::Token(text));
+        let _ = tokio::time::timeout_at(deadline, sent).await;
+    }
+
+    async fn finish(&mut self, answer: FlowAnswer) {
+        let now = self.state.clock.now();
+        self.place.set_run_time(self.pace.run_time(now));
+        self.settle(CallEnd::Done(answer.clone())).await;
+        let good = self.pace.is_good(&self.service, now);
+        self.state.record_burn(&self.service, good);
+        self.tell(FlowOutput::Done(answer), Outcome::Done).await;
+    }
+
+    async fn fail(&mut self, body: ErrorBody) {
+        let end = match body.outcome {
+            Outcome::NotRun => CallEnd::NotRun,
+            _ => CallEnd::Unknown,
+        };
+        self.settle(end).await;
+        self.state.record_burn(&self.service, false);
+        let outcome = body.outcome;
+        debug!(target: "path", "path: request fails as {outcome}: {}", body.message);
+        self.tell(FlowOutput::Failed(body), outcome).await;
+    }
+
+    async fn settle(&mut self, end: CallEnd) {
+        if let (Some(call), Some(attempt)) = (&self.call, &self.claimed) {
+            self.state.ledger.settle(call, attempt, end).await;
+        }
+    }
+
+    async fn tell(&mut self, output: FlowOutput, outcome: Outcome) {
+        self.state
+            .metrics
+            .count_request(&self.service.name, outcome);
+        let _ = tokio::time::timeout(LAST_OUTPUT, self.outputs.send(output)).await;
+    }
+}
--- /dev/null
+++ b/crates/entry/src/state.rs
@@ -0,0 +1,292 @@
+//! What the parts of an entry share.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use jsonrpsee::http_client::HttpClient;
+use kumquatkeel_core::admission::{RateShares, Refusal, ServiceLimits, Ticket};
+use kumquatkeel_core::burn::{Burn, BurnMeter};
+use kumquatkeel_core::request::FlowTools;
+use kumquatkeel_core::retry::{Backoff, RetryBudget};
+use kumquatkeel_core::routing::{FleetView, Router, ViewStep};
+use kumquatkeel_daemon::clock::Clock;
+use kumquatkeel_daemon::http::{PeerClient, rpc_client};
+use kumquatkeel_types::document::{Document, Service};
+use kumquatkeel_types::message::Member;
+use kumquatkeel_types::{
+    ErrorBody, ErrorCode, Incarnation, Outcome, RequestId, Revision, ServiceName,
+};
+use log::warn;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::admission::Admission;
+use crate::api::answer::not_run;
+use crate::call::CallLedger;
+use crate::measure::EntryMetrics;
+use crate::path::AGENT_TIMEOUT;
+use crate::settings::EntrySettings;
+
+/// The routing decisions and their generator; no router before the first configuration.
+#[derive(Debug)]
+pub(crate) struct Decider {
+    pub(crate) router: Option<Router>,
+    pub(crate) rng: Pcg64,
+}
+
+/// A service's retry budget and the generator of its waits.
+#[derive(Debug)]
+pub(crate) struct Retries {
+    pub(crate) budget: RetryBudget,
+    pub(crate) rng: Pcg64,
+}
+
+impl Retries {
+    /// Returns what a request's flow borrows.
+    pub(crate) fn tools(&mut self) -> FlowTools<'_> {
+        FlowTools {
+            budget: &mut self.budget,
+            backoff: Backoff::default(),
+            rng: &mut self.rng,
+        }
+    }
+}
+
+/// One service's share of the entry's state.
+#[derive(Debug)]
+pub(crate) struct ServiceState {
+    pub(crate) retries: Mutex<Retries>,
+    burn: Mutex<BurnMeter>,
+}
+
+/// The state of one entry.
+pub struct EntryState {
+    /// The settings.
+    pub settings: EntrySettings,
+    /// The clock of all decisions.
+    pub clock: Clock,
+    /// The gates of the services.
+    pub admission: Arc<Admission>,
+    pub(crate) life: Incarnation,
+    pub(crate) client: PeerClient,
+    pub(crate) ledger: Arc<dyn CallLedger>,
+    pub(crate) metrics: EntryMetrics,
+    pub(crate) drain: CancellationToken,
+    pub(crate) tasks: TaskTracker,
+    decider: Mutex<Decider>,
+    services: Mutex<BTreeMap<ServiceName, Arc<ServiceState>>>,
+    agents: Mutex<BTreeMap<std::net::SocketAddr, HttpClient>>,
+    numbers: AtomicU64,
+}
+
+impl EntryState {
+    pub(crate) fn new(
+        settings: EntrySettings,
+        life: Incarnation,
+        ledger: Arc<dyn CallLedger>,
+        metrics: EntryMetrics,
+        clock: Clock,
+    ) -> Self {
+        Self {
+            settings,
+            clock,
+            admission: Arc::new(Admission::new(clock)),
+            life,
+            client: PeerClient::new(),
+            ledger,
+            metrics,
+            drain: CancellationToken::new(),
+            tasks: TaskTracker::new(),
+            decider: Mutex::new(Decider {
+                router: None,
+                rng: Pcg64::from_rng(&mut rand::rng()),
+            }),
+            services: Mutex::new(BTreeMap::new()),
+            agents: Mutex::new(BTreeMap::new()),
+            numbers: AtomicU64::new(0),
+        }
+    }
+
+    /// Returns the revision of the configuration in force here.
+    pub fn revision(&self) -> Option<Revision> {
+        let decider = self.decider();
+        decider.router.as_ref().map(|r| r.view().revision())
+    }
+
+    /// Returns the configuration in force here.
+    pub fn document(&self) -> Option<Arc<Document>> {
+        let decider = self.decider();
+        decider.router.as_ref().map(|r| r.view().document().clone())
+    }
+
+    /// Takes over a newer configuration.
+    pub fn apply_document(&self, revision: Revision, document: Arc<Document>) {
+        let now = self.clock.now();
+        let mut decider = self.decider();
+        let refreshed = if let Some(router) = &mut decider.router {
+            if router.view_mut().apply_document(revision, document) != ViewStep::Applied {
+                return;
+            }
+            router.refresh(now)
+        } else {
+            let home = self.settings.data_centre.clone();
+            let view = FleetView::new(home, revision, document);
+            Router::new(view, now).map(|router| decider.router = Some(router))
+        };
+        if let Err(error) = refreshed {
+            warn!(target: "routing", "routing: {error}");
+        }
+        drop(decider);
+        self.refresh_services();
+    }
+
+    /// Takes in a process's report of itself.
+    pub fn apply_member(&self, member: Member) {
+        let now = self.clock.now();
+        let mut decider = self.decider();
+        if let Some(router) = &mut decider.router {
+            router.view_mut().apply_member(member, now);
+        }
+    }
+
+    /// Takes over limits that follow from the configuration and the members.
+    pub fn refresh_services(&self) {
+        let now = self.clock.now();
+        let mut decider = self.decider();
+        let Some(router) = &mut decider.router else {
+            return;
+        };
+        if let Err(error) = router.refresh(now) {
+            warn!(target: "routing", "routing: {error}");
+        }
+        router.ejector_mut().sweep(now);
+        let view = router.view();
+        let document = view.document().clone();
+        let entries = view.live_entries();
+        let slots: Vec<_> = (document.services.iter())
+            .map(|service| view.slots_of(&service.name))
+            .collect();
+        drop(decider);
+        for (service, slots) in document.services.iter().zip(slots) {
+            let limits = limits_of(service, entries);
+            self.admission.set_service(&service.name, limits, slots);
+            let state = self.service(service);
+            lock(&state.retries).budget.set_share(service.retry_share);
+        }
+    }
+
+    /// Returns the burn of each service's error budget, as this entry has seen it.
+    pub fn burn(&self) -> BTreeMap<ServiceName, Burn> {
+        let now = self.clock.now();
+        let Some(document) = self.document() else {
+            return BTreeMap::new();
+        };
+        let report = |service: &Service| {
+            let state = self.service(service);
+            let burn = lock(&state.burn).report(service.objective, now);
+            (service.name.clone(), burn)
+        };
+        document.services.iter().map(report).collect()
+    }
+
+    /// Says whether the entry takes no new work.
+    pub fn is_draining(&self) -> bool {
+        self.drain.is_cancelled()
+    }
+
+    pub(crate) fn record_burn(&self, service: &Service, good: bool) {
+        let state = self.service(service);
+        lock(&state.burn).record(self.clock.now(), good);
+    }
+
+    pub(crate) fn service(&self, service: &Service) -> Arc<ServiceState> {
+        let mut services = lock(&self.services);
+        if let Some(state) = services.get(&service.name) {
+            return state.clone();
+        }
+        let state = Arc::new(ServiceState {
+            retries: Mutex::new(Retries {
+                budget: RetryBudget::new(service.retry_share),
+                rng: Pcg64::from_rng(&mut rand::rng()),
+            }),
+            burn: Mutex::new(BurnMeter::new()),
+        });
+        services.insert(service.name.clone(), state.clone());
+        state
+    }
+
+    /// Counts a request that was refused at its gate, and makes the body of the refusal.
+    pub(crate) fn refuse(&self, service: &Service, refusal: Refusal) -> ErrorBody {
+        self.record_burn(service, false);
+        self.metrics.count_request(&service.name, Outcome::NotRun);
+        let message = match refusal.code {
+            ErrorCode::Draining => "this entry is stopping",
+            ErrorCode::Deadline => "the request can't start in time",
+            ErrorCode::Overloaded => "the service's limit is reached",
+            _ => "the service can't be reached",
+        };
+        not_run(refusal.code, message, refusal.retry_after)
+    }
+
+    pub(crate) fn next_request(&self) -> RequestId {
+        RequestId {
+            entry: self.settings.name.clone(),
+            life: self.life,
+            number: self.numbers.fetch_add(1, Ordering::Relaxed) + 1,
+        }
+    }
+
+    pub(crate) fn decider(&self) -> MutexGuard<'_, Decider> {
+        lock(&self.decider)
+    }
+
+    /// Returns the RPC client of an agent.
+    pub(crate) fn agent(&self, address: std::net::SocketAddr) -> Option<HttpClient> {
+        let mut agents = lock(&self.agents);
+        if let Some(client) = agents.get(&address) {
+            return Some(client.clone());
+        }
+        match rpc_client(address, &self.settings.peer_key, AGENT_TIMEOUT) {
+            Ok(client) => {
+                agents.insert(address, client.clone());
+                Some(client)
+            }
+            Err(error) => {
+                warn!(target: "path", "path: {error}");
+                None
+            }
+        }
+    }
+}
+
+impl std::fmt::Debug for EntryState {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("EntryState")
+            .field("name", &self.settings.name)
+            .field("life", &self.life)
+            .field("revision", &self.revision())
+            .finish_non_exhaustive()
+    }
+}
+
+/// Locks a mutex whose data stay whole if a holder panics.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Makes the ticket of a request at its gate.
+pub(crate) const fn ticket_of(request: &RequestId) -> Ticket {
+    Ticket(request.number)
+}
+
+fn limits_of(service: &Service, entries: usize) -> ServiceLimits {
+    ServiceLimits {
+        queue: service.queue as usize,
+        rate: service
+            .rate
+            .map(|rate| RateShares::fallback(f64::from(rate), entries)),
+    }
+}
