--- /dev/null
+++ b/crates/core/tests/admission.rs
@@ -0,0 +1,267 @@
+//! Gates, queues, rate limits and shares of rates.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use kumquatkeel_core::admission::{
+    AdmitStep, Arrival, ConcurrencyLimit, NextStep, RateBucket, RateShares, RateStep, SHARE_LIFE,
+    ServiceGate, ServiceLimits, Ticket,
+};
+use kumquatkeel_types::{ErrorCode, Timestamp};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rstest::rstest;
+
+const PLACES: u32 = 4;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn gate(queue: usize) -> ServiceGate {
+    let mut gate = ServiceGate::new(ServiceLimits { queue, rate: None }, Timestamp::ZERO);
+    gate.set_slots(PLACES);
+    gate
+}
+
+fn arrival(ticket: u64, caller: &str, priority: u8, start_by: u64) -> Arrival {
+    Arrival {
+        ticket: Ticket(ticket),
+        caller: caller.try_into().unwrap(),
+        priority,
+        start_by: at(start_by),
+    }
+}
+
+/// Takes all places with requests 1 to 4.
+fn fill(gate: &mut ServiceGate) {
+    for ticket in 1..=u64::from(PLACES) {
+        let step = gate.arrive(&arrival(ticket, "a", 5, 1_000), at(0));
+        assert_eq!(step, AdmitStep::Run);
+    }
+}
+
+fn code_of(step: &AdmitStep) -> Option<ErrorCode> {
+    match step {
+        AdmitStep::Refuse(refusal) => Some(refusal.code),
+        _ => None,
+    }
+}
+
+#[test]
+fn waiting_requests_start_by_priority_then_by_their_latest_start() {
+    let mut gate = gate(10);
+    fill(&mut gate);
+    for (ticket, priority, start_by) in [(11, 5, 900), (12, 5, 800), (13, 2, 999)] {
+        gate.arrive(&arrival(ticket, "a", priority, start_by), at(0));
+    }
+    let mut order = Vec::new();
+    for done in 1..=3 {
+        gate.finished(Ticket(done), None);
+        order.push(gate.next(at(1)));
+    }
+    let expected = [13, 12, 11].map(|ticket| NextStep::Run(Ticket(ticket)));
+    assert_eq!(order, expected);
+}
+
+#[test]
+fn a_request_that_can_not_start_in_time_is_refused_at_once() {
+    let mut gate = gate(100);
+    fill(&mut gate);
+    gate.finished(Ticket(1), Some(Duration::from_secs(4)));
+    gate.arrive(&arrival(5, "a", 5, 1_000), at(0));
+    // Four places that are held for 4 s each become free at one a second.
+    let late = gate.arrive(&arrival(11, "a", 5, 999), at(0));
+    assert_eq!(code_of(&late), Some(ErrorCode::Deadline));
+    let early = gate.arrive(&arrival(12, "a", 5, 1_001), at(0));
+    assert_eq!(early, AdmitStep::Queued);
+}
+
+#[test]
+fn a_request_whose_latest_start_passes_while_it_waits_is_refused() {
+    let mut gate = gate(10);
+    fill(&mut gate);
+    gate.arrive(&arrival(11, "a", 5, 50), at(0));
+    let NextStep::Idle(Some(due)) = gate.next(at(1)) else {
+        panic!("the gate names no time");
+    };
+    assert!(due > at(50));
+    assert!(matches!(gate.next(due), NextStep::Refuse(Ticket(11), _)));
+    assert_eq!(gate.waiting(), 0);
+}
+
+#[rstest]
+#[case::more_urgent_one_displaces(arrival(20, "b", 1, 900), Some(12))]
+#[case::same_priority_and_caller_is_refused(arrival(20, "a", 5, 900), None)]
+#[case::other_caller_takes_from_the_greedy_one(arrival(20, "b", 5, 900), Some(12))]
+#[case::less_urgent_one_is_refused(arrival(20, "b", 9, 900), None)]
+fn a_full_queue_gives_way_to_urgency_and_fairness(
+    #[case] newcomer: Arrival,
+    #[case] displaced: Option<u64>,
+) {
+    let mut gate = gate(2);
+    fill(&mut gate);
+    gate.arrive(&arrival(11, "a", 5, 800), at(0));
+    gate.arrive(&arrival(12, "a", 5, 900), at(0));
+    let step = gate.arrive(&newcomer, at(0));
+    match (displaced, step) {
+        (Some(number), AdmitStep::Displaced { ticket, .. }) => assert_eq!(ticket, Ticket(number)),
+        (None, AdmitStep::Refuse(refusal)) => assert_eq!(refusal.code, ErrorCode::Overloaded),
+        (_, step) => panic!("unexpected {step:?}"),
+    }
+    assert_eq!(gate.waiting(), 2);
+}
+
+#[test]
+fn a_draining_gate_takes_nothing_new_and_runs_what_waits() {
+    let mut gate = gate(10);
+    fill(&mut gate);
+    gate.arrive(&arrival(11, "a", 5, 900), at(0));
+    gate.drain();
+    let step = gate.arrive(&arrival(12, "a", 5, 900), at(0));
+    assert_eq!(code_of(&step), Some(ErrorCode::Draining));
+    gate.finished(Ticket(1), None);
+    assert_eq!(gate.next(at(1)), NextStep::Run(Ticket(11)));
+}
+
+#[test]
+fn the_concurrency_limit_falls_once_for_a_burst_of_refusals_and_grows_again() {
+    let mut limit = ConcurrencyLimit::default();
+    limit.set_ceiling(100);
+    assert_eq!(limit.get(), 100);
+    for _ in 0..50 {
+        limit.busy(100, at(1_000));
+    }
+    assert_eq!(limit.get(), 90);
+    for _ in 0..1_000 {
+        limit.accepted();
+    }
+    assert!(limit.get() > 95);
+    for _ in 0..10_000 {
+        limit.accepted();
+    }
+    assert_eq!(limit.get(), 100, "never over the fleet's slots");
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn no_order_of_events_loses_a_request_or_a_place(
+        events in proptest::collection::vec((0..5_u8, 0..40_u64, 0..10_u8, 0..300_u64), 1..200),
+    ) {
+        let mut gate = gate(5);
+        let mut waiting = BTreeMap::new();
+        let mut running = std::collections::BTreeSet::new();
+        let mut now = Timestamp::ZERO;
+        for (number, (kind, ticket, priority, millis)) in events.into_iter().enumerate() {
+            now = now.after(Duration::from_millis(millis / 10));
+            match kind {
+                0 | 1 => {
+                    let ticket = number as u64 + 100;
+                    let start_by = now.as_micros() / 1_000 + millis;
+                    let caller = ["a", "b", "c"][ticket as usize % 3];
+                    match gate.arrive(&arrival(ticket, caller, priority, start_by), now) {
+                        AdmitStep::Run => { running.insert(ticket); }
+                        AdmitStep::Queued => { waiting.insert(ticket, ()); }
+                        AdmitStep::Displaced { ticket: other, .. } => {
+                            prop_assert!(waiting.remove(&other.0).is_some());
+                            waiting.insert(ticket, ());
+                        }
+                        AdmitStep::Refuse(_) => {}
+                    }
+                }
+                2 => if let Some(&done) = running.iter().nth(ticket as usize % 4) {
+                    running.remove(&done);
+                    gate.finished(Ticket(done), Some(Duration::from_millis(millis)));
+                },
+                3 => if let Some((&gone, ())) = waiting.iter().nth(ticket as usize % 5) {
+                    waiting.remove(&gone);
+                    gate.left(Ticket(gone));
+                },
+                _ => gate.busy(now),
+            }
+            loop {
+                match gate.next(now) {
+                    NextStep::Run(ticket) => {
+                        prop_assert!(waiting.remove(&ticket.0).is_some());
+                        running.insert(ticket.0);
+                    }
+                    NextStep::Refuse(ticket, _) => {
+                        prop_assert!(waiting.remove(&ticket.0).is_some());
+                    }
+                    NextStep::Idle(_) => break,
+                }
+            }
+            prop_assert_eq!(gate.waiting(), waiting.len());
+            prop_assert_eq!(gate.running(), running.len());
+            prop_assert!(waiting.len() <= 5);
+        }
+    }
+
+    #[test]
+    fn granted_shares_never_add_up_to_more_than_the_rate(
+        asks in proptest::collection::vec((0..12_u8, 0.0..200.0_f64, 0..800_u64), 1..200),
+    ) {
+        let mut shares = RateShares::default();
+        let mut now = Timestamp::ZERO;
+        for (entry, demand, pause) in asks {
+            now = now.after(Duration::from_millis(pause));
+            let name = format!("e{entry}").try_into().unwrap();
+            let grant = shares.ask(&name, demand, 100.0, now);
+            prop_assert!(grant.rate >= 0.0);
+            prop_assert!(shares.outstanding(now) <= 100.0 + 1e-6);
+        }
+    }
+}
+
+#[test]
+fn shares_follow_demand_within_a_few_rounds() {
+    let mut shares = RateShares::default();
+    let demands = [("busy", 500.0), ("quiet", 5.0), ("idle", 0.0)];
+    let mut granted = BTreeMap::new();
+    for round in 0..6 {
+        for (name, demand) in demands {
+            let entry = name.try_into().unwrap();
+            let grant = shares.ask(&entry, demand, 100.0, at(round * 1_000));
+            granted.insert(name, grant.rate);
+        }
+    }
+    assert!(granted["busy"] > 80.0, "{granted:?}");
+    assert!(granted["quiet"] >= 5.0, "{granted:?}");
+    assert!(granted["idle"] > 0.0, "{granted:?}");
+}
+
+#[test]
+fn the_share_of_an_entry_that_died_comes_back() {
+    let mut shares = RateShares::default();
+    let (dead, live) = ("dead".try_into().unwrap(), "live".try_into().unwrap());
+    shares.ask(&dead, 500.0, 100.0, at(0));
+    let before = shares.ask(&live, 500.0, 100.0, at(1));
+    let later = Timestamp::ZERO.after(SHARE_LIFE);
+    let after = shares.ask(&live, 500.0, 100.0, later);
+    assert!(before.rate < 1.0);
+    assert!(after.rate > 99.0);
+}
+
+#[rstest]
+#[case::even(10.0, 20)]
+#[case::below_one(0.5, 1)]
+#[case::none(0.0, 1)]
+#[case::not_a_number(f64::NAN, 1)]
+fn a_bucket_allows_its_rate(#[case] rate: f64, #[case] most: u32) {
+    let mut bucket = RateBucket::new(rate, Timestamp::ZERO);
+    let allowed = (0..1_000)
+        .filter(|i| bucket.take(at(*i)) == RateStep::Within)
+        .count();
+    assert!(allowed as u32 <= most, "{allowed} over {most}");
+    assert!(allowed > 0);
+}
