--- a/crates/core/src/spread/head.rs
+++ b/crates/core/src/spread/head.rs
@@ -138,7 +138,9 @@
     revision: Revision,
     document: &RawDocument,
 ) -> CommitPlan {
-    let text = serde_json::to_string(document).unwrap_or_default();
+    // Items in the order of their keys: equal documents have equal parts.
+    let sorted = RawDocument::from_items(document.items().into_values());
+    let text = serde_json::to_string(&sorted).unwrap_or_default();
     let parts = split(&text);
     let digest = document.digest();
     let snapshot = SnapshotRef {
--- a/crates/core/src/spread/log.rs
+++ b/crates/core/src/spread/log.rs
@@ -111,9 +111,8 @@
         let mut result = Advance::Current;
         for delta in deltas {
             match self.advance_once(delta) {
-                Advance::Current => {}
                 Advance::Stale if result == Advance::Current => result = Advance::Stale,
-                Advance::Stale => {}
+                Advance::Current | Advance::Stale => {}
                 Advance::Advanced(revision) => result = Advance::Advanced(revision),
                 fault @ (Advance::Gap | Advance::DigestMismatch) => return fault,
             }
--- /dev/null
+++ b/crates/daemon/src/config/commit.rs
@@ -0,0 +1,180 @@
+//! Committing a document: one conditional update of the head.
+
+use bytes::Bytes;
+use kumquatkeel_core::spread::{CommitPlan, ConfigHead, plan_commit};
+use kumquatkeel_platform::{ObjectKey, ObjectStore, Precondition, Settled, WriteIds, put_settled};
+use kumquatkeel_types::Revision;
+use kumquatkeel_types::document::{Delta, Document, RawDocument};
+use log::{info, warn};
+
+use super::{ConfigError, StoredConfig, head_key, read_config};
+
+/// Times that a commit is tried again when its outcome can be read from the store.
+const MAX_TRIES: u32 = 3;
+
+/// A document that an operator wants in force.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Proposal {
+    /// The document.
+    pub document: RawDocument,
+    /// The revision that the operator started from; none for the first document.
+    pub base: Option<Revision>,
+}
+
+/// What became of a proposal.
+#[derive(Debug, Clone, PartialEq)]
+pub enum CommitOutcome {
+    /// The document was accepted as this revision.
+    Committed(Revision),
+    /// The document is the one in force at this revision.
+    Unchanged(Revision),
+    /// Another operator changed the configuration since the proposal's base.
+    Conflict(Box<ConfigConflict>),
+}
+
+/// What another operator changed meanwhile.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ConfigConflict {
+    /// The revision in force; none when there is no configuration.
+    pub current: Option<Revision>,
+    /// The changes committed since the proposal's base, as far back as they are kept.
+    pub theirs: Vec<Delta>,
+    /// The changes that would lead from the configuration in force to the proposal.
+    pub difference: Delta,
+}
+
+/// Validates a document in full and commits it by one conditional update.
+///
+/// # Errors
+///
+/// Returns all faults of the document, the store's fault, or [`ConfigError::Open`] when the
+/// commit's outcome could not be learnt.
+pub async fn commit_document(
+    store: &dyn ObjectStore,
+    ids: &WriteIds,
+    proposal: Proposal,
+) -> Result<CommitOutcome, ConfigError> {
+    Document::try_from(proposal.document.clone())?;
+    let digest = proposal.document.digest();
+    for _ in 0..MAX_TRIES {
+        let current = read_config(store).await?;
+        let revision = current.as_ref().map(|c| c.head.revision);
+        if revision != proposal.base {
+            return Ok(judge_moved(current.as_ref(), &proposal));
+        }
+        let snapshot = current.as_ref().and_then(|c| c.log.current());
+        let head = current.as_ref().map(|c| &c.head);
+        let next = match plan_commit(head, snapshot, &proposal.document) {
+            CommitPlan::Unchanged => {
+                return Ok(CommitOutcome::Unchanged(revision.unwrap_or_default()));
+            }
+            CommitPlan::Head(head) => head,
+            CommitPlan::Snapshot { parts, head } => {
+                write_parts(store, ids, &head, parts).await?;
+                head
+            }
+        };
+        let precondition = current
+            .as_ref()
+            .map_or(Precondition::Absent, |c| Precondition::Version(c.version));
+        match write_head(store, ids, precondition, &next).await? {
+            Settled::Written(_) => {
+                info!(target: "config", "config: revision {} is committed", next.revision);
+                remove_old(store, head, &next).await;
+                return Ok(CommitOutcome::Committed(next.revision));
+            }
+            Settled::Conflict => {}
+            Settled::Superseded(_) => {
+                let stored = read_config(store).await?;
+                if stored.is_some_and(|c| c.head.committed(next.revision, digest)) {
+                    return Ok(CommitOutcome::Committed(next.revision));
+                }
+            }
+        }
+    }
+    let current = read_config(store).await?;
+    Ok(judge_moved(current.as_ref(), &proposal))
+}
+
+/// Says what stands against a proposal whose base is no longer in force.
+fn judge_moved(current: Option<&StoredConfig>, proposal: &Proposal) -> CommitOutcome {
+    let snapshot = current.and_then(|c| c.log.current());
+    let empty = RawDocument::default();
+    let document = snapshot.map_or(&empty, |s| &*s.document);
+    let revision = snapshot.map(|s| s.revision);
+    let next = revision.unwrap_or_default().next();
+    let difference = Delta::between(document, &proposal.document, next);
+    if difference.changes.is_empty()
+        && let Some(revision) = revision
+    {
+        return CommitOutcome::Unchanged(revision);
+    }
+    let deltas = current.iter().flat_map(|c| &c.head.deltas);
+    let theirs = deltas.filter(|d| proposal.base.is_none_or(|base| d.revision > base));
+    CommitOutcome::Conflict(Box::new(ConfigConflict {
+        current: revision,
+        theirs: theirs.cloned().collect(),
+        difference,
+    }))
+}
+
+async fn write_head(
+    store: &dyn ObjectStore,
+    ids: &WriteIds,
+    precondition: Precondition,
+    head: &ConfigHead,
+) -> Result<Settled, ConfigError> {
+    let value = serde_json::to_vec(head).map_err(|error| {
+        ConfigError::corrupt("encode head", head_key().as_ref(), error.to_string())
+    })?;
+    put_settled(
+        store,
+        &head_key(),
+        precondition,
+        &ids.next_id(),
+        value.into(),
+    )
+    .await
+    .map_err(|error| {
+        if error.may_have_written() {
+            ConfigError::Open(error)
+        } else {
+            ConfigError::Store(error)
+        }
+    })
+}
+
+/// Writes a snapshot's parts; a part that is there already has the same content.
+async fn write_parts(
+    store: &dyn ObjectStore,
+    ids: &WriteIds,
+    head: &ConfigHead,
+    parts: Vec<String>,
+) -> Result<(), ConfigError> {
+    for (key, part) in head.snapshot.keys().zip(parts) {
+        let key = ObjectKey::from(key);
+        let write = ids.next_id();
+        put_settled(store, &key, Precondition::Absent, &write, Bytes::from(part)).await?;
+    }
+    Ok(())
+}
+
+/// Removes the snapshot that no reader needs any more; a failure only leaves it behind.
+async fn remove_old(store: &dyn ObjectStore, before: Option<&ConfigHead>, now: &ConfigHead) {
+    let Some(before) = before else { return };
+    if before.snapshot == now.snapshot {
+        return;
+    }
+    let Some(old) = before.previous else { return };
+    for key in old.keys() {
+        let key = ObjectKey::from(key);
+        let removed = match store.get(&key).await {
+            Ok(Some(object)) => store.remove(&key, object.version).await,
+            Ok(None) => Ok(()),
+            Err(error) => Err(error),
+        };
+        if let Err(error) = removed {
+            warn!(target: "config", "config: old snapshot {key} is left behind: {error}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/config/mod.rs
@@ -0,0 +1,18 @@
+//! The configuration and the daemons' lives in the platform's store.
+
+mod commit;
+mod error;
+mod incarnation;
+mod reader;
+
+pub use commit::{CommitOutcome, ConfigConflict, Proposal, commit_document};
+pub use error::ConfigError;
+pub use incarnation::{Life, raise_incarnation};
+pub use reader::{CONFIG_PREFIX, StoredConfig, decode_head, fetch_snapshot, follow, read_config};
+
+use kumquatkeel_platform::ObjectKey;
+
+/// Returns the key of the configuration's head.
+pub fn head_key() -> ObjectKey {
+    ObjectKey::from("config/head")
+}
--- /dev/null
+++ b/crates/daemon/src/config/reader.rs
@@ -0,0 +1,136 @@
+//! Reading the configuration from the store.
+
+use std::sync::Arc;
+
+use kumquatkeel_core::spread::{Advance, ConfigHead, ConfigLog, FollowStep, SnapshotRef};
+use kumquatkeel_platform::{Object, ObjectKey, ObjectStore, ObjectVersion};
+use kumquatkeel_types::document::RawDocument;
+use kumquatkeel_types::message::{ConfigUpdate, Snapshot};
+
+use super::{ConfigError, head_key};
+
+/// The prefix of the configuration's head, to watch.
+pub const CONFIG_PREFIX: &str = "config/head";
+
+/// Times that a reader starts over when the snapshot went while it was on its way.
+const MAX_READS: u32 = 3;
+
+/// The configuration as it stands in the store.
+#[derive(Debug, Clone)]
+pub struct StoredConfig {
+    /// The head.
+    pub head: ConfigHead,
+    /// The version of the head's object.
+    pub version: ObjectVersion,
+    /// The configuration with its latest changes.
+    pub log: ConfigLog,
+}
+
+/// Reads the configuration; `None` before the first commit.
+///
+/// # Errors
+///
+/// Returns the store's fault, or the object that is not what was committed.
+pub async fn read_config(store: &dyn ObjectStore) -> Result<Option<StoredConfig>, ConfigError> {
+    let mut last = None;
+    for _ in 0..MAX_READS {
+        let Some(object) = store.get(&head_key()).await? else {
+            return Ok(None);
+        };
+        let head = decode_head(&object)?;
+        let mut log = ConfigLog::default();
+        match follow(store, &head, &mut log).await {
+            Ok(_) => {
+                let version = object.version;
+                return Ok(Some(StoredConfig { head, version, log }));
+            }
+            Err(error @ ConfigError::Corrupt { .. }) => last = Some(error),
+            Err(error) => return Err(error),
+        }
+    }
+    Err(last.unwrap_or_else(|| ConfigError::corrupt("read configuration", "config/head", "")))
+}
+
+/// Decodes the head's object.
+///
+/// # Errors
+///
+/// Returns an error when the object is not a head.
+pub fn decode_head(object: &Object) -> Result<ConfigHead, ConfigError> {
+    serde_json::from_slice(&object.value).map_err(|error| {
+        ConfigError::corrupt("decode head", object.key.as_ref(), error.to_string())
+    })
+}
+
+/// Leads `log` to the head, by the head's changes or through its snapshot.
+///
+/// # Errors
+///
+/// Returns the store's fault, or the object that is not what was committed.
+pub async fn follow(
+    store: &dyn ObjectStore,
+    head: &ConfigHead,
+    log: &mut ConfigLog,
+) -> Result<Advance, ConfigError> {
+    let update = match head.follow(log) {
+        FollowStep::Apply(update) => update,
+        FollowStep::Fetch(reference) => fetch(store, reference).await?,
+    };
+    let mut advance = log.advance(&update);
+    if matches!(advance, Advance::Gap | Advance::DigestMismatch) {
+        advance = log.advance(&fetch(store, head.snapshot).await?);
+    }
+    if let FollowStep::Apply(update) = head.follow(log)
+        && update != ConfigUpdate::Current
+    {
+        advance = log.advance(&update);
+    }
+    let behind = log.revision() < Some(head.revision);
+    if behind || matches!(advance, Advance::Gap | Advance::DigestMismatch) {
+        let reason = format!("revision {}: {advance}", head.revision);
+        return Err(ConfigError::corrupt(
+            "follow head",
+            head_key().as_ref(),
+            reason,
+        ));
+    }
+    Ok(advance)
+}
+
+async fn fetch(
+    store: &dyn ObjectStore,
+    reference: SnapshotRef,
+) -> Result<ConfigUpdate, ConfigError> {
+    Ok(ConfigUpdate::Snapshot(
+        fetch_snapshot(store, reference).await?,
+    ))
+}
+
+/// Reads a snapshot and checks its digest.
+///
+/// # Errors
+///
+/// Returns the store's fault, or the part that is missing or is not what was written.
+pub async fn fetch_snapshot(
+    store: &dyn ObjectStore,
+    reference: SnapshotRef,
+) -> Result<Snapshot, ConfigError> {
+    const STEP: &str = "read snapshot";
+    let mut text = Vec::new();
+    for key in reference.keys() {
+        let part = store.get(&ObjectKey::from(key.as_str())).await?;
+        let part = part.ok_or_else(|| ConfigError::corrupt(STEP, key, "is missing"))?;
+        text.extend_from_slice(&part.value);
+    }
+    let key = || format!("config/snapshot/{}", reference.revision);
+    let document: RawDocument = serde_json::from_slice(&text)
+        .map_err(|error| ConfigError::corrupt(STEP, key(), error.to_string()))?;
+    if document.digest() != reference.digest {
+        return Err(ConfigError::corrupt(STEP, key(), "the digest differs"));
+    }
+    Ok(Snapshot {
+        revision: reference.revision,
+        digest: reference.digest,
+        document: Arc::new(document),
+    })
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! What both daemons share: settings, logs, metrics, HTTP client and the RPC between processes.
 
 pub mod clock;
+pub mod config;
 pub mod http;
 pub mod logging;
 pub mod metrics;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -8,6 +8,7 @@
 mod instance;
 mod object;
 mod settle;
+mod write_ids;
 
 pub mod wire;
 
@@ -19,3 +20,4 @@
     Object, ObjectKey, ObjectStore, ObjectVersion, Precondition, WatchReply, WriteId,
 };
 pub use settle::{Settled, put_settled};
+pub use write_ids::WriteIds;
--- /dev/null
+++ b/crates/platform/src/write_ids.rs
@@ -0,0 +1,31 @@
+//! Ids of writes, unique over processes and restarts.
+
+use std::fmt::Display;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use rand::Rng;
+
+use crate::WriteId;
+
+/// Makes the ids of one process's writes.
+#[derive(Debug)]
+pub struct WriteIds {
+    prefix: String,
+    next: AtomicU64,
+}
+
+impl WriteIds {
+    /// Makes a source of ids for `owner`; `rng` tells its lives apart.
+    pub fn new(owner: impl Display, rng: &mut dyn Rng) -> Self {
+        Self {
+            prefix: format!("{owner}.{:016x}", rng.next_u64()),
+            next: AtomicU64::new(1),
+        }
+    }
+
+    /// Returns an id that was not returned before.
+    pub fn next_id(&self) -> WriteId {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        WriteId::from(format!("{}.{number}", self.prefix))
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/common/mod.rs
@@ -0,0 +1,244 @@
+//! A store in memory whose calls fail as a test says.
+
+#![allow(dead_code, reason = "each test file uses its own part of the fake")]
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use kumquatkeel_platform::{
+    Object, ObjectKey, ObjectStore, ObjectVersion, Precondition, StoreError, StoreFault,
+    WatchReply, WriteId,
+};
+use tokio::sync::watch;
+
+/// How one call of the store fails.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallFault {
+    /// Nothing is done and the caller knows it.
+    Unavailable,
+    /// Nothing is done for the rate.
+    RateLimited,
+    /// Nothing is done, and the answer is lost.
+    LostBefore,
+    /// The call takes effect, and the answer is lost.
+    LostAfter,
+    /// The answer is lost, and a write takes effect one call later, if its condition still holds.
+    Late,
+}
+
+impl CallFault {
+    pub const ALL: [Self; 5] = [
+        Self::Unavailable,
+        Self::RateLimited,
+        Self::LostBefore,
+        Self::LostAfter,
+        Self::Late,
+    ];
+}
+
+#[derive(Debug, Clone)]
+struct Write {
+    key: ObjectKey,
+    precondition: Precondition,
+    id: WriteId,
+    value: Bytes,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    objects: BTreeMap<String, Object>,
+    version: u64,
+    calls: u64,
+    puts: u64,
+    faults: BTreeMap<u64, CallFault>,
+    late: Vec<Write>,
+    down: bool,
+}
+
+/// A store in memory with faults by the number of the call, from 1.
+#[derive(Debug)]
+pub struct FakeStore {
+    inner: Mutex<Inner>,
+    changed: watch::Sender<u64>,
+}
+
+impl Default for FakeStore {
+    fn default() -> Self {
+        Self {
+            inner: Mutex::default(),
+            changed: watch::Sender::new(0),
+        }
+    }
+}
+
+impl Inner {
+    fn apply(&mut self, write: Write) -> Result<ObjectVersion, StoreFault> {
+        let name = write.key.as_ref().to_owned();
+        let current = self.objects.get(&name).map(|o| o.version);
+        let holds = match write.precondition {
+            Precondition::Absent => current.is_none(),
+            Precondition::Version(version) => current == Some(version),
+        };
+        if !holds {
+            return Err(StoreFault::Conflict { current });
+        }
+        self.version += 1;
+        let version = ObjectVersion(self.version);
+        let object = Object {
+            key: write.key,
+            version,
+            write: write.id,
+            value: write.value,
+        };
+        self.objects.insert(name, object);
+        Ok(version)
+    }
+
+    fn enter(&mut self) -> Result<Option<CallFault>, StoreFault> {
+        self.calls += 1;
+        for write in std::mem::take(&mut self.late) {
+            let _ = self.apply(write);
+        }
+        if self.down {
+            return Err(StoreFault::Unavailable);
+        }
+        match self.faults.get(&self.calls) {
+            Some(CallFault::Unavailable) => Err(StoreFault::Unavailable),
+            Some(CallFault::RateLimited) => Err(StoreFault::RateLimited),
+            fault => Ok(fault.copied()),
+        }
+    }
+}
+
+fn error(fault: StoreFault) -> StoreError {
+    StoreError::new("call", "fake", fault)
+}
+
+impl FakeStore {
+    /// Makes the call `number`, counted from now on, fail with `fault`.
+    pub fn fail(&self, number: u64, fault: CallFault) {
+        let mut inner = self.inner.lock().unwrap();
+        let at = inner.calls + number;
+        inner.faults.insert(at, fault);
+    }
+
+    /// Starts or ends an outage.
+    pub fn set_down(&self, down: bool) {
+        self.inner.lock().unwrap().down = down;
+    }
+
+    /// Returns the calls so far.
+    pub fn calls(&self) -> u64 {
+        self.inner.lock().unwrap().calls
+    }
+
+    /// Returns the writes so far.
+    pub fn puts(&self) -> u64 {
+        self.inner.lock().unwrap().puts
+    }
+
+    fn read<T>(&self, read: impl FnOnce(&Inner) -> T) -> Result<T, StoreError> {
+        let mut inner = self.inner.lock().unwrap();
+        match inner.enter() {
+            Ok(None) => Ok(read(&inner)),
+            Ok(Some(_)) => Err(error(StoreFault::Unavailable)),
+            Err(fault) => Err(error(fault)),
+        }
+    }
+
+    fn changed_since(&self, prefix: &str, after: ObjectVersion) -> WatchReply {
+        let inner = self.inner.lock().unwrap();
+        let objects = inner
+            .objects
+            .values()
+            .filter(|o| o.version > after && o.key.as_ref().starts_with(prefix));
+        WatchReply {
+            objects: objects.cloned().collect(),
+            version: ObjectVersion(inner.version),
+        }
+    }
+}
+
+#[async_trait]
+impl ObjectStore for FakeStore {
+    async fn get(&self, key: &ObjectKey) -> Result<Option<Object>, StoreError> {
+        self.read(|inner| inner.objects.get(key.as_ref()).cloned())
+    }
+
+    async fn put(
+        &self,
+        key: &ObjectKey,
+        precondition: Precondition,
+        write: &WriteId,
+        value: Bytes,
+    ) -> Result<ObjectVersion, StoreError> {
+        let write = Write {
+            key: key.clone(),
+            precondition,
+            id: write.clone(),
+            value,
+        };
+        let result = {
+            let mut inner = self.inner.lock().unwrap();
+            inner.puts += 1;
+            match inner.enter() {
+                Err(fault) => Err(fault),
+                Ok(Some(CallFault::LostAfter)) => {
+                    let _ = inner.apply(write);
+                    Err(StoreFault::Unknown)
+                }
+                Ok(Some(CallFault::Late)) => {
+                    inner.late.push(write);
+                    Err(StoreFault::Unknown)
+                }
+                Ok(Some(_)) => Err(StoreFault::Unknown),
+                Ok(None) => inner.apply(write),
+            }
+        };
+        self.changed.send_modify(|n| *n += 1);
+        result.map_err(error)
+    }
+
+    async fn remove(&self, key: &ObjectKey, version: ObjectVersion) -> Result<(), StoreError> {
+        let mut inner = self.inner.lock().unwrap();
+        inner.enter().map_err(error)?;
+        let current = inner.objects.get(key.as_ref()).map(|o| o.version);
+        if current != Some(version) {
+            return Err(error(StoreFault::Conflict { current }));
+        }
+        inner.version += 1;
+        inner.objects.remove(key.as_ref());
+        Ok(())
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<Object>, StoreError> {
+        self.read(|_| ())?;
+        Ok(self.changed_since(prefix, ObjectVersion(0)).objects)
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: ObjectVersion,
+        wait: Duration,
+    ) -> Result<WatchReply, StoreError> {
+        let mut changed = self.changed.subscribe();
+        let until = tokio::time::Instant::now() + wait;
+        self.read(|_| ())?;
+        loop {
+            let reply = self.changed_since(prefix, after);
+            if !reply.objects.is_empty() {
+                return Ok(reply);
+            }
+            if tokio::time::timeout_at(until, changed.changed())
+                .await
+                .is_err()
+            {
+                return Ok(reply);
+            }
+        }
+    }
+}
