--- /dev/null
+++ b/crates/core/src/ledger/time.rs
@@ -0,0 +1,44 @@
+//! Wall-clock time, for ages that outlive processes.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+/// Milliseconds since the Unix epoch, as a process's clock has them.
+///
+/// Clocks of different processes differ; no promise of the ledger rests on their agreement.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0}ms")]
+#[serde(transparent)]
+pub struct WallTime(u64);
+
+impl WallTime {
+    /// Makes a time from milliseconds since the Unix epoch.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis)
+    }
+
+    /// Returns the milliseconds since the Unix epoch.
+    pub const fn as_millis(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the time since `earlier`, or zero if `earlier` is later.
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_millis(self.0.saturating_sub(earlier.0))
+    }
+}
--- a/crates/daemon/src/rpc.rs
+++ b/crates/daemon/src/rpc.rs
@@ -2,6 +2,7 @@
 
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
+use kumquatkeel_core::ledger::{OpAnswer, Operation};
 use kumquatkeel_types::message::{
     FenceReply, FenceRequest, Member, Order, OrderReply, PollReply, PollRequest, ProbeReply,
     ProbeRequest,
@@ -33,4 +34,8 @@
     /// Returns what is newer than the sender's state, waiting for it if need be.
     #[method(name = "poll")]
     async fn poll(&self, request: PollRequest) -> RpcResult<PollReply>;
+
+    /// Applies an operation on a partition of the ledger that this entry batches.
+    #[method(name = "ledger")]
+    async fn ledger(&self, operation: Operation) -> RpcResult<OpAnswer>;
 }
--- /dev/null
+++ b/crates/entry/src/ledger/worker.rs
@@ -0,0 +1,182 @@
+//! The task that carries out the operations on one partition.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use kumquatkeel_core::ledger::{
+    BatchReply, BatchStep, BatchWrite, Batcher, OpAnswer, Operation, Partition, PartitionId,
+    ReadEnd, Ticket, WriteEnd, WritePace,
+};
+use kumquatkeel_daemon::clock::Clock;
+use kumquatkeel_platform::{
+    Object, ObjectKey, ObjectStore, ObjectVersion, Precondition, Settled, WriteIds, put_settled,
+};
+use kumquatkeel_types::Timestamp;
+use log::{debug, warn};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{sleep_until, timeout};
+use tokio_util::sync::CancellationToken;
+
+use super::WallClock;
+
+/// Least time between two writes of one partition.
+const WRITE_INTERVAL: Duration = Duration::from_millis(20);
+
+/// A worker without operations ends after this time.
+const IDLE_LIMIT: Duration = Duration::from_mins(1);
+
+/// An operation on its way to a worker.
+pub(super) struct Submission {
+    /// The operation.
+    pub(super) operation: Operation,
+    /// Where its answer goes.
+    pub(super) reply: oneshot::Sender<OpAnswer>,
+}
+
+/// What all workers of an entry share.
+pub(super) struct WorkerShared {
+    pub(super) store: Arc<dyn ObjectStore>,
+    pub(super) ids: WriteIds,
+    pub(super) clock: Clock,
+    pub(super) wall: WallClock,
+    pub(super) pace: Mutex<WritePace>,
+    pub(super) stop: CancellationToken,
+}
+
+/// Carries out the operations on one partition, one store call at a time.
+pub(super) struct Worker {
+    shared: Arc<WorkerShared>,
+    partition: PartitionId,
+    key: ObjectKey,
+    submissions: mpsc::Receiver<Submission>,
+    batcher: Batcher<ObjectVersion>,
+    replies: Vec<(Ticket, oneshot::Sender<OpAnswer>)>,
+}
+
+impl Worker {
+    pub(super) fn new(
+        shared: Arc<WorkerShared>,
+        partition: PartitionId,
+        submissions: mpsc::Receiver<Submission>,
+    ) -> Self {
+        Self {
+            shared,
+            partition,
+            key: ObjectKey::from(partition.object_key()),
+            submissions,
+            batcher: Batcher::new(WRITE_INTERVAL),
+            replies: Vec::new(),
+        }
+    }
+
+    /// Works until the daemon stops or nothing has come for a while.
+    pub(super) async fn run(mut self) {
+        let stop = self.shared.stop.clone();
+        tokio::select! {
+            () = self.work() => {}
+            () = stop.cancelled() => {}
+        }
+    }
+
+    async fn work(&mut self) {
+        loop {
+            while let Ok(submission) = self.submissions.try_recv() {
+                self.take(submission);
+            }
+            let now = self.shared.clock.now();
+            let (step, replies) = self.batcher.step(now, self.shared.wall.now());
+            self.answer(replies);
+            match step {
+                BatchStep::Idle if !self.batcher.is_idle() => {}
+                BatchStep::Idle => match timeout(IDLE_LIMIT, self.submissions.recv()).await {
+                    Ok(Some(submission)) => self.take(submission),
+                    Ok(None) | Err(_) => return,
+                },
+                BatchStep::Wait(at) => sleep_until(self.shared.clock.instant(at)).await,
+                BatchStep::Read => {
+                    let end = self.read().await;
+                    let replies = self.batcher.on_read(end);
+                    self.answer(replies);
+                }
+                BatchStep::Write(write) => {
+                    let end = self.write(write).await;
+                    let replies = self.batcher.on_write(end);
+                    self.answer(replies);
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, submission: Submission) {
+        match self.batcher.submit(submission.operation) {
+            Some(ticket) => self.replies.push((ticket, submission.reply)),
+            None => {
+                let _ = submission.reply.send(OpAnswer::StoreUnavailable);
+            }
+        }
+    }
+
+    fn answer(&mut self, replies: Vec<BatchReply>) {
+        for BatchReply { ticket, answer } in replies {
+            let Some(place) = self.replies.iter().position(|(t, _)| *t == ticket) else {
+                continue;
+            };
+            let (_, reply) = self.replies.swap_remove(place);
+            let _ = reply.send(answer);
+        }
+    }
+
+    async fn read(&self) -> ReadEnd<ObjectVersion> {
+        let id = self.partition;
+        match self.shared.store.get(&self.key).await {
+            Ok(None) => ReadEnd::Found(None),
+            Ok(Some(object)) => match decode(&object) {
+                Ok(partition) => ReadEnd::Found(Some((object.version, partition))),
+                Err(error) => {
+                    warn!(target: "ledger", "ledger: partition {id} is malformed: {error}");
+                    ReadEnd::Failed
+                }
+            },
+            Err(error) => {
+                warn!(target: "ledger", "ledger: reading partition {id} failed: {error}");
+                ReadEnd::Failed
+            }
+        }
+    }
+
+    async fn write(&self, write: BatchWrite<ObjectVersion>) -> WriteEnd<ObjectVersion> {
+        sleep_until(self.shared.clock.instant(self.reserve())).await;
+        let id = self.partition;
+        let Ok(value) = serde_json::to_vec(&write.partition) else {
+            return WriteEnd::Failed;
+        };
+        let precondition = write
+            .version
+            .map_or(Precondition::Absent, Precondition::Version);
+        let store = &*self.shared.store;
+        let write = self.shared.ids.next_id();
+        match put_settled(store, &self.key, precondition, &write, value.into()).await {
+            Ok(Settled::Written(version)) => WriteEnd::Written(version),
+            Ok(Settled::Conflict | Settled::Superseded(_)) => {
+                debug!(target: "ledger", "ledger: partition {id} was changed by another entry");
+                WriteEnd::Replaced
+            }
+            Err(error) => {
+                warn!(target: "ledger", "ledger: writing partition {id} failed: {error}");
+                WriteEnd::Failed
+            }
+        }
+    }
+
+    fn reserve(&self) -> Timestamp {
+        let now = self.shared.clock.now();
+        match self.shared.pace.lock() {
+            Ok(mut pace) => pace.reserve(now),
+            Err(_) => now,
+        }
+    }
+}
+
+fn decode(object: &Object) -> Result<Partition, serde_json::Error> {
+    serde_json::from_slice(&object.value)
+}
