fix(placement): repeat an unload only while enough other copies remain

Cause: an unload whose order was lost was given again although the other copy had died meanwhile; the property test with 400 cases showed a last copy unloaded. Change: a repeated unload passes the last-copy check again.

--- a/crates/core/src/placement/round.rs
+++ b/crates/core/src/placement/round.rs
@@ -63,12 +63,15 @@
         round
     }
 
+    /// Gives lost unloads again, but for copies that are needed by now.
     fn repeat_unloads(&mut self) {
-        if self.input.in_doubt {
-            return;
-        }
         for key in self.state.pending.repeat_unloads(self.input.now) {
-            self.push_unload(&key);
+            let Some((model, place)) = self.locate(&key) else {
+                continue;
+            };
+            if self.board.check_unload(model, place, Keep::One) == UnloadCheck::Allowed {
+                self.push_unload(&key);
+            }
         }
     }
 
