--- /dev/null
+++ b/crates/standin/src/engine/runner.rs
@@ -0,0 +1,499 @@
+//! The engine itself, on the runtime's clock.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use kumquatkeel_types::engine::{
+    CacheEvents, EngineCancel, EngineChunk, EngineCompletion, EngineLoad, EngineOrder,
+    EngineOrderReply, EngineReplica,
+};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
+
+use super::accelerators::Place;
+use super::{
+    Accelerators, Batch, EngineCall, EngineFault, EngineFaults, EngineOptions, EngineRecord,
+    Entered, OrderRecord, PrefixCache, Prompt, RunEnd, RunRecord, Start,
+};
+
+/// Chunks that wait for a slow reader.
+const CHUNK_BUFFER: usize = 64;
+/// Load reports that are kept until the lag has passed.
+const KEPT_REPORTS: usize = 1_024;
+
+/// Why an engine did not answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
+pub enum EngineError {
+    /// The answer was lost; the call may have taken effect.
+    #[display("the answer was lost")]
+    Lost,
+    /// The model or adapter is not resident; nothing was run.
+    #[display("the model or adapter is not resident")]
+    NotResident,
+}
+
+#[derive(Debug)]
+struct State {
+    accelerators: Accelerators,
+    batch: Batch,
+    cache: PrefixCache,
+    wakers: BTreeMap<u64, oneshot::Sender<()>>,
+    cancels: BTreeMap<String, CancellationToken>,
+    reports: VecDeque<(Instant, EngineLoad)>,
+    record: EngineRecord,
+}
+
+#[derive(Debug)]
+struct Shared {
+    options: EngineOptions,
+    faults: EngineFaults,
+    state: Mutex<State>,
+}
+
+/// An engine's stand-in; clones share it.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    shared: Arc<Shared>,
+}
+
+impl Engine {
+    /// Makes an engine on which nothing is resident.
+    pub fn new(options: EngineOptions) -> Self {
+        let state = State {
+            accelerators: Accelerators::new(options.clone()),
+            batch: Batch::default(),
+            cache: PrefixCache::new(options.cache_blocks),
+            wakers: BTreeMap::new(),
+            cancels: BTreeMap::new(),
+            reports: VecDeque::new(),
+            record: EngineRecord::default(),
+        };
+        Self {
+            shared: Arc::new(Shared {
+                options,
+                faults: EngineFaults::new(),
+                state: Mutex::new(state),
+            }),
+        }
+    }
+
+    /// Returns the handle on the engine's faults.
+    pub fn faults(&self) -> &EngineFaults {
+        &self.shared.faults
+    }
+
+    /// Returns what the engine did so far.
+    pub fn record(&self) -> EngineRecord {
+        let state = self.lock();
+        EngineRecord {
+            violations: state.accelerators.violations().to_vec(),
+            ..state.record.clone()
+        }
+    }
+
+    /// Loses the next `count` cache events.
+    pub fn lose_cache_events(&self, count: u32) {
+        self.lock().cache.lose_events(count);
+    }
+
+    /// Runs a completion and returns its chunks; the last one has a finish reason.
+    ///
+    /// The run ends early when the receiver is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a fault loses the answer or nothing resident can run the request.
+    pub async fn complete(
+        &self,
+        request: EngineCompletion,
+    ) -> Result<mpsc::Receiver<EngineChunk>, EngineError> {
+        let fault = self.shared.faults.meet(EngineCall::Completion);
+        match fault {
+            Some(EngineFault::LostBefore) => return Err(EngineError::Lost),
+            Some(EngineFault::Silent) => std::future::pending().await,
+            Some(EngineFault::Late(delay)) => sleep(delay).await,
+            Some(EngineFault::LateEffect(delay)) => {
+                self.run_unheard(request, delay);
+                return Err(EngineError::Lost);
+            }
+            Some(EngineFault::LostAfter) => {
+                self.run_unheard(request, Duration::ZERO);
+                return Err(EngineError::Lost);
+            }
+            Some(EngineFault::CutAfter(_) | EngineFault::Crossed) | None => {}
+        }
+        self.start_run(request, fault)
+    }
+
+    /// Cancels a completion.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a fault loses the answer.
+    pub async fn cancel(&self, cancel: &EngineCancel) -> Result<(), EngineError> {
+        match self.shared.faults.meet(EngineCall::Cancel) {
+            Some(EngineFault::LostBefore) => return Err(EngineError::Lost),
+            Some(EngineFault::Silent) => std::future::pending().await,
+            Some(EngineFault::Late(delay)) => sleep(delay).await,
+            fault => {
+                self.cancel_run(&cancel.request_id);
+                return fault.map_or(Ok(()), |_| Err(EngineError::Lost));
+            }
+        }
+        self.cancel_run(&cancel.request_id);
+        Ok(())
+    }
+
+    /// Carries out an order and answers when it has ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a fault loses the answer.
+    pub async fn order(&self, order: EngineOrder) -> Result<EngineOrderReply, EngineError> {
+        match self.shared.faults.meet(EngineCall::Order) {
+            None | Some(EngineFault::CutAfter(_) | EngineFault::Crossed) => {
+                Ok(self.carry_out(order).await)
+            }
+            Some(EngineFault::LostBefore) => Err(EngineError::Lost),
+            Some(EngineFault::Silent) => std::future::pending().await,
+            Some(EngineFault::Late(delay)) => {
+                sleep(delay).await;
+                Ok(self.carry_out(order).await)
+            }
+            Some(EngineFault::LostAfter) => {
+                self.carry_out(order).await;
+                Err(EngineError::Lost)
+            }
+            Some(EngineFault::LateEffect(delay)) => {
+                let engine = self.clone();
+                tokio::spawn(async move {
+                    sleep(delay).await;
+                    engine.carry_out(order).await;
+                });
+                Err(EngineError::Lost)
+            }
+        }
+    }
+
+    /// Returns the load report, which lags.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a fault loses the answer.
+    pub async fn load(&self) -> Result<EngineLoad, EngineError> {
+        self.meet_report().await?;
+        let state = self.lock();
+        let now = Instant::now();
+        let lag = self.shared.options.report_lag;
+        let old_enough = |at: Instant| now.saturating_duration_since(at) >= lag;
+        let seen = state.reports.iter().rev().find(|(at, _)| old_enough(*at));
+        let mut report = seen.map_or_else(
+            || EngineLoad {
+                used_mb: vec![0; usize::from(self.shared.options.accelerators)],
+                ..EngineLoad::default()
+            },
+            |(_, report)| report.clone(),
+        );
+        report.age_ms = lag.as_millis() as u64;
+        Ok(report)
+    }
+
+    /// Returns the cache events after a number, which lag.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a fault loses the answer.
+    pub async fn cache_events(&self, after: u64) -> Result<CacheEvents, EngineError> {
+        self.meet_report().await?;
+        let lag = self.shared.options.report_lag;
+        Ok(self.lock().cache.events_after(after, lag))
+    }
+
+    async fn meet_report(&self) -> Result<(), EngineError> {
+        match self.shared.faults.meet(EngineCall::Report) {
+            None => Ok(()),
+            Some(EngineFault::Late(delay)) => {
+                sleep(delay).await;
+                Ok(())
+            }
+            Some(EngineFault::Silent) => std::future::pending().await,
+            Some(_) => Err(EngineError::Lost),
+        }
+    }
+
+    fn cancel_run(&self, request: &str) {
+        if let Some(token) = self.lock().cancels.get(request) {
+            token.cancel();
+        }
+    }
+
+    async fn carry_out(&self, order: EngineOrder) -> EngineOrderReply {
+        let started = self.start_order(&order);
+        let (index, start) = started;
+        let action = order.action;
+        match start {
+            Start::Reply(_) => {}
+            Start::Work(span) => sleep(span).await,
+            Start::Load(span) => {
+                let ticket = self.shared.options.weights.start(span);
+                sleep(ticket.duration).await;
+            }
+        }
+        let mut state = self.lock();
+        let reply = match start {
+            Start::Reply(reply) => reply,
+            Start::Work(_) | Start::Load(_) => state.accelerators.finish(&action),
+        };
+        state.record.orders[index].reply = Some(reply);
+        state.record.orders[index].at = Instant::now();
+        state.publish_report();
+        reply
+    }
+
+    fn start_order(&self, order: &EngineOrder) -> (usize, Start) {
+        let state = &mut *self.lock();
+        let batch = &state.batch;
+        let start = state
+            .accelerators
+            .start(order, |accelerator, model, adapter| {
+                batch.users(&(accelerator, model.clone()), adapter)
+            });
+        state.record.orders.push(OrderRecord {
+            order: order.clone(),
+            reply: None,
+            at: Instant::now(),
+        });
+        state.publish_report();
+        (state.record.orders.len() - 1, start)
+    }
+
+    /// Runs a request whose answer nobody hears.
+    fn run_unheard(&self, request: EngineCompletion, delay: Duration) {
+        let engine = self.clone();
+        tokio::spawn(async move {
+            sleep(delay).await;
+            if let Ok(mut chunks) = engine.start_run(request, None) {
+                while chunks.recv().await.is_some() {}
+            }
+        });
+    }
+
+    fn start_run(
+        &self,
+        request: EngineCompletion,
+        fault: Option<EngineFault>,
+    ) -> Result<mpsc::Receiver<EngineChunk>, EngineError> {
+        let (sender, receiver) = mpsc::channel(CHUNK_BUFFER);
+        let run = self.enter(request, fault, sender)?;
+        tokio::spawn(run.drive());
+        Ok(receiver)
+    }
+
+    fn enter(
+        &self,
+        request: EngineCompletion,
+        fault: Option<EngineFault>,
+        chunks: mpsc::Sender<EngineChunk>,
+    ) -> Result<Run, EngineError> {
+        let mut state = self.lock();
+        let place = state.least_used(&request).ok_or(EngineError::NotResident)?;
+        let slots = self.slots(&place);
+        let number = state.record.runs.len() as u64;
+        let adapter = request.adapter.clone();
+        let entered = state
+            .batch
+            .enter(&place, number, request.priority, adapter, slots);
+        let turn = (entered == Entered::Waiting).then(|| {
+            let (waker, turn) = oneshot::channel();
+            state.wakers.insert(number, waker);
+            turn
+        });
+        let cancel = CancellationToken::new();
+        state
+            .cancels
+            .insert(request.request_id.clone(), cancel.clone());
+        let answered = match fault {
+            Some(EngineFault::Crossed) => state.record.runs.last().map(|run| run.request.clone()),
+            _ => None,
+        };
+        state.record.runs.push(RunRecord {
+            request: request.clone(),
+            sent: 0,
+            end: RunEnd::Running,
+        });
+        state.publish_report();
+        Ok(Run {
+            engine: self.clone(),
+            number,
+            place,
+            answered: answered.unwrap_or_else(|| request.clone()),
+            request,
+            fault,
+            turn,
+            cancel,
+            chunks,
+        })
+    }
+
+    fn slots(&self, place: &Place) -> u16 {
+        self.shared
+            .options
+            .model(&place.1)
+            .map_or(1, |model| model.slots)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.shared
+            .state
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn least_used(&self, request: &EngineCompletion) -> Option<Place> {
+        self.accelerators
+            .find(&request.model, request.adapter.as_ref())
+            .into_iter()
+            .map(|accelerator| (accelerator, request.model.clone()))
+            .min_by_key(|place| self.batch.users(place, None))
+    }
+
+    fn publish_report(&mut self) {
+        if self.reports.len() == KEPT_REPORTS {
+            self.reports.pop_front();
+        }
+        let report = self.report();
+        self.reports.push_back((Instant::now(), report));
+    }
+
+    fn report(&self) -> EngineLoad {
+        let replicas = self
+            .accelerators
+            .replicas()
+            .iter()
+            .map(|(place, replica)| EngineReplica {
+                model: place.1.clone(),
+                accelerator: place.0,
+                ready: replica.is_ready(),
+                adapters: replica.ready_adapters().cloned().collect(),
+                running: self.batch.running(place),
+                waiting: self.batch.waiting(place),
+            })
+            .collect();
+        EngineLoad {
+            age_ms: 0,
+            replicas,
+            used_mb: self.accelerators.used_mb(),
+            fence: self.accelerators.fence(),
+        }
+    }
+}
+
+/// One run; its slot is given back when it is dropped.
+struct Run {
+    engine: Engine,
+    number: u64,
+    place: Place,
+    request: EngineCompletion,
+    /// The request whose answer is sent; another one when answers are crossed.
+    answered: EngineCompletion,
+    fault: Option<EngineFault>,
+    turn: Option<oneshot::Receiver<()>>,
+    cancel: CancellationToken,
+    chunks: mpsc::Sender<EngineChunk>,
+}
+
+impl Run {
+    async fn drive(mut self) {
+        let cancel = self.cancel.clone();
+        let chunks = self.chunks.clone();
+        let end = tokio::select! {
+            end = self.generate() => end,
+            () = cancel.cancelled() => RunEnd::Cancelled,
+            () = chunks.closed() => RunEnd::Cancelled,
+        };
+        self.engine.lock().record.runs[self.number as usize].end = end;
+    }
+
+    async fn generate(&mut self) -> RunEnd {
+        if let Some(turn) = self.turn.take() {
+            let _ = turn.await;
+        }
+        sleep(self.prefill_time()).await;
+        let prompt = Prompt::from(&self.answered);
+        let (count, reason) = prompt.length(self.answered.max_tokens);
+        let start = self.answered.resume.len() as u32;
+        for index in start..count {
+            sleep(self.token_time()).await;
+            if self.is_cut(index - start) {
+                return RunEnd::Cut;
+            }
+            if !self.send(index, prompt.token(index), None).await {
+                return RunEnd::Cancelled;
+            }
+            self.engine.lock().record.runs[self.number as usize].sent += 1;
+        }
+        if self.is_cut(count.saturating_sub(start)) {
+            return RunEnd::Cut;
+        }
+        if self.send(count, String::new(), Some(reason)).await {
+            RunEnd::Finished(reason)
+        } else {
+            RunEnd::Cancelled
+        }
+    }
+
+    fn prefill_time(&self) -> Duration {
+        let options = &self.engine.shared.options;
+        let model = self.request.model.to_string();
+        let missing = self.engine.lock().cache.store(&model, &self.request.prompt);
+        let span = options.block_time * missing;
+        self.engine.shared.faults.stretch(span)
+    }
+
+    fn token_time(&self) -> Duration {
+        let options = &self.engine.shared.options;
+        let running = self.engine.lock().batch.running(&self.place);
+        let span = options.token_gap + options.batch_gap * running.saturating_sub(1);
+        self.engine.shared.faults.stretch(span)
+    }
+
+    fn is_cut(&self, sent: u32) -> bool {
+        let scripted = matches!(self.fault, Some(EngineFault::CutAfter(limit)) if sent >= limit);
+        scripted || self.engine.shared.faults.is_dead()
+    }
+
+    async fn send(
+        &self,
+        index: u32,
+        text: String,
+        finish_reason: Option<kumquatkeel_types::message::FinishReason>,
+    ) -> bool {
+        let chunk = EngineChunk {
+            request_id: self.answered.request_id.clone(),
+            index,
+            text,
+            finish_reason,
+        };
+        self.chunks.send(chunk).await.is_ok()
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        let slots = self.engine.slots(&self.place);
+        let mut state = self.engine.lock();
+        state.wakers.remove(&self.number);
+        state.cancels.remove(&self.request.request_id);
+        if let Some(next) = state.batch.leave(&self.place, self.number, slots)
+            && let Some(waker) = state.wakers.remove(&next)
+        {
+            let _ = waker.send(());
+        }
+        state.publish_report();
+    }
+}
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -1,10 +1,14 @@
 //! What the stand-ins' servers share.
 
+use std::io;
 use std::net::SocketAddr;
 
+use bytes::Bytes;
 use derive_more::{Display, Error};
 use dropshot::{ApiDescription, Body, ConfigDropshot, HttpError, HttpServer, ServerBuilder};
 use http::{Response, StatusCode, header};
+use http_body_util::StreamBody;
+use hyper::body::Frame;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -60,6 +64,18 @@
     respond(status, "text/plain", Body::empty())
 }
 
+/// Begins an answer and breaks the connection, so that the caller can't know what happened.
+pub(crate) fn lost() -> Result<Response<Body>, HttpError> {
+    let broken = futures::stream::iter([Err::<Frame<Bytes>, _>(io::Error::from(
+        io::ErrorKind::ConnectionAborted,
+    ))]);
+    respond(
+        StatusCode::OK,
+        "text/plain",
+        Body::wrap(StreamBody::new(broken)),
+    )
+}
+
 /// Answers with a body of a content type.
 pub(crate) fn respond(
     status: StatusCode,
