feat(agent): run attempts, fences and orders beside a target

The agent takes dispatches at POST /v1/attempts, runs each at most once through the gate, checks an engine's stream against its attempt, and answers probe, fence, order and status at /rpc. Orders are accounted for in memory first and written to the store as intents before they are sent.

--- /dev/null
+++ b/crates/agent/src/agent.rs
@@ -0,0 +1,273 @@
+//! The start and the end of an agent.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use derive_more::Debug;
+use kumquatkeel_core::gate::Gate;
+use kumquatkeel_core::memory::{Account, OrderDesk};
+use kumquatkeel_daemon::clock::Clock;
+use kumquatkeel_daemon::http::PeerClient;
+use kumquatkeel_daemon::metrics::Metrics;
+use kumquatkeel_daemon::rpc::AgentApiServer;
+use kumquatkeel_daemon::server::PeerServer;
+use kumquatkeel_platform::ObjectStore;
+use kumquatkeel_types::Incarnation;
+use kumquatkeel_types::document::TargetKind;
+use kumquatkeel_types::message::Member;
+use log::{info, warn};
+use tokio::sync::{Notify, watch};
+use tokio::time::{Instant, timeout, timeout_at};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::api::Api;
+use crate::attempt::AttemptRoutes;
+use crate::decisions::Decisions;
+use crate::engine::EngineClient;
+use crate::plain::PlainClient;
+use crate::poll::{poll_engine, take_over_late, watch_queue};
+use crate::record::{RecordStore, Takeover};
+use crate::shared::{Shared, starting_member};
+use crate::{AgentError, AgentSettings, Configuration, NoHints, PeerHints};
+
+/// Longest time to wait for the store at the start.
+const TAKEOVER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest time for connections and tasks to end after the drain.
+const STOP_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// What an agent is given besides its settings.
+#[derive(Debug, Clone)]
+pub struct AgentParts {
+    /// The platform's store; without one the agent waits out its predecessor's orders.
+    #[debug(skip)]
+    pub store: Option<Arc<dyn ObjectStore>>,
+    /// The configuration in force, as it changes.
+    pub configuration: watch::Receiver<Option<Configuration>>,
+    /// The metrics that the listener shows.
+    pub metrics: Metrics,
+    /// Names other targets for work that is refused.
+    #[debug(skip)]
+    pub hints: Arc<dyn PeerHints>,
+}
+
+impl AgentParts {
+    /// Makes parts without a store and without hints.
+    pub fn new(configuration: watch::Receiver<Option<Configuration>>, metrics: Metrics) -> Self {
+        Self {
+            store: None,
+            configuration,
+            metrics,
+            hints: Arc::new(NoHints),
+        }
+    }
+
+    /// Sets the platform's store.
+    #[must_use]
+    pub fn store(mut self, store: Arc<dyn ObjectStore>) -> Self {
+        self.store = Some(store);
+        self
+    }
+
+    /// Sets who names other targets.
+    #[must_use]
+    pub fn hints(mut self, hints: impl PeerHints + 'static) -> Self {
+        self.hints = Arc::new(hints);
+        self
+    }
+}
+
+/// The agent beside one target.
+#[derive(Debug)]
+pub struct Agent;
+
+/// A running agent.
+#[derive(Debug)]
+pub struct AgentHandle {
+    #[debug(skip)]
+    shared: Arc<Shared>,
+    server: PeerServer,
+}
+
+impl Agent {
+    /// Takes the target over from an earlier life and starts serving.
+    ///
+    /// When the store is out, the agent serves at once and gives no orders until it has waited out
+    /// those that an earlier life may have sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address can't be bound.
+    pub async fn start(
+        settings: AgentSettings,
+        parts: AgentParts,
+    ) -> Result<AgentHandle, AgentError> {
+        let clock = Clock::start();
+        let shared = Arc::new(Shared::start(settings, parts.clone(), clock).await);
+        let server = listen(&shared, parts.metrics).await?;
+        let address = server.address();
+        shared.member.send_modify(|member| member.address = address);
+        shared.spawn_loops();
+        shared.publish();
+        let name = &shared.settings.name;
+        let incarnation = shared.incarnation;
+        info!(target: "agent", "agent: life {incarnation} of {name} serves on {address}");
+        Ok(AgentHandle { shared, server })
+    }
+}
+
+impl AgentHandle {
+    /// Returns the address that the agent listens on.
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the agent's life.
+    pub fn incarnation(&self) -> Incarnation {
+        self.shared.incarnation
+    }
+
+    /// Returns the agent's report of itself, as it changes.
+    pub fn member(&self) -> watch::Receiver<Member> {
+        self.shared.member.subscribe()
+    }
+
+    /// Takes no new work, and returns when nothing runs any more.
+    ///
+    /// What waits is answered as not run, with where to go. Streams and calls go on to their end,
+    /// at most for the drain limit; the answer says whether all have ended.
+    pub async fn drain(&self) -> bool {
+        let shared = &self.shared;
+        shared.update(Decisions::drain);
+        let limit = Instant::now() + shared.settings.limits.drain;
+        loop {
+            let changed = shared.changed.notified();
+            let load = shared.decisions().gate.load();
+            if load.running == 0 {
+                info!(target: "agent", "agent: {} is drained", shared.settings.name);
+                return true;
+            }
+            if timeout_at(limit, changed).await.is_err() {
+                let running = load.running;
+                warn!(target: "agent", "agent: {running} attempts still run at the drain limit");
+                return false;
+            }
+        }
+    }
+
+    /// Drains, then stops listening and ends all tasks.
+    pub async fn shutdown(self) {
+        self.drain().await;
+        self.shared.stop.cancel();
+        self.shared.tasks.close();
+        let limit = Instant::now() + STOP_TIMEOUT;
+        let stopped = async {
+            self.server.stop().await;
+            self.shared.tasks.wait().await;
+        };
+        if timeout_at(limit, stopped).await.is_err() {
+            warn!(target: "agent", "agent: tasks still run after {STOP_TIMEOUT:?}");
+        }
+    }
+}
+
+impl Shared {
+    /// Takes the target over and puts the parts together.
+    async fn start(settings: AgentSettings, parts: AgentParts, clock: Clock) -> Self {
+        let lease = settings.limits.order_lease;
+        let name = settings.name.clone();
+        let record = parts
+            .store
+            .map(|store| RecordStore::new(store, name.clone(), lease, clock));
+        let proposed = proposed_incarnation();
+        let takeover = take_over(record.as_ref(), proposed).await;
+        let incarnation = takeover.as_ref().map_or(proposed, |t| t.incarnation);
+        let account = account_of(&settings, incarnation, takeover, clock);
+        let gate = Gate::new(settings.gate_limits(), incarnation);
+        let mut decisions = Decisions::new(gate, account, OrderDesk::new(name, incarnation));
+        if settings.kind == TargetKind::Plain {
+            decisions.open_plain(settings.slots, clock.now());
+        }
+        let http = PeerClient::new();
+        let (target, bytes) = (settings.target, settings.limits.answer_bytes);
+        let member = starting_member(&settings, incarnation);
+        Self {
+            incarnation,
+            clock,
+            decisions: Mutex::new(decisions),
+            changed: Notify::new(),
+            member: watch::Sender::new(member),
+            configuration: parts.configuration,
+            engine: EngineClient::new(http.clone(), target, bytes),
+            plain: PlainClient::new(http, target, bytes),
+            record,
+            hints: parts.hints,
+            tasks: TaskTracker::new(),
+            stop: CancellationToken::new(),
+            settings,
+        }
+    }
+
+    fn spawn_loops(self: &Arc<Self>) {
+        self.tasks.spawn(watch_queue(self.clone()));
+        if self.settings.kind == TargetKind::Engine {
+            self.tasks.spawn(poll_engine(self.clone()));
+        }
+        if self.record.as_ref().is_some_and(|r| !r.holds_target()) {
+            self.tasks.spawn(take_over_late(self.clone()));
+        }
+    }
+}
+
+/// Returns the account of a life that took the target over, or that could not.
+fn account_of(
+    settings: &AgentSettings,
+    incarnation: Incarnation,
+    takeover: Option<Takeover>,
+    clock: Clock,
+) -> Account {
+    let now = clock.now();
+    let mut account = Account::new(settings.account(incarnation), now);
+    match takeover {
+        Some(takeover) => account.inherit(takeover.intents, now),
+        None => account.quarantine(now),
+    }
+    account
+}
+
+async fn take_over(record: Option<&RecordStore>, proposed: Incarnation) -> Option<Takeover> {
+    let record = record?;
+    match timeout(TAKEOVER_TIMEOUT, record.take_over(proposed)).await {
+        Ok(Ok(takeover)) => Some(takeover),
+        Ok(Err(error)) => {
+            warn!(target: "agent", "agent: the target is not taken over yet: {error}");
+            None
+        }
+        Err(_) => {
+            warn!(target: "agent", "agent: the target is not taken over yet: the store is late");
+            None
+        }
+    }
+}
+
+async fn listen(shared: &Arc<Shared>, metrics: Metrics) -> Result<PeerServer, AgentError> {
+    let listen = shared.settings.listen;
+    let key = shared.settings.peer_key.clone();
+    let routes = Arc::new(AttemptRoutes(shared.clone()));
+    let methods = Api(shared.clone()).into_rpc();
+    let server = PeerServer::start(listen, key, metrics, methods, routes).await;
+    server.map_err(|error| AgentError {
+        step: "listen",
+        peer: listen,
+        reason: error.to_string(),
+    })
+}
+
+/// Proposes this life: milliseconds of the wall clock, so that lives differ without the store.
+///
+/// The store raises it when the clock was set back.
+fn proposed_incarnation() -> Incarnation {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    Incarnation(since.map_or(1, |d| d.as_millis() as u64))
+}
--- /dev/null
+++ b/crates/agent/src/api.rs
@@ -0,0 +1,60 @@
+//! The agent's JSON-RPC interface.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use jsonrpsee::core::RpcResult;
+use kumquatkeel_core::gate::LaneId;
+use kumquatkeel_daemon::rpc::AgentApiServer;
+use kumquatkeel_types::message::{
+    FenceReply, FenceRequest, Member, Order, OrderReply, ProbeReply, ProbeRequest,
+};
+use log::info;
+
+use crate::orders::take_order;
+use crate::shared::Shared;
+
+/// Answers the system's other processes.
+pub(crate) struct Api(pub(crate) Arc<Shared>);
+
+#[async_trait]
+impl AgentApiServer for Api {
+    async fn probe(&self, request: ProbeRequest) -> RpcResult<ProbeReply> {
+        let lane = request.model.map_or(LaneId::Plain, LaneId::Model);
+        let core = self.0.decisions();
+        Ok(ProbeReply {
+            incarnation: self.0.incarnation,
+            draining: core.gate.is_draining(),
+            resident: core.gate.serves(&lane, request.adapter.as_ref()),
+            load: core.gate.lane_load(&lane),
+        })
+    }
+
+    async fn fence(&self, request: FenceRequest) -> RpcResult<FenceReply> {
+        let reply = self.0.decisions().fence(&request, self.0.now());
+        self.0.changed.notify_waiters();
+        let attempt = &request.attempt;
+        info!(target: "fence", "fence: {attempt} is {}", word_of(&reply));
+        Ok(reply)
+    }
+
+    async fn order(&self, order: Order) -> RpcResult<OrderReply> {
+        Ok(take_order(&self.0, &order))
+    }
+
+    async fn status(&self) -> RpcResult<Member> {
+        self.0.publish();
+        Ok(self.0.member.borrow().clone())
+    }
+}
+
+/// Returns the reply without the caller's data.
+const fn word_of(reply: &FenceReply) -> &'static str {
+    match reply {
+        FenceReply::NotRun => "not run",
+        FenceReply::Running => "running",
+        FenceReply::Answered { .. } => "answered",
+        FenceReply::Unknown => "unknown",
+        FenceReply::WrongIncarnation { .. } => "of another life",
+    }
+}
--- /dev/null
+++ b/crates/agent/src/attempt.rs
@@ -0,0 +1,217 @@
+//! `POST /v1/attempts`: one attempt, and the stream of its events.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use kumquatkeel_core::gate::{Admission, Ending, GateStep};
+use kumquatkeel_daemon::server::{Body, Routes, full_body, status_only};
+use kumquatkeel_types::message::{AttemptEvent, Dispatch, NotRunReason, Work};
+use kumquatkeel_types::{ErrorBody, ErrorCode, Outcome};
+use log::{debug, warn};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use crate::decisions::Offered;
+use crate::events::{EventSender, answered, event_body};
+use crate::plain::is_valid_path;
+use crate::run::{Deadline, run_attempt};
+use crate::shared::Shared;
+
+/// Longest time that an entry may take to send a dispatch.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Content type of a stream of events, one JSON object a line.
+const EVENTS_TYPE: HeaderValue = HeaderValue::from_static("application/x-ndjson");
+
+/// The agent's routes besides JSON-RPC.
+pub(crate) struct AttemptRoutes(pub(crate) Arc<Shared>);
+
+#[async_trait]
+impl Routes for AttemptRoutes {
+    async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+        if request.uri().path() != "/v1/attempts" {
+            return status_only(StatusCode::NOT_FOUND);
+        }
+        if request.method() != Method::POST {
+            return status_only(StatusCode::METHOD_NOT_ALLOWED);
+        }
+        match read_dispatch(request, self.0.settings.limits.body_bytes).await {
+            Ok(dispatch) => start_attempt(&self.0, dispatch),
+            Err(refusal) => refusal,
+        }
+    }
+}
+
+async fn read_dispatch(
+    request: Request<Incoming>,
+    limit: usize,
+) -> Result<Dispatch, Response<Body>> {
+    let body = Limited::new(request.into_body(), limit).collect();
+    let body = timeout(BODY_TIMEOUT, body).await;
+    let body = body.map_err(|_| refusal(StatusCode::REQUEST_TIMEOUT, "the body is late"))?;
+    let content = body.map_err(|error| {
+        let message = format!("the body is cut or over {limit} bytes: {error}");
+        refusal(StatusCode::PAYLOAD_TOO_LARGE, message)
+    })?;
+    let content = content.to_bytes();
+    let mut json = serde_json::Deserializer::from_slice(&content);
+    let dispatch: Dispatch = serde_path_to_error::deserialize(&mut json)
+        .map_err(|error| refusal(StatusCode::BAD_REQUEST, format!("dispatch: {error}")))?;
+    match &dispatch.work {
+        Work::Plain(work) if !is_valid_path(&work.path) => {
+            let message = "work.plain.path: must be a path that starts with a slash";
+            Err(refusal(StatusCode::BAD_REQUEST, message))
+        }
+        _ => Ok(dispatch),
+    }
+}
+
+fn refusal(status: StatusCode, message: impl Into<String>) -> Response<Body> {
+    let body = ErrorBody {
+        outcome: Outcome::Refused,
+        code: ErrorCode::InvalidRequest,
+        message: message.into(),
+        request: None,
+        retry_after_ms: None,
+    };
+    let mut response = Response::new(full_body(serde_json::to_vec(&body).unwrap_or_default()));
+    *response.status_mut() = status;
+    let content_type = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, content_type);
+    response
+}
+
+fn start_attempt(shared: &Arc<Shared>, dispatch: Dispatch) -> Response<Body> {
+    let (events, body) = event_body();
+    let deadline = Deadline::of(&dispatch);
+    let task = serve_attempt(shared.clone(), dispatch, deadline, events);
+    shared.tasks.spawn(task);
+    let mut response = Response::new(body);
+    response.headers_mut().insert(CONTENT_TYPE, EVENTS_TYPE);
+    response
+}
+
+async fn serve_attempt(
+    shared: Arc<Shared>,
+    dispatch: Dispatch,
+    deadline: Deadline,
+    events: EventSender,
+) {
+    let offered = shared.decisions().offer(&dispatch, shared.now());
+    shared.changed.notify_waiters();
+    match offered {
+        Offered::Now(Admission::Start) => run(&shared, &dispatch, deadline, &events).await,
+        Offered::Now(admission) => {
+            let event = answer_of(&shared, &dispatch, admission);
+            events.send(&event).await;
+        }
+        Offered::Later(step) => wait(&shared, &dispatch, deadline, &events, step).await,
+    }
+}
+
+async fn run(shared: &Shared, dispatch: &Dispatch, deadline: Deadline, events: &EventSender) {
+    let attempt = &dispatch.attempt;
+    debug!(target: "attempt", "attempt: {attempt} starts");
+    let end = run_attempt(shared, dispatch, deadline, events).await;
+    debug!(target: "attempt", "attempt: {attempt} ended as {end:?}");
+    shared.decisions().finish(attempt, end, shared.now());
+    shared.changed.notify_waiters();
+}
+
+/// Waits for the gate's word on an attempt, or for its caller to leave.
+async fn wait(
+    shared: &Shared,
+    dispatch: &Dispatch,
+    deadline: Deadline,
+    events: &EventSender,
+    mut step: oneshot::Receiver<GateStep>,
+) {
+    let told = tokio::select! {
+        told = &mut step => told,
+        () = events.closed() => {
+            leave(shared, dispatch, &mut step);
+            return;
+        }
+    };
+    let attempt = dispatch.attempt.clone();
+    let event = match told {
+        Ok(GateStep::Start(_)) => return run(shared, dispatch, deadline, events).await,
+        Ok(GateStep::NotRun { reason, .. }) => not_run(shared, dispatch, reason, None),
+        Ok(GateStep::Answer { answer, .. }) => answered(attempt, &answer),
+        Ok(GateStep::Unknown(_)) => failed(dispatch, ErrorCode::Interrupted, UNKNOWN),
+        Err(_) => {
+            warn!(target: "attempt", "attempt: {attempt} was dropped by the gate");
+            failed(dispatch, ErrorCode::Interrupted, UNKNOWN)
+        }
+    };
+    events.send(&event).await;
+}
+
+/// Takes a waiting attempt back, also when the gate has just started it.
+fn leave(shared: &Shared, dispatch: &Dispatch, step: &mut oneshot::Receiver<GateStep>) {
+    let attempt = &dispatch.attempt;
+    let mut core = shared.decisions();
+    let now = shared.now();
+    let cancelled = core.cancel(attempt, now);
+    debug!(target: "attempt", "attempt: {attempt} left while it waited: {cancelled:?}");
+    if let Ok(GateStep::Start(_)) = step.try_recv() {
+        core.finish(attempt, Ending::NotSent(NotRunReason::Cancelled), now);
+    }
+    drop(core);
+    shared.changed.notify_waiters();
+}
+
+/// What callers are told when a call may have run.
+const UNKNOWN: &str = "the call may have run before; its outcome is not known";
+
+fn answer_of(shared: &Shared, dispatch: &Dispatch, admission: Admission) -> AttemptEvent {
+    match admission {
+        Admission::NotRun {
+            reason,
+            retry_after_ms,
+        } => not_run(shared, dispatch, reason, retry_after_ms),
+        Admission::Stored(answer) => answered(dispatch.attempt.clone(), &answer),
+        Admission::KeyReused => {
+            let message = "the idempotency key was used for another call";
+            failed(dispatch, ErrorCode::KeyReused, message)
+        }
+        Admission::Repeated => {
+            let message = "the attempt is here already";
+            failed(dispatch, ErrorCode::Interrupted, message)
+        }
+        Admission::Start | Admission::Queued | Admission::Joined | Admission::Unknown => {
+            failed(dispatch, ErrorCode::Interrupted, UNKNOWN)
+        }
+    }
+}
+
+fn not_run(
+    shared: &Shared,
+    dispatch: &Dispatch,
+    reason: NotRunReason,
+    retry_after_ms: Option<u64>,
+) -> AttemptEvent {
+    let (model, adapter) = match &dispatch.work {
+        Work::Completion(work) => (Some(&work.model), work.adapter.as_ref()),
+        Work::Plain(_) => (None, None),
+    };
+    AttemptEvent::NotRun {
+        attempt: dispatch.attempt.clone(),
+        incarnation: shared.incarnation,
+        reason,
+        hint: shared.hints.elsewhere(model, adapter),
+        retry_after_ms,
+    }
+}
+
+fn failed(dispatch: &Dispatch, code: ErrorCode, message: impl Into<String>) -> AttemptEvent {
+    AttemptEvent::Failed {
+        attempt: dispatch.attempt.clone(),
+        code,
+        message: message.into(),
+    }
+}
--- /dev/null
+++ b/crates/agent/src/plain.rs
@@ -0,0 +1,86 @@
+//! The client of a plain service.
+
+use std::net::SocketAddr;
+
+use http::header::{CONNECTION, CONTENT_TYPE};
+use http::{HeaderName, Request, Uri};
+use http_body_util::{BodyExt, Full, Limited};
+use kumquatkeel_core::gate::PlainAnswer;
+use kumquatkeel_daemon::http::PeerClient;
+use kumquatkeel_types::message::PlainWork;
+
+use crate::TargetError;
+
+/// The header that carries the idempotency key.
+const KEY_HEADER: HeaderName = HeaderName::from_static("idempotency-key");
+/// The content type of answers that name none.
+const DEFAULT_TYPE: &str = "application/octet-stream";
+
+/// Calls one plain service.
+#[derive(Debug, Clone)]
+pub(crate) struct PlainClient {
+    http: PeerClient,
+    address: SocketAddr,
+    answer_bytes: usize,
+}
+
+impl PlainClient {
+    /// Makes a client of the service at `address` that takes answers up to `answer_bytes`.
+    pub(crate) const fn new(http: PeerClient, address: SocketAddr, answer_bytes: usize) -> Self {
+        Self {
+            http,
+            address,
+            answer_bytes,
+        }
+    }
+
+    /// Calls the service on a fresh connection and returns its whole answer.
+    ///
+    /// A kept connection may be closed while the call is under way, which would leave open whether
+    /// the call ran.
+    pub(crate) async fn call(&self, work: &PlainWork) -> Result<PlainAnswer, TargetError> {
+        let step = "call";
+        let mut request = Request::post(format!("http://{}{}", self.address, work.path))
+            .header(CONTENT_TYPE, &work.content_type)
+            .header(CONNECTION, "close");
+        if let Some(key) = &work.key {
+            request = request.header(KEY_HEADER, key.as_str());
+        }
+        let request = request
+            .body(Full::from(work.body.clone()))
+            .map_err(|e| self.error(step, true, &e))?;
+        let response = self.http.send(step, self.address, request).await?;
+        let status = response.status().as_u16();
+        let content_type = response.headers().get(CONTENT_TYPE);
+        let content_type = content_type
+            .and_then(|t| t.to_str().ok())
+            .unwrap_or(DEFAULT_TYPE)
+            .to_owned();
+        let body = Limited::new(response.into_body(), self.answer_bytes);
+        let body = body.collect().await;
+        let body = body.map_err(|e| self.error(step, false, &e))?.to_bytes();
+        let body = String::from_utf8(body.into());
+        Ok(PlainAnswer {
+            status,
+            content_type,
+            body: body.map_err(|e| self.error(step, false, &e))?,
+        })
+    }
+
+    fn error(&self, step: &'static str, unsent: bool, reason: &impl ToString) -> TargetError {
+        TargetError {
+            step,
+            peer: self.address,
+            unsent,
+            reason: reason.to_string(),
+        }
+    }
+}
+
+/// Says whether a path can stand below a service's address.
+pub(crate) fn is_valid_path(path: &str) -> bool {
+    path.starts_with('/')
+        && path
+            .parse::<Uri>()
+            .is_ok_and(|uri| uri.authority().is_none())
+}
--- /dev/null
+++ b/crates/agent/src/poll.rs
@@ -0,0 +1,122 @@
+//! The loops that run beside the work: the engine's load, waiting attempts, and the record.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquatkeel_core::memory::{UnitId, size_of};
+use kumquatkeel_types::Timestamp;
+use kumquatkeel_types::document::Document;
+use kumquatkeel_types::message::OrderAction;
+use log::{info, warn};
+use tokio::time::{MissedTickBehavior, interval, sleep, sleep_until, timeout};
+
+use crate::record::RecordStore;
+use crate::shared::Shared;
+
+/// Longest time to wait for a load report.
+const POLL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time between two looks at what is too old.
+const MAX_TICK: Duration = Duration::from_secs(1);
+/// Pause between two tries to take the target over while the store is out.
+const TAKEOVER_PAUSE: Duration = Duration::from_secs(1);
+
+/// Polls the engine's load until the agent stops.
+pub(crate) async fn poll_engine(shared: Arc<Shared>) {
+    let mut ticks = interval(shared.settings.limits.poll);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut failures = 0_u32;
+    loop {
+        tokio::select! {
+            () = shared.stop.cancelled() => return,
+            _ = ticks.tick() => {}
+        }
+        let asked = shared.now();
+        match timeout(POLL_TIMEOUT, shared.engine.load()).await {
+            Ok(Ok(load)) => {
+                failures = 0;
+                let document = shared.document();
+                let size = |unit: &UnitId| unit_size(document.as_deref()?, unit);
+                shared.update(|core, _| core.account.observe(&load, asked, size));
+            }
+            Ok(Err(error)) => {
+                failures += 1;
+                warn!(target: "poll", "poll: load report {failures} in a row failed: {error}");
+            }
+            Err(_) => {
+                failures += 1;
+                warn!(target: "poll", "poll: load report {failures} in a row is late");
+            }
+        }
+    }
+}
+
+fn unit_size(document: &Document, unit: &UnitId) -> Option<u32> {
+    let model = unit.model.clone();
+    let accelerator = unit.accelerator;
+    let action = match unit.adapter.clone() {
+        None => OrderAction::Load { model, accelerator },
+        Some(adapter) => OrderAction::LoadAdapter {
+            adapter,
+            model,
+            accelerator,
+        },
+    };
+    size_of(document, &action)
+}
+
+/// Ends attempts that have waited too long, and reports changes of the load.
+pub(crate) async fn watch_queue(shared: Arc<Shared>) {
+    loop {
+        let changed = shared.changed.notified();
+        let wake = next_wake(&shared);
+        tokio::select! {
+            () = shared.stop.cancelled() => return,
+            () = sleep_until(shared.clock.instant(wake)) => {
+                let now = shared.now();
+                shared.decisions().tick(now);
+                shared.publish();
+            }
+            () = changed => {}
+        }
+    }
+}
+
+fn next_wake(shared: &Shared) -> Timestamp {
+    let latest = shared.now().after(MAX_TICK);
+    let wake = shared.decisions().gate.next_wake();
+    wake.map_or(latest, |wake| wake.min(latest))
+}
+
+/// Takes the target over once the store is back, after a start without it.
+pub(crate) async fn take_over_late(shared: Arc<Shared>) {
+    let Some(record) = &shared.record else {
+        return;
+    };
+    loop {
+        tokio::select! {
+            () = shared.stop.cancelled() => return,
+            () = sleep(TAKEOVER_PAUSE) => {}
+        }
+        match try_late(&shared, record).await {
+            Ok(()) => return,
+            Err(reason) => {
+                warn!(target: "record", "record: the target is not taken over: {reason}");
+            }
+        }
+    }
+}
+
+async fn try_late(shared: &Shared, record: &RecordStore) -> Result<(), String> {
+    let takeover = record.take_over(shared.incarnation).await;
+    let takeover = takeover.map_err(|error| error.to_string())?;
+    if takeover.incarnation != shared.incarnation {
+        shared.yield_target(format!("life {} came before", takeover.incarnation));
+        return Ok(());
+    }
+    info!(target: "record", "record: life {} holds the target", shared.incarnation);
+    shared.update(|core, now| {
+        core.account.inherit(takeover.intents, now);
+        core.account.quarantine(now);
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/agent/src/record.rs
@@ -0,0 +1,210 @@
+//! The agent's object in the store: its life, and the orders that may still be executed.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::{Debug, Display, Error};
+use kumquatkeel_core::memory::{Intent, TargetRecord};
+use kumquatkeel_daemon::clock::Clock;
+use kumquatkeel_platform::{
+    Object, ObjectKey, ObjectStore, ObjectVersion, Precondition, Settled, StoreError, WriteId,
+    put_settled,
+};
+use kumquatkeel_types::{Incarnation, TargetName, Timestamp};
+use std::sync::Arc;
+use tokio::sync::Mutex;
+
+/// Times that a write is tried again after another writer came first.
+const MAX_TRIES: u32 = 4;
+
+/// Says why the record could not be written.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub(crate) enum RecordError {
+    /// The store failed.
+    #[display("{_0}")]
+    Store(#[error(source)] StoreError),
+    /// A later life of the agent holds the target.
+    #[display("record of {target}: life {holder} holds the target")]
+    Superseded {
+        /// The target.
+        target: TargetName,
+        /// The life that holds it.
+        holder: Incarnation,
+    },
+    /// The object can't be understood, or changes under every try.
+    #[display("record of {target}: {reason}")]
+    Unusable {
+        /// The target.
+        target: TargetName,
+        /// Why.
+        reason: String,
+    },
+}
+
+/// The right to send orders until a moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct SendRight(Timestamp);
+
+impl SendRight {
+    /// Says whether an order may be sent at `now`.
+    pub(crate) fn holds(self, now: Timestamp) -> bool {
+        now < self.0
+    }
+}
+
+/// What an earlier life left behind.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Takeover {
+    /// This life.
+    pub(crate) incarnation: Incarnation,
+    /// The earlier life's orders that may still be executed.
+    pub(crate) intents: Vec<Intent>,
+}
+
+/// Writes the agent's object by conditional updates.
+#[derive(Debug)]
+pub(crate) struct RecordStore {
+    #[debug(skip)]
+    store: Arc<dyn ObjectStore>,
+    target: TargetName,
+    key: ObjectKey,
+    lease: Duration,
+    clock: Clock,
+    version: Mutex<Option<ObjectVersion>>,
+}
+
+impl RecordStore {
+    /// Makes the writer of a target's object; an intent lets orders be sent for `lease`.
+    pub(crate) fn new(
+        store: Arc<dyn ObjectStore>,
+        target: TargetName,
+        lease: Duration,
+        clock: Clock,
+    ) -> Self {
+        Self {
+            store,
+            key: ObjectKey::from(format!("agents/{target}")),
+            target,
+            lease,
+            clock,
+            version: Mutex::new(None),
+        }
+    }
+
+    /// Says whether this life has taken the target over; a write under way leaves it open.
+    pub(crate) fn holds_target(&self) -> bool {
+        self.version
+            .try_lock()
+            .is_ok_and(|version| version.is_some())
+    }
+
+    /// Takes the target over from an earlier life and returns what that left open.
+    ///
+    /// This life is `proposed`, or the one after the stored life if that is higher.
+    pub(crate) async fn take_over(&self, proposed: Incarnation) -> Result<Takeover, RecordError> {
+        let mut version = self.version.lock().await;
+        for _ in 0..MAX_TRIES {
+            let object = self.read().await?;
+            let stored = self.parse(object.as_ref())?;
+            let incarnation = proposed.max(stored.incarnation.next());
+            let record = TargetRecord {
+                incarnation,
+                intents: stored.intents.clone(),
+            };
+            let precondition = precondition(object.as_ref().map(|o| o.version));
+            match self.put(precondition, &record).await? {
+                Settled::Written(written) => {
+                    *version = Some(written);
+                    return Ok(Takeover {
+                        incarnation,
+                        intents: stored.intents,
+                    });
+                }
+                Settled::Conflict | Settled::Superseded(_) => {}
+            }
+        }
+        Err(self.unusable(&"it changes under every try"))
+    }
+
+    /// Writes the open orders of this life, and returns the right to send them.
+    pub(crate) async fn write(
+        &self,
+        incarnation: Incarnation,
+        intents: Vec<Intent>,
+    ) -> Result<SendRight, RecordError> {
+        let mut version = self.version.lock().await;
+        let record = TargetRecord {
+            incarnation,
+            intents,
+        };
+        for _ in 0..MAX_TRIES {
+            // The right counts from before the write was begun.
+            let right = SendRight(self.clock.now().after(self.lease));
+            if let Settled::Written(written) = self.put(precondition(*version), &record).await? {
+                *version = Some(written);
+                return Ok(right);
+            }
+            *version = Some(self.own_version(incarnation).await?);
+        }
+        Err(self.unusable(&"it changes under every try"))
+    }
+
+    /// Returns the object's version if this life still holds the target.
+    async fn own_version(&self, incarnation: Incarnation) -> Result<ObjectVersion, RecordError> {
+        let object = self.read().await?;
+        let holder = self.parse(object.as_ref())?.incarnation;
+        match object {
+            Some(object) if holder == incarnation => Ok(object.version),
+            Some(_) => Err(RecordError::Superseded {
+                target: self.target.clone(),
+                holder,
+            }),
+            None => Err(self.unusable(&"the object is gone")),
+        }
+    }
+
+    async fn read(&self) -> Result<Option<Object>, RecordError> {
+        let object = self.store.get(&self.key).await;
+        object.map_err(RecordError::Store)
+    }
+
+    async fn put(
+        &self,
+        precondition: Precondition,
+        record: &TargetRecord,
+    ) -> Result<Settled, RecordError> {
+        let value = serde_json::to_vec(record).map_err(|e| self.unusable(&e))?;
+        let write = WriteId::from(format!(
+            "agent/{}/{:016x}",
+            self.target,
+            rand::random::<u64>()
+        ));
+        put_settled(
+            &*self.store,
+            &self.key,
+            precondition,
+            &write,
+            Bytes::from(value),
+        )
+        .await
+        .map_err(RecordError::Store)
+    }
+
+    fn parse(&self, object: Option<&Object>) -> Result<TargetRecord, RecordError> {
+        let Some(object) = object else {
+            return Ok(TargetRecord::default());
+        };
+        serde_json::from_slice(&object.value).map_err(|e| self.unusable(&e))
+    }
+
+    fn unusable(&self, reason: &impl ToString) -> RecordError {
+        RecordError::Unusable {
+            target: self.target.clone(),
+            reason: reason.to_string(),
+        }
+    }
+}
+
+fn precondition(version: Option<ObjectVersion>) -> Precondition {
+    version.map_or(Precondition::Absent, Precondition::Version)
+}
--- a/crates/core/src/gate/lane.rs
+++ b/crates/core/src/gate/lane.rs
@@ -1,10 +1,10 @@
 //! The slots and the queue of one model's replicas, or of a plain target.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use kumquatkeel_types::message::LoadSummary;
-use kumquatkeel_types::{AttemptId, ModelId, Timestamp};
+use kumquatkeel_types::{AdapterName, AttemptId, ModelId, Timestamp};
 use serde::{Deserialize, Serialize};
 
 /// What shares slots: the replicas of a model, or all calls of a plain target.
@@ -17,6 +17,15 @@
     Plain,
 }
 
+/// What a lane offers.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct LaneOffer {
+    /// Attempts that run at a time.
+    pub slots: u32,
+    /// The adapters that are ready.
+    pub adapters: BTreeSet<AdapterName>,
+}
+
 /// The order in which waiting attempts start: by priority, then by deadline, then by arrival.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Turn {
@@ -32,12 +41,18 @@
 #[derive(Debug, Default)]
 pub(super) struct Lane {
     pub(super) slots: u32,
+    pub(super) adapters: BTreeSet<AdapterName>,
     pub(super) running: u32,
     pub(super) waiting: BTreeMap<Turn, AttemptId>,
     hold: Duration,
 }
 
 impl Lane {
+    /// Says whether the lane takes attempts for this adapter, or for none.
+    pub(super) fn serves(&self, adapter: Option<&AdapterName>) -> bool {
+        self.slots > 0 && adapter.is_none_or(|a| self.adapters.contains(a))
+    }
+
     /// Says whether an attempt may start beside those that run.
     pub(super) const fn has_slot(&self) -> bool {
         self.running < self.slots
--- a/crates/core/src/gate/mod.rs
+++ b/crates/core/src/gate/mod.rs
@@ -39,7 +39,7 @@
 
 pub use admission::{Admission, CancelStep, GateStep};
 pub use answer::{Ending, PlainAnswer};
-pub use lane::LaneId;
+pub use lane::{LaneId, LaneOffer};
 pub use limits::GateLimits;
 pub use state::Gate;
 pub use stream::{ChunkStep, StreamCheck, StreamFault};
--- a/crates/core/src/gate/offer.rs
+++ b/crates/core/src/gate/offer.rs
@@ -104,7 +104,8 @@
         if job.turn.deadline <= now {
             return Some((NotRunReason::Deadline, None));
         }
-        let Some(lane) = self.lanes.get(&job.lane).filter(|l| l.slots > 0) else {
+        let lane = self.lanes.get(&job.lane);
+        let Some(lane) = lane.filter(|l| l.serves(job.adapter.as_ref())) else {
             return Some((NotRunReason::NotResident, None));
         };
         if job.key.is_some() && self.keys.len() >= self.limits.keys {
--- a/crates/core/src/gate/state.rs
+++ b/crates/core/src/gate/state.rs
@@ -9,7 +9,7 @@
 use super::keys::Keys;
 use super::lane::Lane;
 use super::record::Record;
-use super::{GateLimits, GateStep, LaneId};
+use super::{GateLimits, GateStep, LaneId, LaneOffer};
 
 /// Admits attempts to the target behind an agent, each at most once.
 #[derive(Debug)]
@@ -68,6 +68,16 @@
         self.lanes.get(lane).map(Lane::load).unwrap_or_default()
     }
 
+    /// Returns the lanes that are open or still have work.
+    pub fn lanes(&self) -> impl Iterator<Item = &LaneId> {
+        self.lanes.keys()
+    }
+
+    /// Says whether an attempt for this lane and adapter would find it served.
+    pub fn serves(&self, lane: &LaneId, adapter: Option<&AdapterName>) -> bool {
+        self.lanes.get(lane).is_some_and(|l| l.serves(adapter))
+    }
+
     /// Returns the load of the whole target.
     pub fn load(&self) -> LoadSummary {
         LoadSummary {
@@ -88,10 +98,12 @@
         })
     }
 
-    /// Opens a lane with this many slots, or changes its slots.
+    /// Opens a lane, or changes what it offers.
     #[must_use]
-    pub fn open_lane(&mut self, lane: LaneId, slots: u32, now: Timestamp) -> Vec<GateStep> {
-        self.lanes.entry(lane).or_default().slots = slots;
+    pub fn open_lane(&mut self, lane: LaneId, offer: LaneOffer, now: Timestamp) -> Vec<GateStep> {
+        let state = self.lanes.entry(lane).or_default();
+        state.slots = offer.slots;
+        state.adapters = offer.adapters;
         self.fill(now)
     }
 
