--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each stand-in keeps its own record of what it did, so that a test can compare what callers were
 //! told with what happened. All time is the runtime's, which tests pause and advance.
 
+pub mod demo;
 pub mod engine;
 pub mod plain;
 pub mod platform;
