--- a/crates/standin/tests/histories/config.rs
+++ b/crates/standin/tests/histories/config.rs
@@ -94,13 +94,13 @@
         tokio::time::sleep(Duration::from_millis(rng.random_range(0..20))).await;
         let process = operator + OPERATORS * step as usize * 2;
         recorder.call(process, ConfigCall::Asked);
-        let Some(seen) = read(&store).await else {
+        let Some(current) = read(&store).await else {
             recorder.respond(process, ConfigCall::Rejected);
             continue;
         };
-        recorder.respond(process, ConfigCall::Read(seen));
+        recorder.respond(process, ConfigCall::Read(current));
         let process = process + OPERATORS;
-        let base = seen.map(|(revision, _)| Revision(revision));
+        let base = current.map(|(revision, _)| Revision(revision));
         let proposal = proposal_of(operator, step, base);
         let digest = proposal.document.digest();
         recorder.call(process, ConfigCall::Asked);
