--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod api;
 pub mod call;
 pub mod fleet;
+pub mod ledger;
 pub mod path;
 
 mod entry;
