--- a/crates/entry/src/fleet/mod.rs
+++ b/crates/entry/src/fleet/mod.rs
@@ -1,8 +1,10 @@
 //! How news of the configuration and of the members reach an entry.
 
+mod config;
 mod follow;
 mod poll;
 
+pub use config::follow_store;
 pub use follow::follow_fleet;
 pub use poll::PollingFleet;
 
