--- a/crates/entry/src/api/body.rs
+++ b/crates/entry/src/api/body.rs
@@ -32,8 +32,13 @@
     let mut json = serde_json::Deserializer::from_slice(body);
     let value = serde_path_to_error::deserialize(&mut json).map_err(|error| {
         let path = error.path().to_string();
-        let reason = error.into_inner();
-        refused(ErrorCode::InvalidRequest, format!("{path}: {reason}"))
+        let field = if path.starts_with(['.', '?']) {
+            "body"
+        } else {
+            &path
+        };
+        let reason = error.inner();
+        refused(ErrorCode::InvalidRequest, format!("{field}: {reason}"))
     })?;
     json.end()
         .map_err(|error| refused(ErrorCode::InvalidRequest, format!("body: {error}")))?;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -13,7 +13,7 @@
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_daemon::http::{PeerClient, rpc_client};
 use kumquatkeel_types::document::{Document, Service};
-use kumquatkeel_types::message::Member;
+use kumquatkeel_types::message::{Member, MemberState};
 use kumquatkeel_types::{
     ErrorBody, ErrorCode, Incarnation, Outcome, RequestId, Revision, ServiceName,
 };
@@ -122,6 +122,17 @@
         decider.router.as_ref().map(|r| r.view().document().clone())
     }
 
+    /// Returns how many targets take new work, as far as this entry has heard.
+    pub fn serving_targets(&self) -> usize {
+        let decider = self.decider();
+        let agents = decider
+            .router
+            .as_ref()
+            .map_or(&[][..], |r| r.view().agents());
+        let serving = agents.iter().filter(|a| a.state == MemberState::Serving);
+        serving.count()
+    }
+
     /// Takes over a newer configuration.
     pub fn apply_document(&self, revision: Revision, document: Arc<Document>) {
         let now = self.clock.now();
