feat(entry,agent): wire the daemons to the platform

Cause: entry and agent stood without a store, a ledger or a program. Change: one follower of the stored configuration for both; EntryDaemon with life, ledger and peers; AgentDaemon; both programs read checked settings and drain on SIGTERM.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -23,6 +23,8 @@
 //! # }
 //! ```
 
+pub mod daemon;
+
 mod agent;
 mod api;
 mod attempt;
--- /dev/null
+++ b/crates/agent/src/main.rs
@@ -0,0 +1,35 @@
+//! The program `kumquatkeel-agent`.
+
+use std::error::Error;
+use std::path::PathBuf;
+
+use clap::Parser;
+use kumquatkeel_agent::daemon::AgentDaemon;
+use kumquatkeel_agent::{AgentSettings, RawAgentSettings};
+use kumquatkeel_daemon::logging::start_logging;
+use kumquatkeel_daemon::settings::load_settings;
+use kumquatkeel_daemon::signal::stop_requested;
+
+/// Stands beside a target as its last gate.
+#[derive(Debug, Parser)]
+#[command(version, about)]
+struct Cli {
+    /// The settings file, JSON with comments.
+    #[arg(long)]
+    settings: PathBuf,
+}
+
+#[tokio::main]
+async fn main() -> Result<(), Box<dyn Error>> {
+    let cli = Cli::parse();
+    let settings = load_settings::<RawAgentSettings, AgentSettings>(&cli.settings);
+    let settings = settings.unwrap_or_else(|error| {
+        eprintln!("{error}");
+        std::process::exit(2);
+    });
+    start_logging(settings.name.as_str(), "info");
+    let daemon = AgentDaemon::start(settings).await?;
+    stop_requested().await?;
+    daemon.shutdown().await;
+    Ok(())
+}
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -33,6 +33,9 @@
     Api(crate::api::ApiError),
     /// The metrics could not be set up.
     Metrics(MetricsError),
+    /// The store does not give the entry a life.
+    #[display("start a life: {_0}")]
+    Life(kumquatkeel_platform::StoreError),
     /// The listener for the system's own processes did not start.
     #[display("start the internal listener: {_0}")]
     Internal(std::io::Error),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod api;
 pub mod call;
+pub mod daemon;
 pub mod fleet;
 pub mod ledger;
 pub mod path;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -192,6 +192,15 @@
         document.services.iter().map(report).collect()
     }
 
+    /// Returns the number of live entries, this one included.
+    pub fn live_entries(&self) -> usize {
+        let decider = self.decider();
+        decider
+            .router
+            .as_ref()
+            .map_or(1, |r| r.view().live_entries())
+    }
+
     /// Says whether the entry takes no new work.
     pub fn is_draining(&self) -> bool {
         self.drain.is_cancelled()
