--- /dev/null
+++ b/crates/core/tests/gate.rs
@@ -0,0 +1,354 @@
+//! The gate: slots, queue, duplicate attempts and keys, fences, expiry and drain.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquatkeel_core::gate::{
+    Admission, CancelStep, Ending, Gate, GateLimits, GateStep, LaneId, LaneOffer, PlainAnswer,
+};
+use kumquatkeel_types::message::{
+    CompletionWork, Dispatch, FenceReply, FenceRequest, NotRunReason, PlainWork, Work,
+};
+use kumquatkeel_types::{AttemptId, Incarnation, ModelId, RequestId, Timestamp};
+use rstest::rstest;
+
+const LIFE: Incarnation = Incarnation(4);
+const START: Timestamp = Timestamp::from_millis(1_000);
+
+fn attempt(number: u64) -> AttemptId {
+    AttemptId {
+        request: RequestId {
+            entry: "e1".try_into().unwrap(),
+            life: Incarnation(1),
+            number,
+        },
+        number: 1,
+    }
+}
+
+fn model() -> ModelId {
+    ModelId {
+        name: "m".try_into().unwrap(),
+        version: "1".try_into().unwrap(),
+    }
+}
+
+fn completion(number: u64, priority: u8) -> Dispatch {
+    Dispatch {
+        attempt: attempt(number),
+        incarnation: Some(LIFE),
+        service: "chat".try_into().unwrap(),
+        priority,
+        deadline_ms: 5_000,
+        first_token_ms: 500,
+        work: Work::Completion(CompletionWork {
+            model: model(),
+            adapter: None,
+            prompt: String::new(),
+            max_tokens: 4,
+            seed: 1,
+            resume: Vec::new(),
+        }),
+    }
+}
+
+fn call(number: u64, key: &str, body: &str) -> Dispatch {
+    Dispatch {
+        work: Work::Plain(PlainWork {
+            path: "/swaps".into(),
+            content_type: "text/plain".into(),
+            body: body.into(),
+            key: Some(key.try_into().unwrap()),
+        }),
+        ..completion(number, 5)
+    }
+}
+
+fn gate(slots: u32, queue: usize) -> Gate {
+    let limits = GateLimits {
+        slots,
+        queue,
+        ..GateLimits::default()
+    };
+    let mut gate = Gate::new(limits, LIFE);
+    let offer = LaneOffer {
+        slots,
+        ..LaneOffer::default()
+    };
+    let opened = gate.open_lane(LaneId::Model(model()), offer.clone(), START);
+    assert!(opened.is_empty());
+    assert!(gate.open_lane(LaneId::Plain, offer, START).is_empty());
+    gate
+}
+
+fn answer() -> Arc<PlainAnswer> {
+    Arc::new(PlainAnswer {
+        status: 201,
+        content_type: "text/plain".into(),
+        body: "booked".into(),
+    })
+}
+
+fn fence(gate: &mut Gate, number: u64, now: Timestamp) -> FenceReply {
+    let request = FenceRequest {
+        attempt: attempt(number),
+        incarnation: LIFE,
+    };
+    gate.fence(&request, now).0
+}
+
+const fn not_run(reason: NotRunReason) -> Admission {
+    Admission::NotRun {
+        reason,
+        retry_after_ms: None,
+    }
+}
+
+fn reason_of(admission: &Admission) -> Option<NotRunReason> {
+    match admission {
+        Admission::NotRun { reason, .. } => Some(*reason),
+        _ => None,
+    }
+}
+
+#[test]
+fn waiting_attempts_start_by_priority_then_deadline() {
+    let mut gate = gate(1, 8);
+    assert_eq!(gate.offer(&completion(1, 5), START), Admission::Start);
+    let sooner = Dispatch {
+        first_token_ms: 400,
+        ..completion(4, 5)
+    };
+    for dispatch in [completion(2, 5), completion(3, 1), sooner] {
+        assert_eq!(gate.offer(&dispatch, START), Admission::Queued);
+    }
+    let mut running = 1;
+    for next in [3, 4, 2] {
+        let steps = gate.finish(&attempt(running), Ending::Finished, START);
+        assert_eq!(steps, [GateStep::Start(attempt(next))]);
+        running = next;
+    }
+}
+
+#[test]
+fn a_full_queue_is_busy_but_for_a_higher_priority() {
+    let mut gate = gate(1, 1);
+    assert_eq!(gate.offer(&completion(1, 5), START), Admission::Start);
+    assert_eq!(gate.offer(&completion(2, 5), START), Admission::Queued);
+    let refused = gate.offer(&completion(3, 5), START);
+    assert_eq!(reason_of(&refused), Some(NotRunReason::Busy));
+    assert_eq!(gate.offer(&completion(4, 0), START), Admission::Queued);
+    let reason = NotRunReason::Busy;
+    let attempt = attempt(2);
+    assert_eq!(gate.tick(START), [GateStep::NotRun { attempt, reason }]);
+}
+
+#[test]
+fn an_attempt_too_late_to_start_is_not_run_and_never_starts() {
+    let mut gate = gate(1, 8);
+    assert_eq!(gate.offer(&completion(1, 5), START), Admission::Start);
+    assert_eq!(gate.offer(&completion(2, 5), START), Admission::Queued);
+    let late = START.after(Duration::from_millis(500));
+    assert_eq!(gate.next_wake(), Some(late));
+    let reason = NotRunReason::Deadline;
+    let second = attempt(2);
+    let steps = gate.tick(late);
+    assert_eq!(
+        steps,
+        [GateStep::NotRun {
+            attempt: second,
+            reason
+        }]
+    );
+    assert!(gate.finish(&attempt(1), Ending::Finished, late).is_empty());
+    assert!(gate.is_idle());
+}
+
+#[rstest]
+#[case::running(None, Admission::Repeated)]
+#[case::finished(Some(Ending::Finished), Admission::Unknown)]
+#[case::cut(Some(Ending::Unknown), Admission::Unknown)]
+#[case::not_sent(
+    Some(Ending::NotSent(NotRunReason::TargetUnreachable)),
+    not_run(NotRunReason::TargetUnreachable)
+)]
+fn a_repeated_attempt_never_runs_again(#[case] end: Option<Ending>, #[case] expected: Admission) {
+    let mut gate = gate(2, 8);
+    assert_eq!(gate.offer(&completion(1, 5), START), Admission::Start);
+    if let Some(end) = end {
+        assert!(gate.finish(&attempt(1), end, START).is_empty());
+    }
+    assert_eq!(gate.offer(&completion(1, 5), START), expected);
+}
+
+#[rstest]
+#[case::answered(Ending::Answered(answer()), Admission::Stored(answer()))]
+#[case::cut(Ending::Unknown, Admission::Unknown)]
+#[case::not_sent(Ending::NotSent(NotRunReason::TargetUnreachable), Admission::Start)]
+fn a_key_runs_at_most_once(#[case] end: Ending, #[case] expected: Admission) {
+    let mut gate = gate(2, 8);
+    assert_eq!(gate.offer(&call(1, "k", "x"), START), Admission::Start);
+    assert_eq!(gate.offer(&call(2, "k", "x"), START), Admission::Joined);
+    assert_eq!(gate.offer(&call(3, "k", "y"), START), Admission::KeyReused);
+    let attempt_2 = attempt(2);
+    let told = match &end {
+        Ending::Answered(answer) => GateStep::Answer {
+            attempt: attempt_2,
+            answer: answer.clone(),
+        },
+        Ending::NotSent(reason) => GateStep::NotRun {
+            attempt: attempt_2,
+            reason: *reason,
+        },
+        _ => GateStep::Unknown(attempt_2),
+    };
+    assert_eq!(gate.finish(&attempt(1), end, START), [told]);
+    assert_eq!(gate.offer(&call(4, "k", "x"), START), expected);
+}
+
+#[test]
+fn a_full_table_of_keys_refuses_new_ones() {
+    let limits = GateLimits {
+        keys: 1,
+        ..GateLimits::default()
+    };
+    let mut gate = Gate::new(limits, LIFE);
+    let offer = LaneOffer {
+        slots: 4,
+        ..LaneOffer::default()
+    };
+    assert!(gate.open_lane(LaneId::Plain, offer, START).is_empty());
+    assert_eq!(gate.offer(&call(1, "k", "x"), START), Admission::Start);
+    let refused = gate.offer(&call(2, "other", "x"), START);
+    assert_eq!(reason_of(&refused), Some(NotRunReason::Busy));
+}
+
+#[test]
+fn a_fenced_attempt_is_refused_when_it_arrives() {
+    let mut gate = gate(1, 8);
+    assert_eq!(fence(&mut gate, 1, START), FenceReply::NotRun);
+    let arrived = gate.offer(&completion(1, 5), START);
+    assert_eq!(arrived, not_run(NotRunReason::Fenced));
+}
+
+#[test]
+fn a_fence_tells_what_became_of_the_attempt() {
+    let mut gate = gate(1, 8);
+    assert_eq!(gate.offer(&call(1, "k", "x"), START), Admission::Start);
+    assert_eq!(gate.offer(&call(2, "l", "x"), START), Admission::Queued);
+    assert_eq!(fence(&mut gate, 1, START), FenceReply::Running);
+    assert_eq!(fence(&mut gate, 2, START), FenceReply::NotRun);
+    let steps = gate.finish(&attempt(1), Ending::Answered(answer()), START);
+    assert!(
+        steps.is_empty(),
+        "the fenced attempt must not start: {steps:?}"
+    );
+    let answered = FenceReply::Answered {
+        status: 201,
+        content_type: "text/plain".into(),
+        body: "booked".into(),
+    };
+    assert_eq!(fence(&mut gate, 1, START), answered);
+    assert_eq!(gate.offer(&call(3, "m", "x"), START), Admission::Start);
+    assert!(gate.finish(&attempt(3), Ending::Unknown, START).is_empty());
+    assert_eq!(fence(&mut gate, 3, START), FenceReply::Unknown);
+}
+
+#[test]
+fn another_life_neither_runs_nor_answers_for_an_attempt() {
+    let mut gate = gate(1, 8);
+    let other = Dispatch {
+        incarnation: Some(Incarnation(3)),
+        ..completion(1, 5)
+    };
+    let refused = gate.offer(&other, START);
+    assert_eq!(refused, not_run(NotRunReason::WrongIncarnation));
+    let request = FenceRequest {
+        attempt: attempt(1),
+        incarnation: Incarnation(3),
+    };
+    let reply = FenceReply::WrongIncarnation { incarnation: LIFE };
+    assert_eq!(gate.fence(&request, START).0, reply);
+}
+
+#[rstest]
+#[case::fenced(false, not_run(NotRunReason::Fenced), FenceReply::NotRun)]
+#[case::ran(true, Admission::Unknown, FenceReply::Unknown)]
+fn an_attempt_whose_record_is_dropped_never_starts(
+    #[case] ran: bool,
+    #[case] expected: Admission,
+    #[case] fenced: FenceReply,
+) {
+    let mut gate = gate(1, 8);
+    if ran {
+        assert_eq!(gate.offer(&completion(7, 5), START), Admission::Start);
+        assert!(gate.finish(&attempt(7), Ending::Finished, START).is_empty());
+    } else {
+        assert_eq!(fence(&mut gate, 7, START), FenceReply::NotRun);
+    }
+    let later = START.after(GateLimits::default().record_age);
+    assert!(gate.tick(later).is_empty());
+    assert_eq!(gate.offer(&completion(7, 5), later), expected);
+    assert_eq!(fence(&mut gate, 7, later), fenced);
+    assert_eq!(gate.offer(&completion(8, 5), later), Admission::Start);
+}
+
+#[test]
+fn a_drain_refuses_what_waits_and_lets_the_rest_end() {
+    let mut gate = gate(1, 8);
+    assert_eq!(gate.offer(&completion(1, 5), START), Admission::Start);
+    assert_eq!(gate.offer(&completion(2, 5), START), Admission::Queued);
+    let reason = NotRunReason::Draining;
+    let second = attempt(2);
+    let steps = gate.drain(START);
+    assert_eq!(
+        steps,
+        [GateStep::NotRun {
+            attempt: second,
+            reason
+        }]
+    );
+    assert_eq!(gate.offer(&completion(3, 5), START), not_run(reason));
+    assert!(!gate.is_idle());
+    assert!(gate.finish(&attempt(1), Ending::Finished, START).is_empty());
+    assert!(gate.is_idle());
+}
+
+#[test]
+fn a_closed_lane_takes_nothing_and_keeps_what_runs() {
+    let mut gate = gate(1, 8);
+    let lane = LaneId::Model(model());
+    assert_eq!(gate.offer(&completion(1, 5), START), Admission::Start);
+    assert_eq!(gate.offer(&completion(2, 5), START), Admission::Queued);
+    let reason = NotRunReason::NotResident;
+    let second = attempt(2);
+    let steps = gate.close_lane(&lane, START);
+    assert_eq!(
+        steps,
+        [GateStep::NotRun {
+            attempt: second,
+            reason
+        }]
+    );
+    assert_eq!(gate.offer(&completion(3, 5), START), not_run(reason));
+    assert_eq!(gate.lane_load(&lane).running, 1);
+    assert!(gate.finish(&attempt(1), Ending::Finished, START).is_empty());
+    assert_eq!(gate.lane_load(&lane).running, 0);
+}
+
+#[rstest]
+#[case::waiting(2, CancelStep::NotRun, FenceReply::NotRun)]
+#[case::running(1, CancelStep::CancelTarget, FenceReply::Running)]
+#[case::keyed(3, CancelStep::Nothing, FenceReply::Running)]
+fn a_caller_that_leaves_is_not_run_or_cancelled(
+    #[case] number: u64,
+    #[case] expected: CancelStep,
+    #[case] fenced: FenceReply,
+) {
+    let mut gate = gate(2, 8);
+    assert_eq!(gate.offer(&completion(1, 5), START), Admission::Start);
+    assert_eq!(gate.offer(&call(3, "k", "x"), START), Admission::Start);
+    assert_eq!(gate.offer(&completion(2, 5), START), Admission::Queued);
+    assert_eq!(gate.cancel(&attempt(number), START).0, expected);
+    assert_eq!(fence(&mut gate, number, START), fenced);
+}
--- /dev/null
+++ b/crates/core/tests/gate_runs.rs
@@ -0,0 +1,216 @@
+//! The gate over random orders of events: nothing starts twice, is over the slots, or starts after
+//! it was said not to run.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquatkeel_core::gate::{
+    Admission, Ending, Gate, GateLimits, GateStep, LaneId, LaneOffer, PlainAnswer,
+};
+use kumquatkeel_types::message::{
+    Dispatch, FenceReply, FenceRequest, NotRunReason, PlainWork, Work,
+};
+use kumquatkeel_types::{AttemptId, Incarnation, RequestId, Timestamp};
+use proptest::prelude::*;
+
+const LIFE: Incarnation = Incarnation(1);
+const SLOTS: u32 = 3;
+const KEYS: u8 = 5;
+
+#[derive(Debug, Clone)]
+enum Event {
+    Offer { number: u8 },
+    Finish { nth: u8, end: u8 },
+    Cancel { number: u8 },
+    Fence { number: u8 },
+    Pass { millis: u16 },
+    Drain,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        12 => (0..40_u8).prop_map(|number| Event::Offer { number }),
+        8 => (any::<u8>(), 0..3_u8).prop_map(|(nth, end)| Event::Finish { nth, end }),
+        3 => (0..40_u8).prop_map(|number| Event::Cancel { number }),
+        3 => (0..40_u8).prop_map(|number| Event::Fence { number }),
+        6 => (0..900_u16).prop_map(|millis| Event::Pass { millis }),
+        1 => Just(Event::Drain),
+    ]
+}
+
+fn attempt(number: u8) -> AttemptId {
+    AttemptId {
+        request: RequestId {
+            entry: "e1".try_into().expect("a name"),
+            life: LIFE,
+            number: number.into(),
+        },
+        number: 1,
+    }
+}
+
+fn key_of(attempt: &AttemptId) -> u64 {
+    attempt.request.number % u64::from(KEYS)
+}
+
+fn dispatch(number: u8) -> Dispatch {
+    let attempt = attempt(number);
+    let key = format!("k{}", key_of(&attempt));
+    Dispatch {
+        attempt,
+        incarnation: None,
+        service: "swaps".try_into().expect("a name"),
+        priority: number % 4,
+        deadline_ms: 1_000,
+        first_token_ms: 1_000,
+        work: Work::Plain(PlainWork {
+            path: "/".into(),
+            content_type: String::new(),
+            body: String::new(),
+            key: Some(key.as_str().try_into().expect("a key")),
+        }),
+    }
+}
+
+struct History {
+    gate: Gate,
+    now: Timestamp,
+    running: Vec<AttemptId>,
+    started: BTreeSet<AttemptId>,
+    not_run: BTreeSet<AttemptId>,
+    runs: BTreeMap<u64, u32>,
+}
+
+impl History {
+    fn new() -> Self {
+        let limits = GateLimits {
+            slots: SLOTS,
+            queue: 4,
+            records: 8,
+            record_age: Duration::from_secs(2),
+            ..GateLimits::default()
+        };
+        let mut gate = Gate::new(limits, LIFE);
+        let offer = LaneOffer {
+            slots: SLOTS,
+            ..LaneOffer::default()
+        };
+        let now = Timestamp::from_millis(1);
+        assert!(gate.open_lane(LaneId::Plain, offer, now).is_empty());
+        Self {
+            gate,
+            now,
+            running: Vec::new(),
+            started: BTreeSet::new(),
+            not_run: BTreeSet::new(),
+            runs: BTreeMap::new(),
+        }
+    }
+
+    fn start(&mut self, attempt: AttemptId) {
+        assert!(
+            !self.not_run.contains(&attempt),
+            "{attempt} starts after not run"
+        );
+        assert!(
+            self.started.insert(attempt.clone()),
+            "{attempt} starts twice"
+        );
+        let runs = self.runs.entry(key_of(&attempt)).or_default();
+        *runs += 1;
+        assert_eq!(*runs, 1, "the key of {attempt} runs twice");
+        self.running.push(attempt);
+        assert!(self.running.len() <= SLOTS as usize);
+    }
+
+    fn refuse(&mut self, attempt: AttemptId) {
+        assert!(
+            !self.started.contains(&attempt),
+            "{attempt} ran and is told not run"
+        );
+        self.not_run.insert(attempt);
+    }
+
+    fn take(&mut self, steps: Vec<GateStep>) {
+        for step in steps {
+            match step {
+                GateStep::Start(attempt) => self.start(attempt),
+                GateStep::NotRun { attempt, .. } => self.refuse(attempt),
+                GateStep::Answer { .. } | GateStep::Unknown(_) => {}
+            }
+        }
+    }
+
+    fn apply(&mut self, event: &Event) {
+        match *event {
+            Event::Offer { number } => match self.gate.offer(&dispatch(number), self.now) {
+                Admission::Start => self.start(attempt(number)),
+                Admission::NotRun { .. } => self.refuse(attempt(number)),
+                _ => {}
+            },
+            Event::Finish { nth, end } => self.finish(nth, end),
+            Event::Cancel { number } => {
+                let (_, steps) = self.gate.cancel(&attempt(number), self.now);
+                self.take(steps);
+            }
+            Event::Fence { number } => {
+                let request = FenceRequest {
+                    attempt: attempt(number),
+                    incarnation: LIFE,
+                };
+                let (reply, steps) = self.gate.fence(&request, self.now);
+                if reply == FenceReply::NotRun {
+                    self.refuse(attempt(number));
+                }
+                self.take(steps);
+            }
+            Event::Pass { millis } => {
+                self.now = self.now.after(Duration::from_millis(millis.into()));
+                let steps = self.gate.tick(self.now);
+                self.take(steps);
+            }
+            Event::Drain => {
+                let steps = self.gate.drain(self.now);
+                self.take(steps);
+            }
+        }
+    }
+
+    fn finish(&mut self, nth: u8, end: u8) {
+        if self.running.is_empty() {
+            return;
+        }
+        let attempt = self.running.remove(usize::from(nth) % self.running.len());
+        let end = match end {
+            0 => Ending::Answered(Arc::new(PlainAnswer {
+                status: 200,
+                content_type: String::new(),
+                body: String::new(),
+            })),
+            1 => Ending::Unknown,
+            _ => Ending::NotSent(NotRunReason::TargetUnreachable),
+        };
+        if let Ending::NotSent(_) = end {
+            self.runs.remove(&key_of(&attempt));
+            self.started.remove(&attempt);
+            self.not_run.insert(attempt.clone());
+        }
+        let steps = self.gate.finish(&attempt, end, self.now);
+        self.take(steps);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 1_000, ..ProptestConfig::default() })]
+
+    #[test]
+    fn nothing_runs_twice_or_after_it_was_said_not_to_run(
+        events in prop::collection::vec(event(), 1..150),
+    ) {
+        let mut history = History::new();
+        for event in &events {
+            history.apply(event);
+        }
+    }
+}
