--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -26,6 +26,7 @@
 mod agent;
 mod api;
 mod attempt;
+mod configuration;
 mod decisions;
 mod engine;
 mod error;
@@ -39,6 +40,7 @@
 mod shared;
 
 pub use agent::{Agent, AgentHandle, AgentParts};
+pub use configuration::{Configuration, follow_store};
 pub use error::{AgentError, TargetError};
 pub use settings::{AgentLimits, AgentSettings, RawAgentLimits, RawAgentSettings};
-pub use shared::{Configuration, NoHints, PeerHints};
+pub use shared::{NoHints, PeerHints};
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -12,20 +12,11 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::AgentSettings;
 use crate::decisions::Decisions;
 use crate::engine::EngineClient;
 use crate::plain::PlainClient;
 use crate::record::RecordStore;
-
-/// The configuration that an agent works from.
-#[derive(Debug, Clone)]
-pub struct Configuration {
-    /// The revision.
-    pub revision: Revision,
-    /// The document.
-    pub document: Arc<Document>,
-}
+use crate::{AgentSettings, Configuration};
 
 /// Names another target for work that this agent does not take.
 pub trait PeerHints: Send + Sync {
