--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -29,6 +29,7 @@
     });
     start_logging(settings.name.as_str(), "info");
     let daemon = AgentDaemon::start(settings).await?;
+    println!("kumquatkeel-agent listens on {}", daemon.agent().address());
     stop_requested().await?;
     daemon.shutdown().await;
     Ok(())
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -29,6 +29,7 @@
     });
     start_logging(settings.name.as_str(), "info");
     let daemon = EntryDaemon::start(settings).await?;
+    println!("kumquatkeel-entry listens on {}", daemon.entry().address());
     stop_requested().await?;
     daemon.shutdown().await;
     Ok(())
