feat(lease): hold control leases by conditional update

Time counts from before a renewal is sent; a take-over raises the epoch after the record stood unchanged for the duration and the drift. A holder that gives up is certain of nothing from the moment it sends the release. Member reports and the poll's upward reports come with it.

--- /dev/null
+++ b/crates/core/tests/lease.rs
@@ -0,0 +1,205 @@
+//! Leases under pauses, lost answers and outages.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use kumquatkeel_core::lease::{
+    Certainty, Lease, LeaseOptions, LeaseRead, LeaseRecord, LeaseStep, LeaseWrite, StepKind,
+};
+use kumquatkeel_types::{EntryName, Epoch, Incarnation, Timestamp};
+use proptest::prelude::*;
+use rstest::rstest;
+
+fn entry(name: &str) -> EntryName {
+    EntryName::try_from(name).unwrap()
+}
+
+fn lease(name: &str) -> Lease<u64> {
+    Lease::new(entry(name), Incarnation(1), LeaseOptions::default())
+}
+
+const fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+#[derive(Default)]
+struct Store {
+    object: Option<(u64, LeaseRecord)>,
+    late: Option<(Option<u64>, LeaseRecord)>,
+}
+
+impl Store {
+    fn put(&mut self, version: Option<u64>, record: LeaseRecord) -> Option<u64> {
+        if self.object.as_ref().map(|o| o.0) != version {
+            return None;
+        }
+        let next = version.unwrap_or(0) + 1;
+        self.object = Some((next, record));
+        Some(next)
+    }
+}
+
+/// How a call of the store ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    None,
+    Lost,
+    Down,
+    Late,
+}
+
+/// Takes one step; the answer of the store comes `delay` later.
+fn step(lease: &mut Lease<u64>, store: &mut Store, now: Timestamp, delay: u64, fault: Fault) {
+    let then = now.after(Duration::from_millis(delay));
+    if let Some((version, record)) = store.late.take() {
+        store.put(version, record);
+    }
+    match lease.step(now) {
+        LeaseStep::Read if matches!(fault, Fault::None | Fault::Late) => {
+            lease.on_read(LeaseRead::Found(store.object.clone()), then);
+        }
+        LeaseStep::Read => lease.on_read(LeaseRead::Failed, then),
+        LeaseStep::Write { version, record } => {
+            let end = match fault {
+                Fault::None => store
+                    .put(version, record)
+                    .map_or(LeaseWrite::Replaced, LeaseWrite::Written),
+                Fault::Lost => {
+                    store.put(version, record);
+                    LeaseWrite::Failed
+                }
+                Fault::Late => {
+                    store.late = Some((version, record));
+                    LeaseWrite::Failed
+                }
+                Fault::Down => LeaseWrite::Failed,
+            };
+            lease.on_write(end, then);
+        }
+        LeaseStep::Wait(_) => {}
+    }
+}
+
+fn acquire(lease: &mut Lease<u64>, store: &mut Store, now: u64) {
+    step(lease, store, at(now), 0, Fault::None);
+    step(lease, store, at(now), 0, Fault::None);
+    assert!(matches!(lease.certainty(at(now)), Certainty::Certain(_)));
+}
+
+#[test]
+fn time_counts_from_before_the_renewal_was_sent() {
+    let (mut lease, mut store) = (lease("a"), Store::default());
+    step(&mut lease, &mut store, at(0), 0, Fault::None);
+    step(&mut lease, &mut store, at(0), 8_000, Fault::None);
+    assert_eq!(lease.certainty(at(9_999)), Certainty::Certain(Epoch(1)));
+    assert_eq!(lease.certainty(at(10_000)), Certainty::InDoubt(Epoch(1)));
+}
+
+#[rstest]
+#[case(Certainty::Certain(Epoch(3)), Some(Epoch(3)), Some(Epoch(3)))]
+#[case(Certainty::InDoubt(Epoch(3)), Some(Epoch(3)), None)]
+#[case(Certainty::Lost, None, None)]
+fn a_holder_in_doubt_only_adds(
+    #[case] certainty: Certainty,
+    #[case] additive: Option<Epoch>,
+    #[case] destructive: Option<Epoch>,
+) {
+    assert_eq!(certainty.permit(StepKind::Additive), additive);
+    assert_eq!(certainty.permit(StepKind::Destructive), destructive);
+}
+
+#[test]
+fn a_take_over_waits_and_raises_the_epoch() {
+    let mut store = Store::default();
+    let (mut a, mut b) = (lease("a"), lease("b"));
+    acquire(&mut a, &mut store, 0);
+    let mut now = 0;
+    while b.certainty(at(now)) == Certainty::Lost {
+        now += 100;
+        step(&mut b, &mut store, at(now), 0, Fault::None);
+    }
+    assert!((10_000..15_000).contains(&now), "taken over after {now} ms");
+    assert_eq!(b.certainty(at(now)), Certainty::Certain(Epoch(2)));
+    step(&mut a, &mut store, at(now), 0, Fault::None);
+    step(&mut a, &mut store, at(now), 0, Fault::None);
+    assert_eq!(a.certainty(at(now)), Certainty::Lost);
+}
+
+#[test]
+fn a_released_lease_is_taken_at_once() {
+    let mut store = Store::default();
+    let (mut a, mut b) = (lease("a"), lease("b"));
+    acquire(&mut a, &mut store, 0);
+    a.release();
+    step(&mut a, &mut store, at(10), 0, Fault::None);
+    assert!(a.is_released());
+    acquire(&mut b, &mut store, 20);
+    assert_eq!(b.certainty(at(20)), Certainty::Certain(Epoch(2)));
+}
+
+#[rstest]
+#[case(Fault::Lost)]
+#[case(Fault::Late)]
+#[case(Fault::Down)]
+fn a_holder_that_gives_up_is_not_certain_any_more(#[case] fault: Fault) {
+    let mut store = Store::default();
+    let mut a = lease("a");
+    acquire(&mut a, &mut store, 0);
+    a.release();
+    step(&mut a, &mut store, at(10), 0, fault);
+    assert_eq!(a.certainty(at(10)), Certainty::Lost);
+    assert!(!a.is_released());
+    for now in [4_000, 4_000, 8_000] {
+        step(&mut a, &mut store, at(now), 0, Fault::None);
+    }
+    assert!(a.is_released());
+    assert!(store.object.as_ref().is_some_and(|(_, r)| r.released));
+}
+
+fn faults() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        4 => Just(Fault::None),
+        1 => Just(Fault::Lost),
+        1 => Just(Fault::Down),
+        1 => Just(Fault::Late),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn two_holders_are_never_certain_together(
+        steps in proptest::collection::vec(
+            (0..3usize, 0..4_000u64, 0..6_000u64, faults(), 0..20u8),
+            1..200,
+        )
+    ) {
+        let mut store = Store::default();
+        let mut leases = [lease("a"), lease("b"), lease("c")];
+        // A process whose answer is on its way does nothing until it is there.
+        let mut busy = [0; 3];
+        let mut owners: BTreeMap<Epoch, usize> = BTreeMap::new();
+        let mut now = 0;
+        for (who, advance, delay, fault, event) in steps {
+            now += advance;
+            if now < busy[who] {
+                continue;
+            }
+            if event == 0 {
+                leases[who].release();
+            }
+            step(&mut leases[who], &mut store, at(now), delay, fault);
+            busy[who] = now + delay;
+            let certain: Vec<_> = (0..3)
+                .filter_map(|i| match leases[i].certainty(at(now)) {
+                    Certainty::Certain(epoch) => Some((i, epoch)),
+                    _ => None,
+                })
+                .collect();
+            prop_assert!(certain.len() <= 1, "{certain:?} at {now}");
+            for (holder, epoch) in certain {
+                prop_assert!(!leases[holder].is_released());
+                prop_assert_eq!(*owners.entry(epoch).or_insert(holder), holder);
+            }
+        }
+    }
+}
--- a/crates/types/src/message/spread.rs
+++ b/crates/types/src/message/spread.rs
@@ -5,8 +5,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::Member;
-use crate::Revision;
+
 use crate::document::{Delta, RawDocument};
+use crate::{DataCentreName, Revision};
 
 /// Asks a relay for whatever is newer than the sender's state.
 ///
@@ -27,6 +28,9 @@
     pub relay_life: u64,
     /// The longest time to wait, in milliseconds.
     pub wait_ms: u64,
+    /// News about processes that report through the sender.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub reports: Vec<Member>,
 }
 
 /// A whole configuration.
@@ -63,4 +67,7 @@
     pub position: u64,
     /// The relay's life that `position` belongs to.
     pub relay_life: u64,
+    /// The data centres that the relays can't reach at present.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub unreachable: Vec<DataCentreName>,
 }
