feat(routing): draw probes by the free slots last reported, and keep probed targets among the shown

A model with more replicas than a policy is shown drew a new random part after each probe, so that the answers could be lost. The comparison of four mechanisms and the benchmark come with it.

--- a/crates/core/src/routing/least_loaded.rs
+++ b/crates/core/src/routing/least_loaded.rs
@@ -10,6 +10,8 @@
 const FRESH: Duration = Duration::from_millis(50);
 /// Targets that are compared for one request.
 const CHOICES: usize = 2;
+/// Slots that a target counts beyond its free ones, so that a full one is still looked at.
+const SPARE_FLOOR: f64 = 0.25;
 /// The cost of a full target against an empty one, in milliseconds.
 const LOAD_COST_MS: f64 = 400.0;
 /// The cost of each batch of requests that waits at a target, in milliseconds.
@@ -101,7 +103,7 @@
 
 /// Draws an index in proportion to the candidates' weights and spare slots.
 fn weighted_index(candidates: &[&Candidate], rng: &mut dyn Rng) -> usize {
-    let share = |c: &Candidate| c.weight.max(0.0) * f64::from(c.load.slots.max(1));
+    let share = |c: &Candidate| c.weight.max(0.0) * (believed_spare(c) + SPARE_FLOOR);
     let total: f64 = candidates.iter().map(|c| share(c)).sum();
     if total <= 0.0 {
         return rng.random_range(0..candidates.len());
@@ -135,6 +137,15 @@
     candidate.load.waiting == 0 && candidate.load.running < candidate.load.slots
 }
 
+/// Returns the slots that were free when the load was reported.
+fn believed_spare(candidate: &Candidate) -> f64 {
+    let taken = candidate
+        .load
+        .running
+        .saturating_add(candidate.load.waiting);
+    f64::from(candidate.load.slots.saturating_sub(taken))
+}
+
 /// Estimates what a target adds to the request's time, in milliseconds.
 fn cost_ms(candidate: &Candidate, request: &RouteRequest) -> f64 {
     let slots = f64::from(candidate.load.slots.max(1));
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -1,5 +1,7 @@
 //! A routing policy joined with all that an entry knows.
 
+use std::time::Duration;
+
 use kumquatkeel_types::message::{MemberState, ProbeReply};
 use kumquatkeel_types::{TargetName, Timestamp};
 use rand::Rng;
@@ -16,6 +18,8 @@
 
 /// Candidates that a policy is shown; a model with more replicas shows a random part of them.
 const MAX_CANDIDATES: usize = 24;
+/// A load heard within this time was probably probed for the same request.
+const JUST_HEARD: Duration = Duration::from_millis(100);
 /// Rounds of probes for one attempt.
 const MAX_PROBE_ROUNDS: u32 = 2;
 
@@ -127,7 +131,9 @@
         }
     }
 
-    /// Returns the targets that could take an attempt of `request`, the nearest first.
+    /// Returns the targets that could take an attempt of `request`, in the document's order.
+    ///
+    /// Of many, those just heard of come first, then the nearest.
     pub fn candidates(
         &self,
         request: &RouteRequest,
@@ -146,10 +152,12 @@
             near.retain(|r| !self.ejector.is_ejected(&self.agent(r).target, now));
         }
         if near.len() > MAX_CANDIDATES {
+            let is_old = |r: &ReplicaView| now.since(r.heard) > JUST_HEARD;
             near.shuffle(rng);
+            near.sort_by_key(|r| (is_old(r), self.agent(r).distance));
+            near.truncate(MAX_CANDIDATES);
         }
-        near.sort_by_key(|r| self.agent(r).distance);
-        near.truncate(MAX_CANDIDATES);
+        near.sort_by_key(|r| r.slot);
         near.into_iter()
             .map(|r| self.candidate(r, request, now))
             .collect()
--- /dev/null
+++ b/crates/core/tests/routing_mechanisms.rs
@@ -0,0 +1,452 @@
+//! Compares routing mechanisms at the design size: 330 entries, 840 targets, 720 models.
+//!
+//! `cargo test --release -p kumquatkeel-core --test routing_mechanisms -- --ignored --nocapture`
+//! prints the table of `docs/design/routing.md`; without `--ignored` a tenth of the size runs.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::Duration;
+
+use kumquatkeel_core::kernel::find_plugin;
+use kumquatkeel_core::routing::{
+    Candidate, Distance, RouteRequest, RouteStep, RoutingPlugin, RoutingPolicy,
+};
+use kumquatkeel_types::message::{LoadSummary, ProbeReply, ProbeRequest};
+use kumquatkeel_types::{Incarnation, ModelId, TargetName};
+use rand::seq::SliceRandom;
+use rand::{Rng, RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+/// Requests that one replica runs at a time within its limits.
+const SLOTS: u32 = 12;
+/// Seconds that a stream lasts on average: 500 tokens at 49 ms.
+const STREAM_SECONDS: f64 = 24.5;
+/// Seconds that a request may wait at a replica and still meet its first token.
+const WAIT_SECONDS: f64 = 0.5;
+/// Age of a load report at an entry that takes 4 KB a second of 32-byte reports of 840 targets.
+const REPORT_SECONDS: f64 = 6.7;
+/// Bytes of the HTTP and JSON-RPC frame around a question or an answer.
+const FRAME_BYTES: usize = 220;
+/// Replicas that the router shows a policy at most.
+const SHOWN: usize = 24;
+/// Seconds of the run.
+const SECONDS: f64 = 60.0;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Mechanism {
+    RoundRobin,
+    LeastInFlight,
+    Probe,
+    Owner,
+}
+
+const MECHANISMS: [Mechanism; 4] = [
+    Mechanism::RoundRobin,
+    Mechanism::LeastInFlight,
+    Mechanism::Probe,
+    Mechanism::Owner,
+];
+
+/// The size of a run.
+#[derive(Debug, Clone, Copy)]
+struct Size {
+    entries: u32,
+    models: usize,
+    replicas: usize,
+    rate: f64,
+}
+
+/// One replica and the ends of what runs on it.
+#[derive(Debug, Clone, Default)]
+struct Replica {
+    ends: BinaryHeap<Reverse<u64>>,
+    reported: u32,
+    granted: u32,
+}
+
+/// The totals of a run.
+#[derive(Debug, Default, PartialEq)]
+struct Totals {
+    requests: u64,
+    attained: u64,
+    attempts: u64,
+    bytes: u64,
+    added_ms: f64,
+}
+
+struct Model {
+    id: ModelId,
+    replicas: Vec<Replica>,
+    names: Vec<TargetName>,
+    far: Vec<Distance>,
+}
+
+struct Run {
+    mechanism: Mechanism,
+    size: Size,
+    models: Vec<Model>,
+    cumulative: Vec<f64>,
+    policy: Box<dyn RoutingPolicy>,
+    in_flight: BTreeMap<(u32, usize, usize), u32>,
+    releases: BinaryHeap<Reverse<(u64, u32, usize, usize)>>,
+    rng: Pcg64,
+    totals: Totals,
+}
+
+fn micros(seconds: f64) -> u64 {
+    (seconds * 1e6) as u64
+}
+
+impl Run {
+    fn new(mechanism: Mechanism, size: Size, utilisation: f64, seed: u64) -> Self {
+        let name = match mechanism {
+            Mechanism::RoundRobin => "round-robin",
+            Mechanism::LeastInFlight => "least-in-flight",
+            Mechanism::Probe | Mechanism::Owner => "least-loaded",
+        };
+        let mut rng = Pcg64::seed_from_u64(seed);
+        let weights: Vec<f64> = (0..size.models).map(|i| 1.0 / (i as f64 + 8.0)).collect();
+        let total: f64 = weights.iter().sum();
+        let mut cumulative = Vec::new();
+        let mut sum = 0.0;
+        for weight in &weights {
+            sum += weight / total;
+            cumulative.push(sum);
+        }
+        let models = (0..size.models)
+            .map(|i| Model::new(i, weights[i] / total * size.replicas as f64, &mut rng))
+            .collect();
+        let capacity = size.replicas as f64 * f64::from(SLOTS) / STREAM_SECONDS;
+        let rate = capacity * utilisation;
+        Self {
+            mechanism,
+            size: Size { rate, ..size },
+            models,
+            cumulative,
+            policy: (find_plugin::<RoutingPlugin>(name).unwrap().make)(),
+            in_flight: BTreeMap::new(),
+            releases: BinaryHeap::new(),
+            rng,
+            totals: Totals::default(),
+        }
+    }
+
+    fn run(mut self) -> Totals {
+        let mut now = 0.0;
+        let mut report = 0.0;
+        // Streams fill the replicas before requests count.
+        let warm = STREAM_SECONDS * 2.0;
+        while now < warm + SECONDS {
+            now -= (1.0 - self.rng.random::<f64>()).ln() / self.size.rate;
+            if now >= report {
+                self.report(now);
+                report = now + REPORT_SECONDS;
+            }
+            if now >= warm && self.totals.requests == 0 {
+                self.totals = Totals::default();
+            }
+            self.request(now, now >= warm);
+        }
+        self.totals
+    }
+
+    fn report(&mut self, now: f64) {
+        for replica in self.models.iter_mut().flat_map(|m| &mut m.replicas) {
+            replica.settle(micros(now));
+            replica.reported = replica.ends.len() as u32;
+        }
+    }
+
+    fn request(&mut self, now: f64, counted: bool) {
+        let point = self.rng.random::<f64>();
+        let model = self.cumulative.partition_point(|c| *c < point);
+        let model = model.min(self.models.len() - 1);
+        let entry = self.rng.random_range(0..self.size.entries);
+        self.release(now);
+        let before = std::mem::take(&mut self.totals);
+        let mut tried = Vec::new();
+        let mut attained = false;
+        while tried.len() < 2.min(self.models[model].replicas.len()) {
+            let chosen = self.choose(now, entry, model, &tried);
+            self.totals.attempts += 1;
+            let replica = &mut self.models[model].replicas[chosen];
+            replica.settle(micros(now));
+            if replica.takes(now) {
+                self.start(now, entry, model, chosen);
+                attained = true;
+                break;
+            }
+            tried.push(chosen);
+        }
+        let spent = std::mem::replace(&mut self.totals, before);
+        if counted {
+            self.totals.requests += 1;
+            self.totals.attained += u64::from(attained);
+            self.totals.attempts += spent.attempts;
+            self.totals.bytes += spent.bytes;
+            self.totals.added_ms += spent.added_ms;
+        }
+    }
+
+    fn start(&mut self, now: f64, entry: u32, model: usize, replica: usize) {
+        let length = -(1.0 - self.rng.random::<f64>()).ln() * STREAM_SECONDS;
+        let wait = self.models[model].replicas[replica].wait(now);
+        let end = micros(now + wait + length);
+        self.models[model].replicas[replica].ends.push(Reverse(end));
+        self.releases.push(Reverse((end, entry, model, replica)));
+        *self.in_flight.entry((entry, model, replica)).or_default() += 1;
+        self.models[model].replicas[replica].granted += 1;
+        if self.mechanism == Mechanism::Owner {
+            // The end of each granted request is told to the owner.
+            self.totals.bytes += FRAME_BYTES as u64 * 2;
+        }
+    }
+
+    fn release(&mut self, now: f64) {
+        while let Some(Reverse((end, entry, model, replica))) = self.releases.peek().copied() {
+            if end > micros(now) {
+                return;
+            }
+            self.releases.pop();
+            self.models[model].replicas[replica].granted -= 1;
+            if let Some(count) = self.in_flight.get_mut(&(entry, model, replica)) {
+                *count -= 1;
+                if *count == 0 {
+                    self.in_flight.remove(&(entry, model, replica));
+                }
+            }
+        }
+    }
+
+    fn choose(&mut self, now: f64, entry: u32, model: usize, tried: &[usize]) -> usize {
+        if self.mechanism == Mechanism::Owner {
+            return self.choose_by_owner(model, tried);
+        }
+        let mut fresh: Vec<usize> = Vec::new();
+        for _ in 0..3 {
+            let candidates = self.candidates(entry, model, tried, &fresh);
+            let request = route_request(&self.models[model].id);
+            let rng: &mut dyn Rng = &mut self.rng;
+            match self.policy.choose(&request, &candidates, rng) {
+                RouteStep::Dispatch(target) => return index_of(&target),
+                RouteStep::Probe(targets) => {
+                    self.totals.bytes += (targets.len() * probe_bytes(&request)) as u64;
+                    self.totals.added_ms += self.round_trip_ms(model, &targets);
+                    for target in &targets {
+                        let at = index_of(target);
+                        self.models[model].replicas[at].settle(micros(now));
+                        fresh.push(at);
+                    }
+                }
+                RouteStep::NoTarget => break,
+            }
+        }
+        let replicas = &self.models[model].replicas;
+        let least = fresh.into_iter().min_by_key(|i| replicas[*i].ends.len());
+        least.unwrap_or(0)
+    }
+
+    /// The owner knows all that it has granted, and nothing else.
+    fn choose_by_owner(&mut self, model: usize, tried: &[usize]) -> usize {
+        self.totals.bytes += probe_bytes(&route_request(&self.models[model].id)) as u64;
+        // The owner of a model stands in the entry's region, in either data centre.
+        self.totals.added_ms += if self.rng.random_bool(0.5) { 2.4 } else { 0.4 };
+        let replicas = self.models[model].replicas.iter().enumerate();
+        let open = replicas.filter(|(i, _)| !tried.contains(i));
+        open.min_by_key(|(_, r)| r.granted).map_or(0, |(i, _)| i)
+    }
+
+    /// Shows the policy what the router would: a random part of the replicas, the probed included.
+    fn candidates(
+        &mut self,
+        entry: u32,
+        model: usize,
+        tried: &[usize],
+        fresh: &[usize],
+    ) -> Vec<Candidate> {
+        let m = &self.models[model];
+        let mut shown: Vec<usize> = (0..m.replicas.len())
+            .filter(|i| !tried.contains(i) && !fresh.contains(i))
+            .collect();
+        shown.shuffle(&mut self.rng);
+        shown.truncate(SHOWN - fresh.len());
+        shown.extend_from_slice(fresh);
+        shown
+            .into_iter()
+            .map(|i| {
+                let known = fresh.contains(&i);
+                let count = m.replicas[i].ends.len() as u32;
+                let running = if known { count } else { m.replicas[i].reported };
+                Candidate {
+                    target: m.names[i].clone(),
+                    distance: m.far[i],
+                    incarnation: Incarnation(1),
+                    adapter_ready: true,
+                    load: LoadSummary {
+                        running: running.min(SLOTS),
+                        waiting: running.saturating_sub(SLOTS),
+                        slots: SLOTS,
+                    },
+                    load_age: Duration::from_secs_f64(if known { 0.0 } else { REPORT_SECONDS }),
+                    in_flight: self.in_flight.get(&(entry, model, i)).copied().unwrap_or(0),
+                    prefix_hits: 0,
+                    weight: 1.0,
+                }
+            })
+            .collect()
+    }
+
+    fn round_trip_ms(&self, model: usize, targets: &[TargetName]) -> f64 {
+        let far = |t: &TargetName| match self.models[model].far[index_of(t)] {
+            Distance::SameCentre => 0.4,
+            _ => 2.4,
+        };
+        targets.iter().map(far).fold(0.0, f64::max)
+    }
+}
+
+impl Model {
+    fn new(number: usize, share: f64, rng: &mut Pcg64) -> Self {
+        let count = (share.round() as usize).max(1);
+        let far = |_| {
+            if rng.random_bool(0.5) {
+                Distance::SameCentre
+            } else {
+                Distance::SameRegion
+            }
+        };
+        Self {
+            id: ModelId {
+                name: format!("model-{number}").try_into().unwrap(),
+                version: "1".try_into().unwrap(),
+            },
+            replicas: vec![Replica::default(); count],
+            names: (0..count)
+                .map(|i| format!("target-{i}").try_into().unwrap())
+                .collect(),
+            far: (0..count).map(far).collect(),
+        }
+    }
+}
+
+impl Replica {
+    fn settle(&mut self, now: u64) {
+        while self.ends.peek().is_some_and(|Reverse(end)| *end <= now) {
+            self.ends.pop();
+        }
+    }
+
+    fn takes(&self, now: f64) -> bool {
+        self.wait(now) <= WAIT_SECONDS
+    }
+
+    /// Returns the seconds until a slot is free for one more.
+    fn wait(&self, now: f64) -> f64 {
+        let over = (self.ends.len() + 1).saturating_sub(SLOTS as usize);
+        if over == 0 {
+            return 0.0;
+        }
+        let mut ends: Vec<_> = self.ends.iter().map(|Reverse(end)| *end).collect();
+        ends.sort_unstable();
+        (ends[over - 1] as f64 / 1e6 - now).max(0.0)
+    }
+}
+
+fn index_of(target: &TargetName) -> usize {
+    target
+        .as_str()
+        .trim_start_matches("target-")
+        .parse()
+        .unwrap()
+}
+
+fn route_request(model: &ModelId) -> RouteRequest {
+    RouteRequest {
+        service: "s".try_into().unwrap(),
+        model: Some(model.clone()),
+        adapter: None,
+        prefix: Vec::new(),
+        priority: 5,
+        first_token: Duration::from_millis(680),
+        bytes: 32_000,
+    }
+}
+
+/// Returns the bytes of one probe and its answer.
+fn probe_bytes(request: &RouteRequest) -> usize {
+    let question = ProbeRequest {
+        model: request.model.clone(),
+        adapter: None,
+    };
+    let answer = ProbeReply {
+        incarnation: Incarnation(1),
+        draining: false,
+        resident: true,
+        load: LoadSummary {
+            running: 10,
+            waiting: 10,
+            slots: SLOTS,
+        },
+    };
+    let length = |text: Result<Vec<u8>, serde_json::Error>| text.unwrap().len();
+    let bodies = length(serde_json::to_vec(&question)) + length(serde_json::to_vec(&answer));
+    bodies + 2 * FRAME_BYTES
+}
+
+fn attainment(totals: &Totals) -> f64 {
+    totals.attained as f64 / totals.requests as f64
+}
+
+fn table(size: Size, levels: &[f64]) -> Vec<(Mechanism, f64, Totals)> {
+    println!("| mechanism | utilisation | attainment | bytes a request | added ms | attempts |");
+    println!("|---|---|---|---|---|---|");
+    let mut rows = Vec::new();
+    for utilisation in levels {
+        for mechanism in MECHANISMS {
+            let totals = Run::new(mechanism, size, *utilisation, 42).run();
+            let each = |sum: f64| sum / totals.requests as f64;
+            println!(
+                "| {mechanism:?} | {utilisation} | {:.4} | {:.0} | {:.2} | {:.3} |",
+                attainment(&totals),
+                each(totals.bytes as f64),
+                each(totals.added_ms),
+                each(totals.attempts as f64),
+            );
+            rows.push((mechanism, *utilisation, totals));
+        }
+    }
+    rows
+}
+
+#[test]
+fn probing_beats_what_an_entry_knows_by_itself() {
+    let size = Size {
+        entries: 33,
+        models: 72,
+        replicas: 670,
+        rate: 0.0,
+    };
+    let rows = table(size, &[0.85]);
+    let of = |mechanism| {
+        let row = rows.iter().find(|(m, _, _)| *m == mechanism).unwrap();
+        attainment(&row.2)
+    };
+    let probe = of(Mechanism::Probe);
+    assert!(probe > of(Mechanism::RoundRobin));
+    assert!(probe > of(Mechanism::LeastInFlight));
+    assert!(probe > of(Mechanism::Owner) - 0.03);
+    let again = Run::new(Mechanism::Probe, size, 0.85, 42).run();
+    assert_eq!(again, rows[2].2, "the same seed gives the same run");
+}
+
+#[test]
+#[ignore = "the full size is for the table of the design note; it asserts nothing"]
+fn table_at_the_design_size() {
+    let size = Size {
+        entries: 330,
+        models: 720,
+        replicas: 6_700,
+        rate: 0.0,
+    };
+    table(size, &[0.7, 0.85, 0.95]);
+}
