feat(entry): serve operators: document, status, burn and console

Cause: apply, status, report burn and the console had no server. Change: endpoints whose key is checked before the body is read; a bootstrap key that counts until there is a document; forms carry a token that only holders of the peer key can make. Conclusion: the operator's program has its peer.

--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -25,6 +25,14 @@
         self.header.clone()
     }
 
+    /// Returns a token for `name` that only holders of the key can make.
+    pub fn token_for(&self, name: impl AsRef<str>) -> String {
+        let mut material = self.header.as_bytes().to_vec();
+        material.push(0);
+        material.extend_from_slice(name.as_ref().as_bytes());
+        KeyDigest::of_key(material).into()
+    }
+
     /// Says in constant time whether the headers carry the key.
     pub fn is_proved_by(&self, headers: &HeaderMap) -> bool {
         bearer_of(headers).is_some_and(|key| self.digest.matches(key))
--- a/crates/entry/src/api/mod.rs
+++ b/crates/entry/src/api/mod.rs
@@ -16,10 +16,13 @@
 mod body;
 mod chat;
 mod completions;
+mod console;
 mod headers;
 mod models;
+mod operators;
 mod plain;
 mod request;
+mod rights;
 mod serve;
 mod sse;
 
--- a/crates/entry/src/api/serve.rs
+++ b/crates/entry/src/api/serve.rs
@@ -31,7 +31,7 @@
 /// What the handlers of the callers' API share.
 #[derive(Debug)]
 pub struct ApiContext {
-    state: Arc<EntryState>,
+    pub(super) state: Arc<EntryState>,
     permits: Semaphore,
 }
 
@@ -76,6 +76,7 @@
     api.register(chat_completions)?;
     api.register(models)?;
     api.register(services)?;
+    super::operators::register(&mut api)?;
     Ok(api)
 }
 
--- a/crates/entry/src/daemon/mod.rs
+++ b/crates/entry/src/daemon/mod.rs
@@ -17,6 +17,7 @@
 use self::peers::FleetPeers;
 use crate::fleet::PollingFleet;
 use crate::ledger::{StoreLedger, WallClock};
+use crate::operator::StoreDesk;
 use crate::{Entry, EntryError, EntryHandle, EntryParts, EntrySettings};
 
 /// A running entry daemon; dropping it stops it at once.
@@ -47,11 +48,14 @@
         let fleet = Arc::new(PollingFleet::new(snapshots, settings.peer_key.clone()));
         let peers = Arc::new(FleetPeers::new(settings.name.clone(), life));
         let wall = WallClock::start();
+        let desk_ids = WriteIds::new(format!("{}.desk", settings.name), &mut rand::rng());
+        let desk = Arc::new(StoreDesk::new(store.clone(), desk_ids));
         let ledger = StoreLedger::new(store, ids, peers.clone(), wall, stop.clone());
         let mut parts = EntryParts::new(life, metrics, fleet);
         parts.ledger = Arc::new(LedgerOfCalls::new(ledger));
         let entry = Entry::start(settings, parts).await?;
         peers.connect(entry.state());
+        entry.state().connect_desk(desk);
         Ok(Self { entry, stop })
     }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod daemon;
 pub mod fleet;
 pub mod ledger;
+pub mod operator;
 pub mod path;
 
 mod entry;
--- /dev/null
+++ b/crates/entry/src/operator/store_desk.rs
@@ -0,0 +1,59 @@
+//! Commits documents to the platform's store.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use kumquatkeel_daemon::config::{
+    CommitOutcome, ConfigConflict, ConfigError, Proposal, commit_document,
+};
+use kumquatkeel_platform::{ObjectStore, WriteIds};
+use kumquatkeel_types::operator::{ApplyReply, ApplyRequest};
+
+use super::OperatorDesk;
+
+/// Commits documents by one conditional update of the head.
+pub struct StoreDesk {
+    store: Arc<dyn ObjectStore>,
+    ids: WriteIds,
+}
+
+impl StoreDesk {
+    /// Makes a desk that writes to `store`.
+    pub const fn new(store: Arc<dyn ObjectStore>, ids: WriteIds) -> Self {
+        Self { store, ids }
+    }
+}
+
+#[async_trait]
+impl OperatorDesk for StoreDesk {
+    async fn apply(&self, request: ApplyRequest) -> ApplyReply {
+        let proposal = Proposal {
+            document: request.document,
+            base: request.base,
+        };
+        match commit_document(&*self.store, &self.ids, proposal).await {
+            Ok(CommitOutcome::Committed(revision) | CommitOutcome::Unchanged(revision)) => {
+                ApplyReply::Committed { revision }
+            }
+            Ok(CommitOutcome::Conflict(conflict)) => conflict_reply(*conflict),
+            Err(ConfigError::Invalid(faults)) => ApplyReply::Invalid { faults },
+            Err(error @ ConfigError::Open(_)) => ApplyReply::Unknown {
+                reason: error.to_string(),
+            },
+            Err(error) => ApplyReply::StoreUnavailable {
+                reason: error.to_string(),
+            },
+        }
+    }
+}
+
+fn conflict_reply(conflict: ConfigConflict) -> ApplyReply {
+    ApplyReply::Conflict {
+        revision: conflict.current.unwrap_or_default(),
+        changes: conflict
+            .theirs
+            .into_iter()
+            .flat_map(|delta| delta.changes)
+            .collect(),
+    }
+}
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -5,6 +5,7 @@
 
 use kumquatkeel_daemon::peer::PeerKey;
 use kumquatkeel_types::document::{Fault, Faults};
+use kumquatkeel_types::secret::KeyDigest;
 use kumquatkeel_types::{DataCentreName, EntryName};
 use serde::Deserialize;
 
@@ -29,6 +30,9 @@
     pub platform: SocketAddr,
     /// The key of the system's own processes.
     pub peer_key: String,
+    /// The digest of the operators' key that counts until there is a document.
+    #[serde(default)]
+    pub bootstrap_key_sha256: Option<KeyDigest>,
     /// Largest request body, in bytes.
     #[serde(default = "default_body_bytes")]
     pub body_bytes: usize,
@@ -58,6 +62,8 @@
     pub platform: SocketAddr,
     /// The key of the system's own processes.
     pub peer_key: PeerKey,
+    /// The digest of the operators' key that counts until there is a document.
+    pub bootstrap_key: Option<KeyDigest>,
     /// Largest request body, in bytes.
     pub body_bytes: usize,
     /// Longest time that a caller may take to send a body.
@@ -103,6 +109,7 @@
             internal: raw.internal,
             platform: raw.platform,
             peer_key,
+            bootstrap_key: raw.bootstrap_key_sha256,
             body_bytes: raw.body_bytes,
             body_time: Duration::from_millis(raw.body_ms),
             requests: raw.requests,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use jsonrpsee::http_client::HttpClient;
 use kumquatkeel_core::admission::{RateShares, Refusal, ServiceLimits, Ticket};
@@ -13,7 +13,8 @@
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_daemon::http::{PeerClient, rpc_client};
 use kumquatkeel_types::document::{Document, Service};
-use kumquatkeel_types::message::Member;
+use kumquatkeel_types::message::{Member, Role};
+use kumquatkeel_types::operator::{BurnCounts, ServiceCounts, StatusReport};
 use kumquatkeel_types::{
     ErrorBody, ErrorCode, Incarnation, Outcome, RequestId, Revision, ServiceName,
 };
@@ -27,6 +28,7 @@
 use crate::api::answer::not_run;
 use crate::call::CallLedger;
 use crate::measure::EntryMetrics;
+use crate::operator::{NoDesk, OperatorDesk};
 use crate::path::AGENT_TIMEOUT;
 use crate::settings::EntrySettings;
 
@@ -79,6 +81,8 @@
     decider: Mutex<Decider>,
     services: Mutex<BTreeMap<ServiceName, Arc<ServiceState>>>,
     agents: Mutex<BTreeMap<std::net::SocketAddr, HttpClient>>,
+    members: Mutex<BTreeMap<Role, Member>>,
+    desk: OnceLock<Arc<dyn OperatorDesk>>,
     numbers: AtomicU64,
 }
 
@@ -106,6 +110,8 @@
             }),
             services: Mutex::new(BTreeMap::new()),
             agents: Mutex::new(BTreeMap::new()),
+            members: Mutex::new(BTreeMap::new()),
+            desk: OnceLock::new(),
             numbers: AtomicU64::new(0),
         }
     }
@@ -145,6 +151,7 @@
 
     /// Takes in a process's report of itself.
     pub fn apply_member(&self, member: Member) {
+        self.keep_member(&member);
         let now = self.clock.now();
         let mut decider = self.decider();
         if let Some(router) = &mut decider.router {
@@ -201,6 +208,50 @@
             .map_or(1, |r| r.view().live_entries())
     }
 
+    /// Connects the desk at which operators commit documents; only the first one counts.
+    pub fn connect_desk(&self, desk: Arc<dyn OperatorDesk>) {
+        let _ = self.desk.set(desk);
+    }
+
+    /// Returns the desk at which operators commit documents.
+    pub(crate) fn desk(&self) -> Arc<dyn OperatorDesk> {
+        self.desk.get().cloned().unwrap_or_else(|| Arc::new(NoDesk))
+    }
+
+    /// Returns the revision in force here and the newest report of each process.
+    pub fn status(&self) -> StatusReport {
+        StatusReport {
+            revision: self.revision().unwrap_or_default(),
+            members: lock(&self.members).values().cloned().collect(),
+        }
+    }
+
+    fn keep_member(&self, member: &Member) {
+        let mut members = lock(&self.members);
+        let is_newer = members
+            .get(&member.role)
+            .is_none_or(|old| old.version <= member.version);
+        if is_newer {
+            members.insert(member.role.clone(), member.clone());
+        }
+    }
+
+    /// Returns the request counts of each service, as this entry has seen them.
+    pub fn burn_counts(&self) -> BurnCounts {
+        let now = self.clock.now();
+        let Some(document) = self.document() else {
+            return BurnCounts::default();
+        };
+        let counts = |service: &Service| ServiceCounts {
+            service: service.name.clone(),
+            objective: service.objective,
+            windows: lock(&self.service(service).burn).counts(now),
+        };
+        BurnCounts {
+            services: document.services.iter().map(counts).collect(),
+        }
+    }
+
     /// Says whether the entry takes no new work.
     pub fn is_draining(&self) -> bool {
         self.drain.is_cancelled()
