--- a/crates/standin/src/demo/caller.rs
+++ b/crates/standin/src/demo/caller.rs
@@ -17,6 +17,9 @@
 /// The line that ends a stream of server-sent events.
 const END_MARK: &str = "[DONE]";
 
+/// The header that names the outcome.
+const OUTCOME_HEADER: &str = "kumquatkeel-outcome";
+
 /// A caller with its key.
 #[derive(Debug, Clone)]
 pub struct Caller {
@@ -184,7 +187,7 @@
 }
 
 fn outcome_header(response: &Response<Incoming>) -> Option<Outcome> {
-    let text = response.headers().get("outcome")?.to_str().ok()?;
+    let text = response.headers().get(OUTCOME_HEADER)?.to_str().ok()?;
     serde_json::from_value(Value::from(text)).ok()
 }
 
