--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -7,13 +7,14 @@
 use eventsource_stream::Eventsource;
 use futures::{Stream, StreamExt};
 use http::header::{CONNECTION, CONTENT_TYPE};
-use http::{Request, StatusCode};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyDataStream, BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use kumquatkeel_daemon::http::PeerClient;
 use kumquatkeel_types::engine::{
     EngineCancel, EngineChunk, EngineCompletion, EngineLoad, EngineOrder, EngineOrderReply,
 };
+use kumquatkeel_types::message::NotRunReason;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -52,7 +53,13 @@
     ) -> Result<ChunkStream, TargetError> {
         let step = "complete";
         let request = self.post(step, "/v1/completions", completion)?;
-        let body = self.send(step, request).await?;
+        let response = self.http.send(step, self.address, request).await?;
+        // The engine looks for the model before it runs anything.
+        let is_resident = response.status() != StatusCode::NOT_FOUND;
+        let body = self.body_of(step, response).map_err(|error| TargetError {
+            not_run: (!is_resident).then_some(NotRunReason::NotResident),
+            ..error
+        })?;
         let body = Limited::new(body, self.answer_bytes);
         let client = self.clone();
         let events = BodyDataStream::new(body).eventsource();
@@ -122,6 +129,14 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Incoming, TargetError> {
         let response = self.http.send(step, self.address, request).await?;
+        self.body_of(step, response)
+    }
+
+    fn body_of(
+        &self,
+        step: &'static str,
+        response: Response<Incoming>,
+    ) -> Result<Incoming, TargetError> {
         let status = response.status();
         if status == StatusCode::OK || status == StatusCode::NO_CONTENT {
             return Ok(response.into_body());
@@ -144,7 +159,7 @@
         TargetError {
             step,
             peer: self.address,
-            unsent: false,
+            not_run: None,
             reason: reason.to_string(),
         }
     }
--- a/crates/agent/src/error.rs
+++ b/crates/agent/src/error.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 
 use derive_more::{Display, Error};
+use kumquatkeel_daemon::http::HttpError;
+use kumquatkeel_types::message::NotRunReason;
 
 /// Says why the agent could not start.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
@@ -24,18 +26,18 @@
     pub step: &'static str,
     /// The target's address.
     pub peer: SocketAddr,
-    /// Whether no byte of the request was sent.
-    pub unsent: bool,
+    /// Why the request was certainly not run, if that is known.
+    pub not_run: Option<NotRunReason>,
     /// The cause.
     pub reason: String,
 }
 
-impl From<kumquatkeel_daemon::http::HttpError> for TargetError {
-    fn from(error: kumquatkeel_daemon::http::HttpError) -> Self {
+impl From<HttpError> for TargetError {
+    fn from(error: HttpError) -> Self {
         Self {
             step: error.step,
             peer: error.peer,
-            unsent: error.unsent,
+            not_run: error.unsent.then_some(NotRunReason::TargetUnreachable),
             reason: error.reason,
         }
     }
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -140,7 +140,7 @@
     .await;
     let reply = match answer {
         Ok(Ok(reply)) => Some(reply),
-        Ok(Err(error)) if error.unsent => {
+        Ok(Err(error)) if error.not_run.is_some() => {
             warn!(target: "orders", "orders: order {number} was not sent: {error}");
             return shared.update(|core, _| core.account.abort(number));
         }
--- a/crates/agent/src/plain.rs
+++ b/crates/agent/src/plain.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use kumquatkeel_core::gate::PlainAnswer;
 use kumquatkeel_daemon::http::PeerClient;
-use kumquatkeel_types::message::PlainWork;
+use kumquatkeel_types::message::{NotRunReason, PlainWork};
 
 use crate::TargetError;
 
@@ -48,7 +48,7 @@
         }
         let request = request
             .body(Full::from(work.body.clone()))
-            .map_err(|e| self.error(step, true, &e))?;
+            .map_err(|e| self.error(step, Some(NotRunReason::TargetUnreachable), &e))?;
         let response = self.http.send(step, self.address, request).await?;
         let status = response.status().as_u16();
         let content_type = response.headers().get(CONTENT_TYPE);
@@ -58,20 +58,25 @@
             .to_owned();
         let body = Limited::new(response.into_body(), self.answer_bytes);
         let body = body.collect().await;
-        let body = body.map_err(|e| self.error(step, false, &e))?.to_bytes();
+        let body = body.map_err(|e| self.error(step, None, &e))?.to_bytes();
         let body = String::from_utf8(body.into());
         Ok(PlainAnswer {
             status,
             content_type,
-            body: body.map_err(|e| self.error(step, false, &e))?,
+            body: body.map_err(|e| self.error(step, None, &e))?,
         })
     }
 
-    fn error(&self, step: &'static str, unsent: bool, reason: &impl ToString) -> TargetError {
+    fn error(
+        &self,
+        step: &'static str,
+        not_run: Option<NotRunReason>,
+        reason: &impl ToString,
+    ) -> TargetError {
         TargetError {
             step,
             peer: self.address,
-            unsent,
+            not_run,
             reason: reason.to_string(),
         }
     }
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -36,8 +36,8 @@
 enum Cut {
     /// The entry has left.
     Left,
-    /// The engine could not be reached: no byte was sent.
-    Unreachable(TargetError),
+    /// The engine has certainly not run the request.
+    NotRun(NotRunReason, TargetError),
     /// The answer is late, wrong or incomplete.
     Failed { code: ErrorCode, message: String },
 }
@@ -68,9 +68,8 @@
     };
     let attempt = &dispatch.attempt;
     match cut {
-        Cut::Unreachable(error) => {
-            warn!(target: "attempt", "attempt: {attempt} was not sent: {error}");
-            let reason = NotRunReason::TargetUnreachable;
+        Cut::NotRun(reason, error) => {
+            warn!(target: "attempt", "attempt: {attempt} was not run: {error}");
             events.send(&not_sent(shared, dispatch, reason)).await;
             Ending::NotSent(reason)
         }
@@ -116,8 +115,7 @@
     };
     let mut chunks = match started {
         Err(_) => return Err(late("the engine did not answer before the deadline")),
-        Ok(Err(error)) if error.unsent => return Err(Cut::Unreachable(error)),
-        Ok(Err(error)) => return Err(target_cut(&error)),
+        Ok(Err(error)) => return Err(start_cut(error)),
         Ok(Ok(chunks)) => chunks,
     };
     send(events, &accepted(shared, dispatch)).await?;
@@ -194,15 +192,9 @@
             let event = answered(attempt.clone(), &answer);
             (event, Ending::Answered(Arc::new(answer)))
         }
-        Ok(Err(error)) if error.unsent => {
-            warn!(target: "attempt", "attempt: {attempt} was not sent: {error}");
-            let reason = NotRunReason::TargetUnreachable;
-            (not_sent(shared, dispatch, reason), Ending::NotSent(reason))
-        }
         Ok(Err(error)) => {
-            warn!(target: "attempt", "attempt: {attempt} is cut: {error}");
-            let event = failed(dispatch, ErrorCode::Interrupted, error.to_string());
-            (event, Ending::Unknown)
+            warn!(target: "attempt", "attempt: {attempt} has no answer: {error}");
+            plain_end(shared, dispatch, &error)
         }
         Err(_) => {
             warn!(target: "attempt", "attempt: {attempt} has no answer at its deadline");
@@ -215,6 +207,14 @@
     end
 }
 
+fn plain_end(shared: &Shared, dispatch: &Dispatch, error: &TargetError) -> (AttemptEvent, Ending) {
+    if let Some(reason) = error.not_run {
+        return (not_sent(shared, dispatch, reason), Ending::NotSent(reason));
+    }
+    let event = failed(dispatch, ErrorCode::Interrupted, error.to_string());
+    (event, Ending::Unknown)
+}
+
 async fn send(events: &EventSender, event: &AttemptEvent) -> Result<(), Cut> {
     if events.send(event).await {
         Ok(())
@@ -262,6 +262,13 @@
     }
 }
 
+fn start_cut(error: TargetError) -> Cut {
+    match error.not_run {
+        Some(reason) => Cut::NotRun(reason, error),
+        None => target_cut(&error),
+    }
+}
+
 fn target_cut(error: &TargetError) -> Cut {
     Cut::Failed {
         code: ErrorCode::TargetError,
