--- a/crates/entry/src/daemon/mod.rs
+++ b/crates/entry/src/daemon/mod.rs
@@ -1,6 +1,5 @@
 //! The whole entry daemon: its parts wired to the platform and to the other processes.
 
-mod ledger;
 mod peers;
 
 use std::sync::Arc;
@@ -13,10 +12,9 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-use self::ledger::LedgerOfCalls;
 use self::peers::FleetPeers;
 use crate::fleet::PollingFleet;
-use crate::ledger::{StoreLedger, WallClock};
+use crate::ledger::{PathLedger, StoreLedger, WallClock};
 use crate::operator::StoreDesk;
 use crate::{Entry, EntryError, EntryHandle, EntryParts, EntrySettings};
 
@@ -52,7 +50,7 @@
         let desk = Arc::new(StoreDesk::new(store.clone(), desk_ids));
         let ledger = StoreLedger::new(store, ids, peers.clone(), wall, stop.clone());
         let mut parts = EntryParts::new(life, metrics, fleet);
-        parts.ledger = Arc::new(LedgerOfCalls::new(ledger));
+        parts.ledger = Arc::new(PathLedger::new(ledger));
         let entry = Entry::start(settings, parts).await?;
         peers.connect(entry.state());
         entry.state().connect_desk(desk);
--- a/crates/kumquatkeel/src/commands/demo.rs
+++ b/crates/kumquatkeel/src/commands/demo.rs
@@ -1,12 +1,19 @@
 //! `demo`: runs the whole system with stand-ins in one process on loopback.
 
+use kumquatkeel_standin::demo::{self, DemoOptions};
+
 use crate::error::CommandError;
 
 /// Runs the demo until it is interrupted, or sends sample calls with `once`.
-pub(super) async fn run(_once: bool) -> Result<(), CommandError> {
-    std::future::ready(()).await;
-    Err(CommandError::Run {
-        step: "demo",
-        reason: "the stand-ins are not wired yet".into(),
-    })
+pub(super) async fn run(once: bool) -> Result<(), CommandError> {
+    let report = demo::run(DemoOptions { once })
+        .await
+        .map_err(|error| CommandError::Run {
+            step: "demo",
+            reason: error.to_string(),
+        })?;
+    if once {
+        println!("ok: {} calls, every check held", report.calls.len());
+    }
+    Ok(())
 }
