--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -10,9 +10,12 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::decisions::Decisions;
-use crate::record::{RecordError, SendRight};
+use crate::record::{RecordError, RecordStore, SendRight};
 use crate::shared::Shared;
 
+/// When an order may come again that came before the target was taken over, in milliseconds.
+const TAKEOVER_RETRY_MS: u64 = 1_000;
+
 /// Says why an order that was begun was not sent.
 enum Unsent {
     /// The replica's work did not end in time.
@@ -27,10 +30,16 @@
 pub(crate) fn take_order(shared: &Arc<Shared>, order: &Order) -> OrderReply {
     let document = shared.document();
     let size = document.as_ref().and_then(|d| size_of(d, &order.action));
+    let holds_target = shared.record.as_ref().is_none_or(RecordStore::holds_target);
     let (reply, number) = shared.update(|core, now| {
         if let DeskStep::Reply(reply) = core.desk.check(order) {
             return (reply, None);
         }
+        if !holds_target {
+            let retry_after_ms = TAKEOVER_RETRY_MS;
+            let result = OrderResult::Quarantined { retry_after_ms };
+            return (core.desk.reply(order, result), None);
+        }
         if let Some(objection) = objection(core, order) {
             return (core.desk.reply(order, objection), None);
         }
--- a/crates/agent/src/record.rs
+++ b/crates/agent/src/record.rs
@@ -1,5 +1,7 @@
 //! The agent's object in the store: its life, and the orders that may still be executed.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,7 +13,6 @@
     put_settled,
 };
 use kumquatkeel_types::{Incarnation, TargetName, Timestamp};
-use std::sync::Arc;
 use tokio::sync::Mutex;
 
 /// Times that a write is tried again after another writer came first.
@@ -71,6 +72,7 @@
     lease: Duration,
     clock: Clock,
     version: Mutex<Option<ObjectVersion>>,
+    held: AtomicBool,
 }
 
 impl RecordStore {
@@ -88,14 +90,13 @@
             lease,
             clock,
             version: Mutex::new(None),
+            held: AtomicBool::new(false),
         }
     }
 
-    /// Says whether this life has taken the target over; a write under way leaves it open.
+    /// Says whether this life has taken the target over.
     pub(crate) fn holds_target(&self) -> bool {
-        self.version
-            .try_lock()
-            .is_ok_and(|version| version.is_some())
+        self.held.load(Ordering::Acquire)
     }
 
     /// Takes the target over from an earlier life and returns what that left open.
@@ -111,10 +112,13 @@
                 incarnation,
                 intents: stored.intents.clone(),
             };
-            let precondition = precondition(object.as_ref().map(|o| o.version));
+            let precondition = object
+                .as_ref()
+                .map_or(Precondition::Absent, |o| Precondition::Version(o.version));
             match self.put(precondition, &record).await? {
                 Settled::Written(written) => {
                     *version = Some(written);
+                    self.held.store(true, Ordering::Release);
                     return Ok(Takeover {
                         incarnation,
                         intents: stored.intents,
@@ -133,6 +137,9 @@
         intents: Vec<Intent>,
     ) -> Result<SendRight, RecordError> {
         let mut version = self.version.lock().await;
+        let Some(mut known) = *version else {
+            return Err(self.unusable(&"this life has not taken the target over"));
+        };
         let record = TargetRecord {
             incarnation,
             intents,
@@ -140,11 +147,12 @@
         for _ in 0..MAX_TRIES {
             // The right counts from before the write was begun.
             let right = SendRight(self.clock.now().after(self.lease));
-            if let Settled::Written(written) = self.put(precondition(*version), &record).await? {
+            let precondition = Precondition::Version(known);
+            if let Settled::Written(written) = self.put(precondition, &record).await? {
                 *version = Some(written);
                 return Ok(right);
             }
-            *version = Some(self.own_version(incarnation).await?);
+            known = self.own_version(incarnation).await?;
         }
         Err(self.unusable(&"it changes under every try"))
     }
@@ -204,7 +212,3 @@
         }
     }
 }
-
-fn precondition(version: Option<ObjectVersion>) -> Precondition {
-    version.map_or(Precondition::Absent, Precondition::Version)
-}
--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -33,6 +33,7 @@
 const KEY: &str = "a-peer-key-of-the-tests";
 const ANY_PORT: &str = "127.0.0.1:0";
 const TIMEOUT: Duration = Duration::from_secs(30);
+const STATUS_PAUSE: Duration = Duration::from_millis(2);
 
 /// The longest order delay that the agents of the tests assume.
 pub(crate) const ORDER_DELAY: Duration = Duration::from_millis(600);
@@ -159,6 +160,10 @@
             attempt: attempt.clone(),
             incarnation: self.agent.incarnation(),
         };
+        self.fence_as(request).await
+    }
+
+    pub(crate) async fn fence_as(&self, request: FenceRequest) -> FenceReply {
         self.rpc.fence(request).await.unwrap()
     }
 
@@ -195,9 +200,17 @@
 
     /// Waits until the agent reports so.
     pub(crate) async fn until(&self, what: impl Fn(&Member) -> bool) -> Member {
-        let mut member = self.agent.member();
-        let reported = tokio::time::timeout(TIMEOUT, member.wait_for(|m| what(m))).await;
-        reported.expect("a report in time").unwrap().clone()
+        let reported = async {
+            loop {
+                let member = self.status().await;
+                if what(&member) {
+                    return member;
+                }
+                tokio::time::sleep(STATUS_PAUSE).await;
+            }
+        };
+        let reported = tokio::time::timeout(TIMEOUT, reported).await;
+        reported.expect("a report in time")
     }
 
     /// Waits until the quarantine of the start is over and the model serves.
--- a/crates/core/tests/memory_worlds.rs
+++ b/crates/core/tests/memory_worlds.rs
@@ -69,7 +69,7 @@
 fn action(unit: u8, load: bool) -> OrderAction {
     let accelerator = u16::from(unit) % ACCELERATORS;
     let model = model(usize::from(unit / 2) % MODELS_MB.len());
-    match (unit % 3 == 0, load) {
+    match (unit.is_multiple_of(3), load) {
         (false, true) => OrderAction::Load { model, accelerator },
         (false, false) => OrderAction::Unload { model, accelerator },
         (true, load) => {
