--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -23,6 +23,8 @@
 //! # }
 //! ```
 
+pub mod daemon;
+
 mod agent;
 mod api;
 mod attempt;
@@ -40,7 +42,7 @@
 mod shared;
 
 pub use agent::{Agent, AgentHandle, AgentParts};
-pub use configuration::{Configuration, follow_store};
+pub use configuration::Configuration;
 pub use error::{AgentError, TargetError};
 pub use settings::{AgentLimits, AgentSettings, RawAgentLimits, RawAgentSettings};
 pub use shared::{NoHints, PeerHints};
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,8 +7,10 @@
 pub mod admission;
 pub mod api;
 pub mod call;
+pub mod daemon;
 pub mod fleet;
 pub mod ledger;
+pub mod operator;
 pub mod path;
 
 mod entry;
