feat(spread): spread the configuration and member reports through a tree of entries

Relays watch the store, everyone else long-polls a parent; a poll is the heartbeat and carries news both ways.

--- a/crates/core/src/member/table.rs
+++ b/crates/core/src/member/table.rs
@@ -1,6 +1,7 @@
 //! The reports of all processes that one process knows.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use kumquatkeel_types::message::{Member, MemberState, Role};
@@ -46,7 +47,7 @@
 
 #[derive(Debug, Clone)]
 struct Entry {
-    member: Member,
+    member: Arc<Member>,
     position: u64,
     side: Side,
     since: Timestamp,
@@ -70,12 +71,20 @@
 
     /// Returns all reports.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
-        self.entries.values().map(|e| &e.member)
+        self.entries.values().map(|e| &*e.member)
+    }
+
+    /// Returns all reports by process, without copying them.
+    pub fn shared(&self) -> BTreeMap<Role, Arc<Member>> {
+        let entries = self.entries.iter();
+        entries
+            .map(|(role, e)| (role.clone(), e.member.clone()))
+            .collect()
     }
 
     /// Returns the report of one process.
     pub fn member(&self, role: &Role) -> Option<&Member> {
-        self.entries.get(role).map(|e| &e.member)
+        self.entries.get(role).map(|e| &*e.member)
     }
 
     /// Returns the serving entries with their data centres.
@@ -87,6 +96,11 @@
         })
     }
 
+    /// Returns the position at which a process's report last changed; zero when there is none.
+    pub fn position_of(&self, role: &Role) -> u64 {
+        self.entries.get(role).map_or(0, |e| e.position)
+    }
+
     /// Takes in a report, if it is not older than the one known.
     pub fn merge(&mut self, member: Member, side: Side, now: Timestamp) -> Merge {
         let Some(known) = self.entries.get_mut(&member.role) else {
@@ -99,11 +113,15 @@
             return Merge::Stale;
         }
         if (member.version, gone) == (known.member.version, known_gone) {
-            known.member.target = member.target;
-            if side == Side::Below {
-                known.side = side;
+            Arc::make_mut(&mut known.member)
+                .target
+                .clone_from(&member.target);
+            if side == Side::Above || known.side == side {
+                return Merge::Same;
             }
-            return Merge::Same;
+            // First heard from elsewhere, but it is this side's to tell on.
+            self.insert(member, side, now);
+            return Merge::News;
         }
         if side == Side::Above {
             // The child reports through another parent now.
@@ -119,7 +137,7 @@
             position: self.position,
             side,
             since: now,
-            member,
+            member: Arc::new(member),
         };
         self.entries.insert(entry.member.role.clone(), entry);
     }
@@ -168,7 +186,7 @@
         if entry.member.state == MemberState::Gone {
             return false;
         }
-        let mut member = entry.member.clone();
+        let mut member = Member::clone(&entry.member);
         member.state = MemberState::Gone;
         self.insert(member, Side::Below, now);
         true
@@ -180,26 +198,19 @@
         Some(first.after(SUSPECT_LEAVING))
     }
 
-    /// Returns the reports after `position` that `audience` needs.
+    /// Returns the reports after `position` that a process of this data centre, or an agent,
+    /// needs.
     ///
-    /// Agents need only the entries, of which one is their parent; other data centres get the
-    /// rest from their own processes.
-    pub fn news_for(&self, position: u64, audience: &Member, own: &DataCentreName) -> MemberNews {
-        let agent = matches!(audience.role, Role::Agent(_));
-        let abroad = audience.data_centre != *own;
-        let wanted = |m: &Member| {
-            let entry = matches!(m.role, Role::Entry(_));
-            (entry || !agent) && (!abroad || agent || m.data_centre == *own)
-        };
-        self.collect(position, |e| wanted(&e.member))
+    /// Agents need only the entries, of which one is their parent.
+    pub fn news_for(&self, position: u64, audience: &Role) -> MemberNews {
+        let everyone = !audience.is_agent();
+        self.collect(position, |e| everyone || !e.member.role.is_agent())
     }
 
-    /// Returns the reports from below after `position`; for another data centre only those of
-    /// `own`.
-    pub fn news_from_below(&self, position: u64, own: Option<&DataCentreName>) -> MemberNews {
-        self.collect(position, |e| {
-            e.side == Side::Below && own.is_none_or(|dc| e.member.data_centre == *dc)
-        })
+    /// Returns the reports from below after `position`: all that a parent or another data centre
+    /// can't hear elsewhere.
+    pub fn news_from_below(&self, position: u64) -> MemberNews {
+        self.collect(position, |e| e.side == Side::Below)
     }
 
     fn collect(&self, position: u64, wanted: impl Fn(&Entry) -> bool) -> MemberNews {
@@ -207,7 +218,7 @@
         MemberNews {
             members: newer
                 .filter(|e| wanted(e))
-                .map(|e| e.member.clone())
+                .map(|e| e.member.as_ref().clone())
                 .collect(),
             position: self.position,
         }
--- a/crates/core/src/spread/tree.rs
+++ b/crates/core/src/spread/tree.rs
@@ -12,10 +12,11 @@
 /// Where a process gets its news from, the preferred source first.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Upstream {
-    /// The process watches the store and polls one relay of each other data centre.
+    /// The process watches the store and polls one entry of each group.
     Store {
-        /// The relays of the other data centres, in each the preferred one first.
-        peers: Vec<Vec<EntryName>>,
+        /// The other relays of its data centre; for the first relay also the entries of each
+        /// other data centre. In each group the preferred one comes first.
+        groups: Vec<Vec<EntryName>>,
     },
     /// The process polls the first of these that answers.
     Entries(Vec<EntryName>),
@@ -71,7 +72,7 @@
         };
         if rank < RELAYS {
             return Upstream::Store {
-                peers: self.peers(centre),
+                groups: self.groups(centre, rank),
             };
         }
         let parent = (rank - RELAYS) / FAN_OUT;
@@ -104,9 +105,18 @@
         }
     }
 
-    fn peers(&self, centre: &DataCentreName) -> Vec<Vec<EntryName>> {
-        let others = self.centres.iter().filter(|c| c.name != *centre);
-        others.map(|c| c.entries.clone()).collect()
+    fn groups(&self, centre: &DataCentreName, rank: usize) -> Vec<Vec<EntryName>> {
+        let mut siblings = self.relays(centre).to_vec();
+        siblings.remove(rank);
+        let others = self
+            .centres
+            .iter()
+            .filter(|c| c.name != *centre && rank == 0);
+        let mut groups: Vec<_> = others.map(|c| c.entries.clone()).collect();
+        if !siblings.is_empty() {
+            groups.push(siblings);
+        }
+        groups
     }
 
     fn entries(&self, centre: &DataCentreName) -> &[EntryName] {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod rpc;
 pub mod server;
 pub mod settings;
+pub mod spread;
--- /dev/null
+++ b/crates/daemon/src/spread/plan.rs
@@ -0,0 +1,75 @@
+//! From whom a daemon gets its news at present.
+
+use std::net::SocketAddr;
+
+use kumquatkeel_core::spread::{SpreadTree, Upstream};
+use kumquatkeel_types::message::{Member, Role};
+use kumquatkeel_types::{DataCentreName, EntryName};
+
+use super::state::HubState;
+
+/// Entries of a group that are tried in turn.
+const MAX_CANDIDATES: usize = 8;
+
+/// An entry that is polled.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Peer {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its data centre, if it is known.
+    pub data_centre: Option<DataCentreName>,
+}
+
+/// From whom a daemon gets its news at present.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Plan {
+    /// Whether the daemon watches the store.
+    pub store: bool,
+    /// Of each group, one entry is polled; the others take its place when it fails.
+    pub groups: Vec<Vec<Peer>>,
+}
+
+/// Works out a daemon's plan from the entries that it knows to serve.
+pub(super) fn plan_of(state: &HubState) -> Plan {
+    let own = state.own.member();
+    let serving = state
+        .table
+        .serving_entries()
+        .filter(|(centre, _)| !state.unreachable.contains(*centre) || state.relays);
+    let upstream = match &own.role {
+        Role::Entry(name) => {
+            let me = std::iter::once((&own.data_centre, name));
+            let others = serving.filter(|(_, entry)| *entry != name);
+            SpreadTree::new(others.chain(me)).upstream_of_entry(&own.data_centre, name)
+        }
+        Role::Agent(name) => SpreadTree::new(serving).upstream_of_agent(&own.data_centre, name),
+    };
+    match upstream {
+        Upstream::Store { groups } => Plan {
+            store: true,
+            groups: groups.iter().map(|g| peers_of(state, g)).collect(),
+        },
+        Upstream::Entries(entries) => Plan {
+            store: false,
+            groups: vec![peers_of(state, &entries)],
+        },
+        Upstream::Nobody => Plan::default(),
+    }
+}
+
+fn peers_of(state: &HubState, entries: &[EntryName]) -> Vec<Peer> {
+    let members = entries.iter().filter_map(|name| {
+        let role = Role::Entry(name.clone());
+        state.table.member(&role).map(Peer::from)
+    });
+    members.take(MAX_CANDIDATES).collect()
+}
+
+impl From<&Member> for Peer {
+    fn from(member: &Member) -> Self {
+        Self {
+            address: member.address,
+            data_centre: Some(member.data_centre.clone()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/spread/state.rs
@@ -0,0 +1,207 @@
+//! What a daemon knows of the configuration and of the other processes.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquatkeel_core::member::{Echo, MemberTable, Merge, OwnReport, Side};
+use kumquatkeel_core::spread::{Advance, ConfigLog};
+use kumquatkeel_types::document::Document;
+use kumquatkeel_types::message::{ConfigUpdate, Member, MemberState, PollReply, PollRequest};
+use kumquatkeel_types::{DataCentreName, Timestamp};
+use log::{error, info, warn};
+
+use super::SharedView;
+use super::uplink::{Uplink, UplinkMark};
+
+/// Silence of a whole data centre after which relays take it for unreachable.
+const CUT_AFTER: Duration = Duration::from_secs(10);
+
+/// The state behind a [`super::Hub`].
+#[derive(Debug)]
+pub(super) struct HubState {
+    pub(super) log: ConfigLog,
+    pub(super) table: MemberTable,
+    pub(super) own: OwnReport,
+    pub(super) document: Arc<Document>,
+    pub(super) relays: bool,
+    pub(super) superseded: bool,
+    pub(super) unreachable: Arc<BTreeSet<DataCentreName>>,
+    contacts: BTreeMap<DataCentreName, Timestamp>,
+}
+
+impl HubState {
+    pub(super) fn new(own: Member, now: Timestamp) -> Self {
+        let mut table = MemberTable::default();
+        table.merge(own.clone(), Side::Below, now);
+        Self {
+            log: ConfigLog::default(),
+            table,
+            own: OwnReport::new(own),
+            document: SharedView::empty().document,
+            relays: false,
+            superseded: false,
+            unreachable: Arc::default(),
+            contacts: BTreeMap::new(),
+        }
+    }
+
+    /// Changes the daemon's own report, and says whether its version was raised.
+    pub(super) fn update_own(
+        &mut self,
+        change: impl FnOnce(&mut OwnReport),
+        now: Timestamp,
+    ) -> bool {
+        change(&mut self.own);
+        let member = self.own.member().clone();
+        self.table.merge(member, Side::Below, now) == Merge::News
+    }
+
+    /// Takes in a configuration update.
+    pub(super) fn advance(&mut self, update: &ConfigUpdate, now: Timestamp) -> Advance {
+        let advance = self.log.advance(update);
+        match advance {
+            Advance::Advanced(_) => self.put_in_force(now),
+            Advance::Gap | Advance::DigestMismatch => {
+                warn!(target: "spread", "spread: an update was dropped: {advance}");
+            }
+            Advance::Current | Advance::Stale => {}
+        }
+        advance
+    }
+
+    fn put_in_force(&mut self, now: Timestamp) {
+        let Some(current) = self.log.current() else {
+            return;
+        };
+        let revision = current.revision;
+        match Document::try_from(current.document.as_ref().clone()) {
+            Ok(document) => {
+                info!(target: "spread", "spread: revision {revision} is in force");
+                self.document = Arc::new(document);
+                self.update_own(|own| own.set_revision(revision), now);
+            }
+            Err(faults) => {
+                error!(target: "spread", "spread: revision {revision} can't be used: {faults}");
+            }
+        }
+    }
+
+    /// Takes in reports, and says whether any is news.
+    pub(super) fn merge_all(
+        &mut self,
+        members: impl IntoIterator<Item = Member>,
+        side: Side,
+        now: Timestamp,
+    ) -> bool {
+        let mut news = false;
+        for member in members {
+            if member.role == self.own.member().role {
+                news |= self.on_echo(&member, now);
+            } else {
+                news |= self.table.merge(member, side, now) == Merge::News;
+            }
+        }
+        news
+    }
+
+    /// Takes in what others say of this daemon. Its own table never holds that it is gone.
+    fn on_echo(&mut self, member: &Member, now: Timestamp) -> bool {
+        match self.own.on_echo(member) {
+            Echo::Known => false,
+            Echo::Refuted => {
+                info!(target: "spread", "spread: this process was taken for gone and refutes it");
+                self.update_own(|_| {}, now)
+            }
+            Echo::Superseded => {
+                error!(target: "spread", "spread: a later life has this process's name");
+                self.superseded = true;
+                true
+            }
+        }
+    }
+
+    /// Takes in a poll.
+    pub(super) fn take_request(&mut self, request: &PollRequest, now: Timestamp) -> bool {
+        let member = &request.member;
+        let centre = &member.data_centre;
+        let own = &self.own.member().data_centre;
+        let side = if centre == own || member.role.is_agent() {
+            Side::Below
+        } else {
+            Side::Above
+        };
+        self.contacts.insert(centre.clone(), now);
+        let mut news = self.merge_all([member.clone()], side, now);
+        let known = self.table.member(&member.role);
+        if known.is_some_and(|k| k.version == member.version && k.state != MemberState::Gone) {
+            self.table.heard(&member.role, now);
+        }
+        news |= self.merge_all(request.reports.iter().cloned(), side, now);
+        news
+    }
+
+    /// Takes in an answer to a poll, and says whether it held news.
+    pub(super) fn take_reply(
+        &mut self,
+        reply: PollReply,
+        uplink: &mut Uplink,
+        mark: &UplinkMark,
+        now: Timestamp,
+    ) -> bool {
+        if let Some(centre) = &mark.centre {
+            self.contacts.insert(centre.clone(), now);
+        }
+        let advance = self.advance(&reply.config, now);
+        uplink.take_reply(&reply, mark, advance);
+        let mut news = matches!(advance, Advance::Advanced(_));
+        if !self.relays && mark.parent {
+            let unreachable: BTreeSet<_> = reply.unreachable.into_iter().collect();
+            news |= unreachable != *self.unreachable;
+            self.unreachable = Arc::new(unreachable);
+        }
+        news |= self.merge_all(reply.members, Side::Above, now);
+        news
+    }
+
+    /// Marks silent children and data centres, and says whether anything changed.
+    pub(super) fn tick(&mut self, now: Timestamp) -> bool {
+        let gone = self.table.expire(now);
+        for role in &gone {
+            warn!(target: "spread", "spread: {} is silent and taken for gone", role.as_ref());
+        }
+        let mut changed = !gone.is_empty();
+        if self.relays {
+            let unreachable = self.silent_centres(now);
+            changed |= unreachable != *self.unreachable;
+            self.unreachable = Arc::new(unreachable);
+        }
+        changed
+    }
+
+    fn silent_centres(&mut self, now: Timestamp) -> BTreeSet<DataCentreName> {
+        let own = &self.own.member().data_centre;
+        let alive = self
+            .table
+            .members()
+            .filter(|m| m.state != MemberState::Gone && m.data_centre != *own);
+        let centres: BTreeSet<_> = alive.map(|m| m.data_centre.clone()).collect();
+        let contacts = &mut self.contacts;
+        let silent = centres.into_iter().filter(|centre| {
+            let last = contacts.entry(centre.clone()).or_insert(now);
+            now.since(*last) > CUT_AFTER
+        });
+        silent.collect()
+    }
+
+    /// Returns the view for the daemon's parts.
+    pub(super) fn view(&self) -> SharedView {
+        SharedView {
+            revision: self.own.member().revision,
+            document: self.document.clone(),
+            members: Arc::new(self.table.shared()),
+            unreachable: self.unreachable.clone(),
+            superseded: self.superseded,
+        }
+    }
+}
--- a/crates/types/src/message/member.rs
+++ b/crates/types/src/message/member.rs
@@ -19,6 +19,13 @@
     Agent(TargetName),
 }
 
+impl Role {
+    /// Says whether the process is an agent.
+    pub const fn is_agent(&self) -> bool {
+        matches!(self, Self::Agent(_))
+    }
+}
+
 impl AsRef<str> for Role {
     fn as_ref(&self) -> &str {
         match self {
