feat(entry): answer polls, forward ledger operations and keep control leases

Sources that do not answer are left out of the plan after 4 s and taken for gone after 8 s by a daemon that hears others, so that the loss of every relay at once heals (test in spread.rs).

--- a/crates/core/src/member/table.rs
+++ b/crates/core/src/member/table.rs
@@ -179,7 +179,8 @@
         marked
     }
 
-    fn mark_gone(&mut self, role: &Role, now: Timestamp) -> bool {
+    /// Marks a process as gone without raising its version; says whether it was not yet.
+    pub fn mark_gone(&mut self, role: &Role, now: Timestamp) -> bool {
         let Some(entry) = self.entries.get(role) else {
             return false;
         };
--- a/crates/daemon/src/spread/client.rs
+++ b/crates/daemon/src/spread/client.rs
@@ -189,6 +189,7 @@
         }
         Err(error) => {
             debug!(target: "spread", "spread: {error}");
+            hub.poll_failed(peer.address);
             false
         }
     }
--- a/crates/daemon/src/spread/discover.rs
+++ b/crates/daemon/src/spread/discover.rs
@@ -50,9 +50,10 @@
     let known: BTreeSet<_> = alive.map(|m| m.address).chain([own.address]).collect();
     // An agent needs only one entry.
     if own.role.is_agent() && view.serving_entries().next().is_some() {
-        return Vec::new();
+        return hub.failing();
     }
-    addresses.difference(&known).copied().collect()
+    let unknown = addresses.difference(&known).copied();
+    unknown.chain(hub.failing()).collect()
 }
 
 async fn introduce(hub: &Hub, options: &SpreadOptions, address: SocketAddr) {
--- a/crates/daemon/src/spread/hub.rs
+++ b/crates/daemon/src/spread/hub.rs
@@ -1,5 +1,6 @@
 //! What a daemon knows, shared by its parts and by those that poll it.
 
+use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -180,6 +181,7 @@
             reports: news.members,
         };
         let mark = UplinkMark {
+            peer: to.address,
             sent: news.position,
             centre: to.data_centre.clone(),
             parent: !state.relays,
@@ -212,6 +214,21 @@
         to.data_centre.as_ref() == Some(&self.centre)
     }
 
+    /// Notes that a source did not answer.
+    pub(super) fn poll_failed(&self, peer: SocketAddr) {
+        self.lock().failing.failed(peer, self.clock.now());
+    }
+
+    /// Notes that the store answered.
+    pub(super) fn store_answered(&self) {
+        self.lock().failing.store_answered(self.clock.now());
+    }
+
+    /// Returns the sources that do not answer.
+    pub(super) fn failing(&self) -> Vec<SocketAddr> {
+        self.lock().failing.addresses().collect()
+    }
+
     /// Marks silent children and data centres.
     pub(super) fn tick(&self) {
         let mut state = self.lock();
--- a/crates/daemon/src/spread/mod.rs
+++ b/crates/daemon/src/spread/mod.rs
@@ -6,6 +6,7 @@
 mod boot;
 mod client;
 mod discover;
+mod failing;
 mod hub;
 mod plan;
 mod relay;
--- a/crates/daemon/src/spread/plan.rs
+++ b/crates/daemon/src/spread/plan.rs
@@ -35,7 +35,8 @@
     let serving = state
         .table
         .serving_entries()
-        .filter(|(centre, _)| !state.unreachable.contains(*centre) || state.relays);
+        .filter(|(centre, _)| !state.unreachable.contains(*centre) || state.relays)
+        .filter(|(_, entry)| !is_excluded(state, entry));
     let upstream = match &own.role {
         Role::Entry(name) => {
             let me = std::iter::once((&own.data_centre, name));
@@ -57,6 +58,12 @@
     }
 }
 
+/// Says whether an entry does not answer this daemon.
+fn is_excluded(state: &HubState, entry: &EntryName) -> bool {
+    let member = state.table.member(&Role::Entry(entry.clone()));
+    member.is_some_and(|m| state.failing.is_excluded(m.address))
+}
+
 fn peers_of(state: &HubState, entries: &[EntryName]) -> Vec<Peer> {
     let members = entries.iter().filter_map(|name| {
         let role = Role::Entry(name.clone());
--- a/crates/daemon/src/spread/relay.rs
+++ b/crates/daemon/src/spread/relay.rs
@@ -49,6 +49,7 @@
     after: ObjectVersion,
 ) -> Result<ObjectVersion, ConfigError> {
     let reply = store.watch(CONFIG_PREFIX, after, WATCH_WAIT).await?;
+    hub.store_answered();
     for object in &reply.objects {
         let head = decode_head(object)?;
         let mut log = hub.config();
--- a/crates/daemon/src/spread/state.rs
+++ b/crates/daemon/src/spread/state.rs
@@ -7,11 +7,12 @@
 use kumquatkeel_core::member::{Echo, MemberTable, Merge, OwnReport, Side};
 use kumquatkeel_core::spread::{Advance, ConfigLog};
 use kumquatkeel_types::document::Document;
-use kumquatkeel_types::message::{ConfigUpdate, Member, MemberState, PollReply, PollRequest};
+use kumquatkeel_types::message::{ConfigUpdate, Member, MemberState, PollReply, PollRequest, Role};
 use kumquatkeel_types::{DataCentreName, Timestamp};
 use log::{error, info, warn};
 
 use super::SharedView;
+use super::failing::Failing;
 use super::uplink::{Uplink, UplinkMark};
 
 /// Silence of a whole data centre after which relays take it for unreachable.
@@ -27,6 +28,7 @@
     pub(super) relays: bool,
     pub(super) superseded: bool,
     pub(super) unreachable: Arc<BTreeSet<DataCentreName>>,
+    pub(super) failing: Failing,
     contacts: BTreeMap<DataCentreName, Timestamp>,
 }
 
@@ -42,6 +44,7 @@
             relays: false,
             superseded: false,
             unreachable: Arc::default(),
+            failing: Failing::default(),
             contacts: BTreeMap::new(),
         }
     }
@@ -132,6 +135,7 @@
             Side::Above
         };
         self.contacts.insert(centre.clone(), now);
+        self.failing.heard(member.address, now);
         let mut news = self.merge_all([member.clone()], side, now);
         let known = self.table.member(&member.role);
         if known.is_some_and(|k| k.version == member.version && k.state != MemberState::Gone) {
@@ -149,6 +153,7 @@
         mark: &UplinkMark,
         now: Timestamp,
     ) -> bool {
+        self.failing.heard(mark.peer, now);
         if let Some(centre) = &mark.centre {
             self.contacts.insert(centre.clone(), now);
         }
@@ -166,11 +171,13 @@
 
     /// Marks silent children and data centres, and says whether anything changed.
     pub(super) fn tick(&mut self, now: Timestamp) -> bool {
-        let gone = self.table.expire(now);
+        let mut gone = self.table.expire(now);
+        let mut changed = self.failing.tick(now);
+        gone.extend(self.blame(now));
         for role in &gone {
             warn!(target: "spread", "spread: {} is silent and taken for gone", role.as_ref());
         }
-        let mut changed = !gone.is_empty();
+        changed |= !gone.is_empty();
         if self.relays {
             let unreachable = self.silent_centres(now);
             changed |= unreachable != *self.unreachable;
@@ -179,6 +186,18 @@
         changed
     }
 
+    /// Takes entries for gone that do not answer this daemon.
+    fn blame(&mut self, now: Timestamp) -> Vec<Role> {
+        let silent = self.failing.gone(now);
+        let members = self.table.members();
+        let silent = members.filter(|m| silent.contains(&m.address) && !m.role.is_agent());
+        let roles: Vec<_> = silent.map(|m| m.role.clone()).collect();
+        let marked = roles.into_iter();
+        marked
+            .filter(|role| self.table.mark_gone(role, now))
+            .collect()
+    }
+
     fn silent_centres(&mut self, now: Timestamp) -> BTreeSet<DataCentreName> {
         let own = &self.own.member().data_centre;
         let alive = self
--- a/crates/daemon/src/spread/uplink.rs
+++ b/crates/daemon/src/spread/uplink.rs
@@ -1,5 +1,7 @@
 //! How far a daemon and one of its sources know each other's news.
 
+use std::net::SocketAddr;
+
 use kumquatkeel_core::spread::Advance;
 use kumquatkeel_types::DataCentreName;
 use kumquatkeel_types::message::PollReply;
@@ -20,6 +22,8 @@
 /// What a poll carried.
 #[derive(Debug, Clone)]
 pub(super) struct UplinkMark {
+    /// The source.
+    pub(super) peer: SocketAddr,
     /// The daemon's position up to which the poll told its reports.
     pub(super) sent: u64,
     /// The data centre of the source, if it is known.
--- a/crates/daemon/tests/spread.rs
+++ b/crates/daemon/tests/spread.rs
@@ -12,7 +12,9 @@
 use common::FakeStore;
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_daemon::config::{CommitOutcome, Proposal, commit_document};
-use kumquatkeel_daemon::spread::{Hub, PollError, SpreadClient, SpreadOptions, SpreadTransport};
+use kumquatkeel_daemon::spread::{
+    Hub, PollError, SharedView, SpreadClient, SpreadOptions, SpreadTransport,
+};
 use kumquatkeel_platform::WriteIds;
 use kumquatkeel_types::document::{RawDocument, Region};
 use kumquatkeel_types::message::{
@@ -183,7 +185,7 @@
                 sleep(Duration::from_millis(50)).await;
             }
         };
-        timeout(Duration::from_secs(120), all)
+        timeout(Duration::from_mins(2), all)
             .await
             .unwrap_or_else(|_| panic!("{what}"));
         begun.elapsed()
@@ -235,11 +237,7 @@
         site.kill(number).await;
         let hub = site.run(member(number, agent, 2));
         let mut seen = hub.view();
-        let first = seen
-            .wait_for(|view| view.is_ready())
-            .await
-            .unwrap()
-            .revision;
+        let first = seen.wait_for(SharedView::is_ready).await.unwrap().revision;
         assert_eq!(first, revision);
     }
 }
--- a/crates/entry/src/ledger/mod.rs
+++ b/crates/entry/src/ledger/mod.rs
@@ -5,11 +5,13 @@
 
 mod answer;
 mod peers;
+mod rpc_peers;
 mod service;
 mod wall;
 mod worker;
 
 pub use answer::{CallLedger, ClaimAnswer, SettleAnswer};
 pub use peers::LedgerPeers;
+pub use rpc_peers::RpcPeers;
 pub use service::{LedgerOptions, StoreLedger};
 pub use wall::WallClock;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,9 +7,11 @@
 pub mod admission;
 pub mod api;
 pub mod call;
+pub mod control;
 pub mod fleet;
 pub mod ledger;
 pub mod path;
+pub mod relay;
 
 mod entry;
 mod measure;
--- /dev/null
+++ b/crates/entry/src/relay/mod.rs
@@ -0,0 +1,37 @@
+//! What an entry answers to other processes: polls, and operations on the ledger that it batches.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use jsonrpsee::core::RpcResult;
+use kumquatkeel_core::ledger::{OpAnswer, Operation};
+use kumquatkeel_daemon::rpc::RelayApiServer;
+use kumquatkeel_daemon::spread::Hub;
+use kumquatkeel_types::message::{PollReply, PollRequest};
+
+use crate::ledger::StoreLedger;
+
+/// The RPC of an entry for other processes.
+#[derive(Clone)]
+pub struct RelayService {
+    hub: Arc<Hub>,
+    ledger: StoreLedger,
+}
+
+impl RelayService {
+    /// Makes the RPC that answers from `hub` and `ledger`.
+    pub const fn new(hub: Arc<Hub>, ledger: StoreLedger) -> Self {
+        Self { hub, ledger }
+    }
+}
+
+#[async_trait]
+impl RelayApiServer for RelayService {
+    async fn poll(&self, request: PollRequest) -> RpcResult<PollReply> {
+        Ok(self.hub.answer(request).await)
+    }
+
+    async fn ledger(&self, operation: Operation) -> RpcResult<OpAnswer> {
+        Ok(self.ledger.apply(&operation).await)
+    }
+}
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -16,7 +16,7 @@
 
 /// How one call of the store fails.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CallFault {
+pub(crate) enum CallFault {
     /// Nothing is done and the caller knows it.
     Unavailable,
     /// Nothing is done for the rate.
@@ -30,7 +30,7 @@
 }
 
 impl CallFault {
-    pub const ALL: [Self; 5] = [
+    pub(crate) const ALL: [Self; 5] = [
         Self::Unavailable,
         Self::RateLimited,
         Self::LostBefore,
@@ -60,7 +60,7 @@
 
 /// A store in memory with faults by the number of the call, from 1.
 #[derive(Debug)]
-pub struct FakeStore {
+pub(crate) struct FakeStore {
     inner: Mutex<Inner>,
     changed: watch::Sender<u64>,
 }
@@ -119,24 +119,24 @@
 
 impl FakeStore {
     /// Makes the call `number`, counted from now on, fail with `fault`.
-    pub fn fail(&self, number: u64, fault: CallFault) {
+    pub(crate) fn fail(&self, number: u64, fault: CallFault) {
         let mut inner = self.inner.lock().unwrap();
         let at = inner.calls + number;
         inner.faults.insert(at, fault);
     }
 
     /// Starts or ends an outage.
-    pub fn set_down(&self, down: bool) {
+    pub(crate) fn set_down(&self, down: bool) {
         self.inner.lock().unwrap().down = down;
     }
 
     /// Returns the calls so far.
-    pub fn calls(&self) -> u64 {
+    pub(crate) fn calls(&self) -> u64 {
         self.inner.lock().unwrap().calls
     }
 
     /// Returns the writes so far.
-    pub fn puts(&self) -> u64 {
+    pub(crate) fn puts(&self) -> u64 {
         self.inner.lock().unwrap().puts
     }
 
