--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -23,9 +23,12 @@
 //! # }
 //! ```
 
+pub mod daemon;
+
 mod agent;
 mod api;
 mod attempt;
+mod configuration;
 mod decisions;
 mod engine;
 mod error;
@@ -39,6 +42,7 @@
 mod shared;
 
 pub use agent::{Agent, AgentHandle, AgentParts};
+pub use configuration::Configuration;
 pub use error::{AgentError, TargetError};
 pub use settings::{AgentLimits, AgentSettings, RawAgentLimits, RawAgentSettings};
-pub use shared::{Configuration, NoHints, PeerHints};
+pub use shared::{NoHints, PeerHints};
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,4 +9,8 @@
 pub mod rpc;
 pub mod server;
 pub mod settings;
+<<<<<<< HEAD
 pub mod spread;
+=======
+pub mod signal;
+>>>>>>> main
--- a/crates/entry/src/ledger/mod.rs
+++ b/crates/entry/src/ledger/mod.rs
@@ -4,6 +4,8 @@
 //! the claims in the platform's store.
 
 mod answer;
+mod bridge;
+mod direct;
 mod peers;
 mod rpc_peers;
 mod service;
@@ -11,6 +13,8 @@
 mod worker;
 
 pub use answer::{CallLedger, ClaimAnswer, SettleAnswer};
+pub use bridge::PathLedger;
+pub use direct::DirectPeers;
 pub use peers::LedgerPeers;
 pub use rpc_peers::RpcPeers;
 pub use service::{LedgerOptions, StoreLedger};
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,8 +8,10 @@
 pub mod api;
 pub mod call;
 pub mod control;
+pub mod daemon;
 pub mod fleet;
 pub mod ledger;
+pub mod operator;
 pub mod path;
 pub mod relay;
 
