--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,8 +9,5 @@
 pub mod rpc;
 pub mod server;
 pub mod settings;
-<<<<<<< HEAD
-pub mod spread;
-=======
 pub mod signal;
->>>>>>> main
+pub mod spread;
