--- a/crates/daemon/src/spread/hub.rs
+++ b/crates/daemon/src/spread/hub.rs
@@ -72,6 +72,16 @@
         }
     }
 
+    /// Takes over the state and the target from a report that another part of the daemon keeps.
+    pub fn take_report(&self, report: &Member) {
+        self.update_own(|own| {
+            own.set_state(report.state);
+            if let Some(target) = &report.target {
+                own.set_target(target.clone());
+            }
+        });
+    }
+
     /// Sets whether the daemon takes new work; the news goes out at once.
     pub fn set_state(&self, member: MemberState) {
         self.update_own(|own| own.set_state(member));
--- a/crates/entry/src/relay/mod.rs
+++ b/crates/entry/src/relay/mod.rs
@@ -1,5 +1,9 @@
 //! What an entry answers to other processes: polls, and operations on the ledger that it batches.
 
+mod fleet;
+
+pub use fleet::SpreadFleet;
+
 use std::sync::Arc;
 
 use async_trait::async_trait;
