refactor(standin): run the daemons themselves behind links that can fail

The demo wired its own copies of the ledger bridge and of the start of agents and entries. It now starts EntryDaemon and AgentDaemon as the programs do, and every connection between two processes passes a link that tests can stall, cut or make lose answers. The duplicate ledger bridge is gone. EntryDaemon can wrap its source of news, so that entries reach agents through their links.

--- a/crates/entry/src/daemon/mod.rs
+++ b/crates/entry/src/daemon/mod.rs
@@ -15,7 +15,7 @@
 
 use self::ledger::LedgerOfCalls;
 use self::peers::FleetPeers;
-use crate::fleet::PollingFleet;
+use crate::fleet::{FleetSource, PollingFleet};
 use crate::ledger::{StoreLedger, WallClock};
 use crate::{Entry, EntryError, EntryHandle, EntryParts, EntrySettings};
 
@@ -33,6 +33,18 @@
     ///
     /// Returns an error when the store does not give the entry a life, or a listener can't start.
     pub async fn start(settings: EntrySettings) -> Result<Self, EntryError> {
+        Self::start_with(settings, |fleet| fleet).await
+    }
+
+    /// Starts the daemon with a source of news that `wrap` makes of its own.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the store does not give the entry a life, or a listener can't start.
+    pub async fn start_with(
+        settings: EntrySettings,
+        wrap: impl FnOnce(Arc<dyn FleetSource>) -> Arc<dyn FleetSource>,
+    ) -> Result<Self, EntryError> {
         let counts = Arc::new(CallCounts::default());
         let http = HttpObjectStore::new(settings.platform, HttpOptions::default(), counts);
         let store: Arc<dyn ObjectStore> = Arc::new(http);
@@ -44,7 +56,8 @@
         let (sender, snapshots) = watch::channel(None::<Snapshot>);
         tokio::spawn(follow_store(store.clone(), sender, stop.clone()));
         let metrics = Metrics::start()?;
-        let fleet = Arc::new(PollingFleet::new(snapshots, settings.peer_key.clone()));
+        let polling = PollingFleet::new(snapshots, settings.peer_key.clone());
+        let fleet = wrap(Arc::new(polling));
         let peers = Arc::new(FleetPeers::new(settings.name.clone(), life));
         let wall = WallClock::start();
         let ledger = StoreLedger::new(store, ids, peers.clone(), wall, stop.clone());
--- a/crates/entry/src/ledger/mod.rs
+++ b/crates/entry/src/ledger/mod.rs
@@ -4,16 +4,12 @@
 //! the claims in the platform's store.
 
 mod answer;
-mod bridge;
-mod direct;
 mod peers;
 mod service;
 mod wall;
 mod worker;
 
 pub use answer::{CallLedger, ClaimAnswer, SettleAnswer};
-pub use bridge::PathLedger;
-pub use direct::DirectPeers;
 pub use peers::LedgerPeers;
 pub use service::{LedgerOptions, StoreLedger};
 pub use wall::WallClock;
--- a/crates/standin/src/demo/checks.rs
+++ b/crates/standin/src/demo/checks.rs
@@ -6,8 +6,9 @@
 use kumquatkeel_types::Outcome;
 use serde_json::{Value, json};
 
-use super::{CALLER_KEY, Caller, Completion, DemoError, Fleet, PlainReply};
+use super::{CALLER_KEY, Caller, Completion, DemoError, PlainReply};
 use crate::engine::{ExpectedAnswer, Prompt};
+use crate::fleet::Fleet;
 
 /// The prompt of the demo's completions.
 const PROMPT: &str = "Describe a donated puzzle box of 500 pieces.";
@@ -125,9 +126,9 @@
         });
         first = Some(reply);
     }
-    let executions = fleet.plain.executions(CALL_KEY);
+    let executions = fleet.executions(CALL_KEY);
     if executions != 1 {
-        let reason = format!("the plain service ran the call {executions} times");
+        let reason = format!("the plain services ran the call {executions} times");
         return Err(DemoError::check("the call runs once", reason));
     }
     Ok(calls)
--- a/crates/standin/src/demo/error.rs
+++ b/crates/standin/src/demo/error.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 
 use derive_more::{Display, Error, From};
+use kumquatkeel_types::NameError;
 use kumquatkeel_types::document::Fault;
 
-use crate::StandInError;
+use crate::fleet::FleetError;
 
 /// Why the demo failed.
 #[derive(Debug, Display, Error, From)]
@@ -13,9 +14,12 @@
     /// The sample document can't be read.
     #[display("read the sample document: {_0}")]
     Document(#[error(source)] Fault),
-    /// A stand-in could not be started.
+    /// A name of the sample is wrong.
+    #[display("read the sample: {_0}")]
+    Name(#[error(source)] NameError),
+    /// The fleet could not be started.
     #[display("{_0}")]
-    StandIn(#[error(source)] StandInError),
+    Fleet(#[error(source)] FleetError),
     /// A step failed.
     #[display("{step} at {peer}: {reason}")]
     #[from(skip)]
--- a/crates/standin/src/demo/mod.rs
+++ b/crates/standin/src/demo/mod.rs
@@ -8,14 +8,13 @@
 mod checks;
 mod document;
 mod error;
-mod fleet;
-mod placement;
 
 pub use caller::{Caller, Completion, PlainReply};
 pub use checks::DemoCall;
-pub use document::{CALLER_KEY, OPERATOR_KEY, sample_document};
+pub use document::{CALLER_KEY, OPERATOR_KEY, sample_document, sample_plan};
 pub use error::DemoError;
-pub use fleet::Fleet;
+
+use crate::fleet::Fleet;
 
 /// What the demo does.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -37,8 +36,8 @@
 ///
 /// Fails with the first step that fails or the first check that does not hold.
 pub async fn run(options: DemoOptions) -> Result<DemoReport, DemoError> {
-    let fleet = Fleet::start().await?;
-    placement::place(&fleet).await?;
+    let mut fleet = Fleet::start(sample_plan()?).await?;
+    fleet.load_all().await?;
     print_addresses(&fleet);
     let mut report = DemoReport::default();
     if options.once {
@@ -55,8 +54,8 @@
 
 fn print_addresses(fleet: &Fleet) {
     println!("platform at http://{}", fleet.platform());
-    for agent in &fleet.agents {
-        println!("agent at http://{}", agent.address());
+    for (target, agent) in &fleet.agents {
+        println!("agent of {target} at http://{}", agent.address());
     }
     for entry in &fleet.entries {
         println!("entry at http://{}", entry.address());
--- /dev/null
+++ b/crates/standin/src/fleet/entry.rs
@@ -0,0 +1,84 @@
+//! An entry and its links to the store and to the agents.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use kumquatkeel_entry::daemon::EntryDaemon;
+use kumquatkeel_entry::{EntryHandle, EntrySettings, RawEntrySettings};
+use kumquatkeel_types::{DataCentreName, EntryName, TargetName};
+use serde_json::json;
+
+use super::source::LinkedSource;
+use super::{AgentSlot, FleetError, Link, LinkMode, PEER_KEY, checked_settings, loopback};
+
+/// A running entry.
+pub struct EntrySlot {
+    number: usize,
+    daemon: EntryDaemon,
+    store: Link,
+}
+
+impl EntrySlot {
+    /// Starts the entry with this number.
+    pub(super) async fn start(
+        number: usize,
+        name: &EntryName,
+        data_centre: &DataCentreName,
+        platform: SocketAddr,
+        agents: &BTreeMap<TargetName, AgentSlot>,
+    ) -> Result<Self, FleetError> {
+        let store = Link::to(platform).await?;
+        let settings: EntrySettings = checked_settings::<RawEntrySettings, _>(json!({
+            "name": name,
+            "data_centre": data_centre,
+            "listen": loopback(),
+            "internal": loopback(),
+            "platform": store.address(),
+            "peer_key": PEER_KEY,
+            "drain_ms": 0,
+        }))?;
+        let links = agents
+            .iter()
+            .map(|(target, agent)| (target.clone(), agent.front(number).address()))
+            .collect();
+        let daemon =
+            EntryDaemon::start_with(settings, |inner| Arc::new(LinkedSource { inner, links }));
+        let daemon = daemon
+            .await
+            .map_err(|error| FleetError::step("start an entry", error.to_string()))?;
+        Ok(Self {
+            number,
+            daemon,
+            store,
+        })
+    }
+
+    /// Returns the running entry.
+    pub const fn handle(&self) -> &EntryHandle {
+        self.daemon.entry()
+    }
+
+    /// Returns the address of the callers' API.
+    pub fn address(&self) -> SocketAddr {
+        self.handle().address()
+    }
+
+    /// Returns the entry's link to the store.
+    pub const fn store_link(&self) -> &Link {
+        &self.store
+    }
+
+    /// Sets the mode of every link of the entry.
+    pub fn set_links(&self, agents: &BTreeMap<TargetName, AgentSlot>, mode: LinkMode) {
+        self.store.set_mode(mode);
+        for agent in agents.values() {
+            agent.front(self.number).set_mode(mode);
+        }
+    }
+
+    /// Drains and stops the entry.
+    pub async fn shutdown(self) {
+        self.daemon.shutdown().await;
+    }
+}
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -86,6 +86,12 @@
         self.faults.calls()
     }
 
+    /// Starts or ends an outage for all clients; watches that wait break off.
+    pub fn set_outage(&self, outage: bool) {
+        self.faults.set_outage(outage);
+        self.notify();
+    }
+
     /// Limits reads and writes a second.
     pub fn set_limits(&self, reads: u32, writes: u32) {
         *lock(&self.shared.limits) = Limits {
