--- a/crates/entry/src/ledger/mod.rs
+++ b/crates/entry/src/ledger/mod.rs
@@ -4,12 +4,14 @@
 //! the claims in the platform's store.
 
 mod answer;
+mod bridge;
 mod peers;
 mod service;
 mod wall;
 mod worker;
 
 pub use answer::{CallLedger, ClaimAnswer, SettleAnswer};
+pub use bridge::PathLedger;
 pub use peers::LedgerPeers;
 pub use service::{LedgerOptions, StoreLedger};
 pub use wall::WallClock;
