--- a/crates/entry/src/daemon/mod.rs
+++ b/crates/entry/src/daemon/mod.rs
@@ -1,6 +1,5 @@
 //! The whole entry daemon: its parts wired to the platform and to the other processes.
 
-mod ledger;
 mod peers;
 
 use std::sync::Arc;
@@ -13,10 +12,10 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-use self::ledger::LedgerOfCalls;
 use self::peers::FleetPeers;
-use crate::fleet::PollingFleet;
-use crate::ledger::{StoreLedger, WallClock};
+use crate::fleet::{FleetSource, PollingFleet};
+use crate::ledger::{PathLedger, StoreLedger, WallClock};
+use crate::operator::StoreDesk;
 use crate::{Entry, EntryError, EntryHandle, EntryParts, EntrySettings};
 
 /// A running entry daemon; dropping it stops it at once.
@@ -33,6 +32,18 @@
     ///
     /// Returns an error when the store does not give the entry a life, or a listener can't start.
     pub async fn start(settings: EntrySettings) -> Result<Self, EntryError> {
+        Self::start_with(settings, |fleet| fleet).await
+    }
+
+    /// Starts the daemon with a source of news that `wrap` makes of its own.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the store does not give the entry a life, or a listener can't start.
+    pub async fn start_with(
+        settings: EntrySettings,
+        wrap: impl FnOnce(Arc<dyn FleetSource>) -> Arc<dyn FleetSource>,
+    ) -> Result<Self, EntryError> {
         let counts = Arc::new(CallCounts::default());
         let http = HttpObjectStore::new(settings.platform, HttpOptions::default(), counts);
         let store: Arc<dyn ObjectStore> = Arc::new(http);
@@ -44,14 +55,18 @@
         let (sender, snapshots) = watch::channel(None::<Snapshot>);
         tokio::spawn(follow_store(store.clone(), sender, stop.clone()));
         let metrics = Metrics::start()?;
-        let fleet = Arc::new(PollingFleet::new(snapshots, settings.peer_key.clone()));
+        let polling = PollingFleet::new(snapshots, settings.peer_key.clone());
+        let fleet = wrap(Arc::new(polling));
         let peers = Arc::new(FleetPeers::new(settings.name.clone(), life));
         let wall = WallClock::start();
+        let desk_ids = WriteIds::new(format!("{}.desk", settings.name), &mut rand::rng());
+        let desk = Arc::new(StoreDesk::new(store.clone(), desk_ids));
         let ledger = StoreLedger::new(store, ids, peers.clone(), wall, stop.clone());
         let mut parts = EntryParts::new(life, metrics, fleet);
-        parts.ledger = Arc::new(LedgerOfCalls::new(ledger));
+        parts.ledger = Arc::new(PathLedger::new(ledger));
         let entry = Entry::start(settings, parts).await?;
         peers.connect(entry.state());
+        entry.state().connect_desk(desk);
         Ok(Self { entry, stop })
     }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,10 +7,13 @@
 pub mod admission;
 pub mod api;
 pub mod call;
+pub mod control;
 pub mod daemon;
 pub mod fleet;
 pub mod ledger;
+pub mod operator;
 pub mod path;
+pub mod relay;
 
 mod entry;
 mod measure;
