feat(agent): bound unread events, report as starting until the target is seen, add metrics

An entry that kept its connection and read nothing held a slot without end; after ten seconds it counts as gone. A wait that would miss the first token is told as busy, for another target may be free sooner.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -30,6 +30,7 @@
 use crate::poll::{poll_engine, take_over_late, watch_queue};
 use crate::record::{RecordStore, Takeover};
 use crate::shared::{Shared, starting_member};
+use crate::telemetry::Telemetry;
 use crate::{AgentError, AgentSettings, Configuration, NoHints, PeerHints};
 
 /// Longest time to wait for the store at the start.
@@ -108,6 +109,7 @@
         let server = listen(&shared, parts.metrics).await?;
         let address = server.address();
         shared.member.send_modify(|member| member.address = address);
+        shared.telemetry.observe(&shared);
         shared.spawn_loops();
         shared.publish();
         let name = &shared.settings.name;
@@ -203,6 +205,7 @@
             plain: PlainClient::new(http, target, bytes),
             record,
             hints: parts.hints,
+            telemetry: Telemetry::new(&parts.metrics),
             tasks: TaskTracker::new(),
             stop: CancellationToken::new(),
             settings,
--- a/crates/agent/src/attempt.rs
+++ b/crates/agent/src/attempt.rs
@@ -118,6 +118,7 @@
     debug!(target: "attempt", "attempt: {attempt} starts");
     let end = run_attempt(shared, dispatch, deadline, events).await;
     debug!(target: "attempt", "attempt: {attempt} ended as {end:?}");
+    shared.telemetry.count_end(&end);
     shared.decisions().finish(attempt, end, shared.now());
     shared.changed.notify_waiters();
 }
@@ -195,6 +196,7 @@
     reason: NotRunReason,
     retry_after_ms: Option<u64>,
 ) -> AttemptEvent {
+    shared.telemetry.count_not_run(reason);
     let (model, adapter) = match &dispatch.work {
         Work::Completion(work) => (Some(&work.model), work.adapter.as_ref()),
         Work::Plain(_) => (None, None),
--- a/crates/agent/src/events.rs
+++ b/crates/agent/src/events.rs
@@ -1,6 +1,7 @@
 //! The stream of an attempt's events, one JSON object a line.
 
 use std::convert::Infallible;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::stream;
@@ -11,20 +12,24 @@
 use kumquatkeel_types::AttemptId;
 use kumquatkeel_types::message::AttemptEvent;
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 
 /// Events that wait for a slow entry before the engine's stream is held back.
 const MAX_PENDING: usize = 32;
+/// Longest time that an entry may leave its events unread before it counts as gone.
+const SEND_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Sends an attempt's events to the entry.
 #[derive(Debug)]
 pub(crate) struct EventSender(mpsc::Sender<Bytes>);
 
 impl EventSender {
-    /// Sends an event and says whether the entry is still there.
+    /// Sends an event and says whether the entry is still there and reads on.
     pub(crate) async fn send(&self, event: &AttemptEvent) -> bool {
         let mut line = serde_json::to_vec(event).unwrap_or_default();
         line.push(b'\n');
-        self.0.send(Bytes::from(line)).await.is_ok()
+        let sent = timeout(SEND_TIMEOUT, self.0.send(Bytes::from(line))).await;
+        matches!(sent, Ok(Ok(())))
     }
 
     /// Returns when the entry has left.
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -40,6 +40,7 @@
 mod run;
 mod settings;
 mod shared;
+mod telemetry;
 
 pub use agent::{Agent, AgentHandle, AgentParts};
 pub use configuration::Configuration;
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -167,6 +167,7 @@
         core.superseded |= step == SettleStep::Superseded;
         step
     });
+    shared.telemetry.count_order(step);
     info!(target: "orders", "orders: order {number} ended as {step:?}");
     if step == SettleStep::Superseded {
         shared.yield_target("the engine has seen a later life");
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -108,13 +108,14 @@
     events: &EventSender,
 ) -> Result<(), Cut> {
     let completion = completion_of(dispatch, work);
-    let start = timeout_at(deadline.0, shared.engine.complete(&completion));
+    let stalled = Instant::now() + shared.settings.limits.stall;
+    let start = timeout_at(deadline.0.min(stalled), shared.engine.complete(&completion));
     let started = tokio::select! {
         started = start => started,
         () = events.closed() => return Err(Cut::Left),
     };
     let mut chunks = match started {
-        Err(_) => return Err(late("the engine did not answer before the deadline")),
+        Err(_) => return Err(late("the engine did not answer in time")),
         Ok(Err(error)) => return Err(start_cut(error)),
         Ok(Ok(chunks)) => chunks,
     };
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use kumquatkeel_daemon::clock::Clock;
-use kumquatkeel_types::document::Document;
+use kumquatkeel_types::document::{Document, TargetKind};
 use kumquatkeel_types::message::{
     Member, MemberState, MemberVersion, Residency, Role, TargetStatus,
 };
@@ -16,6 +16,7 @@
 use crate::engine::EngineClient;
 use crate::plain::PlainClient;
 use crate::record::RecordStore;
+use crate::telemetry::Telemetry;
 use crate::{AgentSettings, Configuration};
 
 /// Names another target for work that this agent does not take.
@@ -52,6 +53,7 @@
     pub(crate) plain: PlainClient,
     pub(crate) record: Option<RecordStore>,
     pub(crate) hints: Arc<dyn PeerHints>,
+    pub(crate) telemetry: Telemetry,
     pub(crate) tasks: TaskTracker,
     pub(crate) stop: CancellationToken,
 }
@@ -90,21 +92,27 @@
         result
     }
 
+    fn state_of(&self, core: &Decisions) -> MemberState {
+        let sees_target = self.settings.kind == TargetKind::Plain || core.account.has_observed();
+        if core.gate.is_draining() {
+            MemberState::Draining
+        } else if sees_target {
+            MemberState::Serving
+        } else {
+            MemberState::Starting
+        }
+    }
+
     /// Reports the member if it has changed.
     pub(crate) fn publish(&self) {
-        let (draining, target) = {
+        let (state, target) = {
             let core = self.decisions();
-            (core.gate.is_draining(), target_status(&core))
+            (self.state_of(&core), target_status(&core))
         };
         let configuration = self.configuration.borrow();
         let revision = configuration.as_ref().map(|c| c.revision);
         drop(configuration);
         self.member.send_if_modified(|member| {
-            let state = if draining {
-                MemberState::Draining
-            } else {
-                MemberState::Serving
-            };
             let revision = revision.unwrap_or_default();
             let target = Some(target);
             if member.state == state && member.revision == revision && member.target == target {
--- a/crates/core/src/gate/offer.rs
+++ b/crates/core/src/gate/offer.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kumquatkeel_types::message::{Dispatch, NotRunReason, Work};
+use kumquatkeel_types::message::{Dispatch, NotRunReason};
 use kumquatkeel_types::{AttemptId, Timestamp};
 
 use super::floor::Past;
@@ -33,7 +33,7 @@
         if let Some(known) = self.known_key(&dispatch.attempt, &job, now) {
             return known;
         }
-        if let Some((reason, retry)) = self.objection(dispatch, &job, now) {
+        if let Some((reason, retry)) = self.objection(&job, now) {
             self.end_record(&dispatch.attempt, Record::NotRun(reason), now);
             return Admission::NotRun {
                 reason,
@@ -43,7 +43,7 @@
         self.admit(&dispatch.attempt, job, now)
     }
 
-    pub(super) fn repeat_of(&self, attempt: &AttemptId) -> Option<Admission> {
+    fn repeat_of(&self, attempt: &AttemptId) -> Option<Admission> {
         match self.records.get(attempt) {
             Some(Record::NotRun(reason)) => Some(not_run(*reason)),
             Some(Record::Keyed(scope)) => Some(match self.keys.get(scope).map(|k| &k.state) {
@@ -62,12 +62,7 @@
         }
     }
 
-    pub(super) fn known_key(
-        &mut self,
-        attempt: &AttemptId,
-        job: &Job,
-        now: Timestamp,
-    ) -> Option<Admission> {
+    fn known_key(&mut self, attempt: &AttemptId, job: &Job, now: Timestamp) -> Option<Admission> {
         let scope = job.key.as_ref()?;
         let entry = self.keys.get(scope)?.clone();
         if entry.digest != job.digest {
@@ -92,12 +87,7 @@
     }
 
     /// Returns why an attempt can't be taken in now, and when it may come back.
-    pub(super) fn objection(
-        &self,
-        dispatch: &Dispatch,
-        job: &Job,
-        now: Timestamp,
-    ) -> Option<(NotRunReason, Option<Duration>)> {
+    fn objection(&self, job: &Job, now: Timestamp) -> Option<(NotRunReason, Option<Duration>)> {
         if self.draining {
             return Some((NotRunReason::Draining, None));
         }
@@ -118,25 +108,24 @@
         if self.waiting >= self.limits.queue && !self.displaces(job) {
             return Some((NotRunReason::Busy, Some(retry)));
         }
+        // Another target may be free sooner.
         let wait = lane.wait_behind(lane.ahead_of(job.turn));
-        let is_completion = matches!(dispatch.work, Work::Completion(_));
-        (is_completion && now.after(wait) > job.turn.deadline)
-            .then_some((NotRunReason::Deadline, Some(retry)))
+        (now.after(wait) > job.turn.deadline).then_some((NotRunReason::Busy, Some(retry)))
     }
 
-    pub(super) fn may_start(&self, lane: &Lane) -> bool {
+    fn may_start(&self, lane: &Lane) -> bool {
         lane.has_slot() && lane.waiting.is_empty() && self.running < self.limits.slots
     }
 
     /// Says whether a job goes before the last one that waits.
-    pub(super) fn displaces(&self, job: &Job) -> bool {
+    fn displaces(&self, job: &Job) -> bool {
         let turns = self.lanes.values().flat_map(|l| l.waiting.keys());
         turns
             .max()
             .is_some_and(|last| job.turn.priority < last.priority)
     }
 
-    pub(super) fn admit(&mut self, attempt: &AttemptId, job: Job, now: Timestamp) -> Admission {
+    fn admit(&mut self, attempt: &AttemptId, job: Job, now: Timestamp) -> Admission {
         if let Some(scope) = &job.key {
             self.keys.open(scope.clone(), job.digest, attempt.clone());
         }
--- a/crates/core/src/gate/queue.rs
+++ b/crates/core/src/gate/queue.rs
@@ -96,7 +96,7 @@
         steps
     }
 
-    pub(super) fn refuse(
+    fn refuse(
         &mut self,
         attempt: &AttemptId,
         job: &Job,
@@ -114,7 +114,7 @@
         steps
     }
 
-    pub(super) fn late(&self, now: Timestamp) -> Vec<AttemptId> {
+    fn late(&self, now: Timestamp) -> Vec<AttemptId> {
         let waiting = self.lanes.values().flat_map(|l| l.waiting.iter());
         waiting
             .filter(|(turn, _)| turn.deadline <= now)
@@ -123,7 +123,7 @@
     }
 
     /// Returns the last waiting attempts beyond the queue's bound.
-    pub(super) fn surplus(&self) -> Vec<AttemptId> {
+    fn surplus(&self) -> Vec<AttemptId> {
         let over = self.waiting.saturating_sub(self.limits.queue);
         let waiting = self.lanes.values().flat_map(|l| l.waiting.iter());
         let mut waiting: Vec<_> = waiting.collect();
--- a/crates/core/src/memory/account.rs
+++ b/crates/core/src/memory/account.rs
@@ -20,6 +20,7 @@
     /// The first observation from this time on ends the quarantine.
     pub(super) trusted_from: Timestamp,
     pub(super) quarantined: bool,
+    pub(super) observed: bool,
     pub(super) observed_at: Timestamp,
     pub(super) numbers: u64,
 }
@@ -37,6 +38,7 @@
             unexplained,
             trusted_from: now,
             quarantined: true,
+            observed: false,
             observed_at: Timestamp::ZERO,
             numbers: 0,
         }
@@ -71,6 +73,11 @@
             .after(self.settings.order_delay)
     }
 
+    /// Says whether a load report has been taken in.
+    pub const fn has_observed(&self) -> bool {
+        self.observed
+    }
+
     /// Returns the memory that may be in use on each accelerator, in megabytes.
     pub fn committed_mb(&self) -> Vec<u32> {
         let mut committed = self.unexplained.clone();
--- a/crates/core/src/memory/observe.rs
+++ b/crates/core/src/memory/observe.rs
@@ -27,6 +27,7 @@
         if at < self.observed_at {
             return;
         }
+        self.observed = true;
         self.observed_at = at;
         self.end_inherited(load, at);
         let seen = units_of(load);
