--- a/crates/entry/src/ledger/mod.rs
+++ b/crates/entry/src/ledger/mod.rs
@@ -5,7 +5,6 @@
 
 mod answer;
 mod bridge;
-mod direct;
 mod peers;
 mod rpc_peers;
 mod service;
@@ -14,7 +13,6 @@
 
 pub use answer::{CallLedger, ClaimAnswer, SettleAnswer};
 pub use bridge::PathLedger;
-pub use direct::DirectPeers;
 pub use peers::LedgerPeers;
 pub use rpc_peers::RpcPeers;
 pub use service::{LedgerOptions, StoreLedger};
