--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod demo;
 pub mod engine;
+pub mod measure;
 pub mod plain;
 pub mod platform;
 
--- /dev/null
+++ b/crates/standin/src/measure/mod.rs
@@ -0,0 +1,3 @@
+//! The measuring tool.
+
+pub mod policy;
--- /dev/null
+++ b/crates/standin/src/measure/policy/agent.rs
@@ -0,0 +1,202 @@
+//! An agent with the target behind it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use kumquatkeel_core::gate::{Gate, GateLimits, GateStep, LaneId, LaneOffer};
+use kumquatkeel_core::memory::{Account, AccountSettings, OrderDesk};
+use kumquatkeel_types::document::{Document, Target, TargetKind};
+use kumquatkeel_types::engine::{EngineLoad, EngineReplica};
+use kumquatkeel_types::message::{
+    LoadSummary, Member, MemberState, MemberVersion, ProbeReply, ReplicaState, Role, TargetStatus,
+};
+use kumquatkeel_types::{AttemptId, Incarnation, ModelId, Revision, Timestamp};
+
+use super::engine::Engine;
+
+/// Attempts that an agent lets run on an accelerator.
+const ACCELERATOR_SLOTS: u32 = 44;
+
+/// An agent and its target.
+#[derive(Debug)]
+pub(super) struct Agent {
+    /// The target, as the document names it.
+    pub(super) target: Target,
+    /// The target's data centre, by its place in the document.
+    pub(super) centre: usize,
+    /// Whether the instance is alive.
+    pub(super) alive: bool,
+    /// The agent's life.
+    pub(super) life: Incarnation,
+    /// The gate.
+    pub(super) gate: Gate,
+    /// The check of orders.
+    pub(super) desk: OrderDesk,
+    /// The account of memory.
+    pub(super) account: Account,
+    /// The engine; without replicas for a plain service.
+    pub(super) engine: Engine,
+    /// The requests of attempts that the agent has taken in.
+    pub(super) open: BTreeMap<AttemptId, usize>,
+    sequence: u64,
+}
+
+impl Agent {
+    /// Starts the agent of a target in its first life.
+    pub(super) fn new(target: &Target, centre: usize, now: Timestamp) -> Self {
+        let mut agent = Self {
+            target: target.clone(),
+            centre,
+            alive: true,
+            life: Incarnation(0),
+            gate: Gate::new(GateLimits::default(), Incarnation(0)),
+            desk: OrderDesk::new(target.name.clone(), Incarnation(0)),
+            account: Account::new(AccountSettings::default(), now),
+            engine: Engine::default(),
+            open: BTreeMap::new(),
+            sequence: 0,
+        };
+        agent.restart(now);
+        agent
+    }
+
+    /// Starts the next life on a new instance.
+    pub(super) fn restart(&mut self, now: Timestamp) {
+        let target = &self.target;
+        self.life = self.life.next();
+        self.alive = true;
+        self.sequence = 0;
+        self.engine.reset();
+        self.open.clear();
+        self.desk = OrderDesk::new(target.name.clone(), self.life);
+        let slots = match target.kind {
+            TargetKind::Engine => ACCELERATOR_SLOTS * u32::from(target.accelerators),
+            TargetKind::Plain => u32::from(target.slots),
+        };
+        let limits = GateLimits {
+            slots,
+            ..GateLimits::default()
+        };
+        self.gate = Gate::new(limits, self.life);
+        if target.kind == TargetKind::Plain {
+            let offer = LaneOffer {
+                slots,
+                ..LaneOffer::default()
+            };
+            let _ = self.gate.open_lane(LaneId::Plain, offer, now);
+        }
+        let settings = AccountSettings {
+            incarnation: self.life,
+            accelerators: target.accelerators,
+            accelerator_mb: target.accelerator_mb,
+            fencing: target.fencing,
+            ..AccountSettings::default()
+        };
+        self.account = Account::new(settings, now);
+    }
+
+    /// Lets the account observe the engine.
+    pub(super) fn observe(&mut self, document: &Document, now: Timestamp) {
+        let load = EngineLoad {
+            age_ms: 0,
+            replicas: self.engine_replicas(),
+            used_mb: vec![self.engine.used_mb(); usize::from(self.target.accelerators)],
+            fence: self.life.0,
+        };
+        self.account
+            .observe(&load, now, |unit| match &unit.adapter {
+                Some(name) => document.adapter(name).map(|a| a.memory_mb),
+                None => document.model(&unit.model).map(|m| m.replica_mb()),
+            });
+    }
+
+    fn engine_replicas(&self) -> Vec<EngineReplica> {
+        let replicas = self.engine.replicas.iter();
+        replicas
+            .map(|(model, replica)| EngineReplica {
+                model: model.clone(),
+                accelerator: 0,
+                ready: replica.ready,
+                adapters: replica.adapters.keys().cloned().collect(),
+                running: 0,
+                waiting: 0,
+            })
+            .collect()
+    }
+
+    /// Opens or closes a model's lane as its replicas and adapters come and go.
+    pub(super) fn adjust_lane(
+        &mut self,
+        model: &ModelId,
+        document: &Document,
+        now: Timestamp,
+    ) -> Vec<GateStep> {
+        let lane = LaneId::Model(model.clone());
+        let slots = document.model(model).map_or(0, |m| u32::from(m.slots));
+        let ready: Vec<_> = self
+            .account
+            .residency()
+            .into_iter()
+            .filter(|r| r.model == *model && r.state == ReplicaState::Ready)
+            .collect();
+        if ready.is_empty() {
+            return self.gate.close_lane(&lane, now);
+        }
+        let offer = LaneOffer {
+            slots: slots * ready.len() as u32,
+            adapters: ready.into_iter().flat_map(|r| r.adapters).collect(),
+        };
+        self.gate.open_lane(lane, offer, now)
+    }
+
+    /// Returns the answer to a probe.
+    pub(super) fn probe(&self, model: Option<&ModelId>) -> ProbeReply {
+        ProbeReply {
+            incarnation: self.life,
+            draining: false,
+            resident: model.is_none_or(|m| self.account.ready_replicas(m) > 0),
+            load: self.load_of(model),
+        }
+    }
+
+    /// Returns a lane's load; its slots are those that the whole target leaves it.
+    fn load_of(&self, model: Option<&ModelId>) -> LoadSummary {
+        let lane = model.map_or(LaneId::Plain, |m| LaneId::Model(m.clone()));
+        let mut load = self.gate.lane_load(&lane);
+        let whole = self.gate.load();
+        let left = whole.slots.saturating_sub(whole.running);
+        load.slots = load.slots.min(load.running + left);
+        load
+    }
+
+    /// Returns the agent's report of itself.
+    pub(super) fn report(&mut self) -> Member {
+        self.sequence += 1;
+        let mut replicas = self.account.residency();
+        for replica in &mut replicas {
+            replica.load = self.load_of(Some(&replica.model));
+        }
+        Member {
+            role: Role::Agent(self.target.name.clone()),
+            version: MemberVersion {
+                incarnation: self.life,
+                sequence: self.sequence,
+            },
+            data_centre: self.target.data_centre.clone(),
+            address: self.target.agent,
+            state: MemberState::Serving,
+            revision: Revision(1),
+            target: Some(TargetStatus {
+                replicas,
+                committed_mb: self.account.committed_mb(),
+                load: self.gate.load(),
+                epoch: self.desk.epoch(),
+            }),
+        }
+    }
+
+    /// Returns the time until the next attempt has waited too long.
+    pub(super) fn next_wake(&self, now: Timestamp) -> Option<Duration> {
+        self.gate.next_wake().map(|at| at.since(now))
+    }
+}
