feat(demand): count demand by model and adapter at each entry

Cause: placement plans from demand that entries see, not from the engines' lagging report. Conclusion: the placement loop can ask entries for it.

--- a/crates/core/benches/routing.rs
+++ b/crates/core/benches/routing.rs
@@ -32,7 +32,11 @@
 /// Returns the model on an accelerator; every eighth one holds model 0.
 fn model_on(target: usize, accelerator: usize, models: usize) -> usize {
     let place = target * ACCELERATORS + accelerator;
-    if place % HOT == 0 { 0 } else { place % models }
+    if place.is_multiple_of(HOT) {
+        0
+    } else {
+        place % models
+    }
 }
 
 fn document(targets: usize, models: usize) -> Document {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admission;
 pub mod burn;
+pub mod demand;
 pub mod gate;
 pub mod kernel;
 pub mod lease;
