feat(admission): grant shares of a service's rate among the entries

Each entry had an equal part of the rate, so that an entry with more callers than others refused them while other parts lay idle. One entry per service grants shares by demand now; the grants that hold never add up to more than the rate, also after the granter has changed.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -7,12 +7,14 @@
 
 mod concurrency;
 mod gate;
+mod holder;
 mod queue;
 mod rate;
 mod share;
 
 pub use concurrency::ConcurrencyLimit;
 pub use gate::{AdmitStep, NextStep, Refusal, ServiceGate, ServiceLimits};
+pub use holder::{ShareHolder, ShareStep};
 pub use queue::{Arrival, Ticket};
 pub use rate::{RateBucket, RateStep};
 pub use share::{RateShares, SHARE_LIFE, ShareGrant};
--- a/crates/core/src/admission/share.rs
+++ b/crates/core/src/admission/share.rs
@@ -2,7 +2,9 @@
 //!
 //! The entry that comes first in the rendezvous order for the service grants the shares. Each
 //! other entry asks it about once a second, with its demand as the weight, while it has requests
-//! for the service. A grant ends by itself, so that the share of an entry that died comes back.
+//! for the service. A grant ends by itself, so that the share of an entry that died comes back, and
+//! a new granter waits as long before its first grant, so that the old one's have ended. A part of
+//! the rate is reserved in equal shares for entries that hold no grant.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -12,8 +14,8 @@
 
 /// How long a grant holds.
 pub const SHARE_LIFE: Duration = Duration::from_secs(3);
-/// The part of the rate that is spread evenly, so that an entry's first requests find a share.
-const EVEN_PART: f64 = 0.1;
+/// The part of the rate that all entries share equally, whatever is granted.
+const RESERVED_PART: f64 = 0.1;
 
 /// A share of a service's rate.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
@@ -33,12 +35,21 @@
 }
 
 /// The shares that one entry has granted of one service's rate.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct RateShares {
+    opens: Timestamp,
     asked: BTreeMap<EntryName, Asked>,
 }
 
 impl RateShares {
+    /// Makes a granter that begins to grant when all earlier grants have ended.
+    pub const fn new(now: Timestamp) -> Self {
+        Self {
+            opens: now.after(SHARE_LIFE),
+            asked: BTreeMap::new(),
+        }
+    }
+
     /// Grants a share of `rate` to an entry with `demand` requests a second.
     ///
     /// The grants that hold at any time never add up to more than `rate`. A first grant may so be
@@ -53,10 +64,14 @@
         let others = self.asked.iter().filter(|(name, _)| *name != entry);
         let outstanding: f64 = others.clone().map(|(_, asked)| asked.granted).sum();
         let demands: Vec<f64> = others.map(|(_, a)| a.demand).chain([demand]).collect();
-        let even = rate * EVEN_PART / demands.len() as f64;
-        let level = water_level(&demands, rate * (1.0 - EVEN_PART));
-        let fair = even + spread(&demands, demand, level, rate * (1.0 - EVEN_PART));
-        let granted = fair.min(rate - outstanding).max(0.0);
+        let granted_part = rate * (1.0 - RESERVED_PART);
+        let level = water_level(&demands, granted_part);
+        let fair = spread(&demands, demand, level, granted_part);
+        let granted = if now < self.opens {
+            0.0
+        } else {
+            fair.min(granted_part - outstanding).max(0.0)
+        };
         let until = now.after(SHARE_LIFE);
         self.asked.insert(
             entry.clone(),
@@ -72,9 +87,9 @@
         }
     }
 
-    /// Returns the share that an entry takes while nobody grants one: an equal part.
-    pub fn fallback(rate: f64, live_entries: usize) -> f64 {
-        rate / live_entries.max(1) as f64
+    /// Returns the share that an entry has without a grant: its part of what is reserved.
+    pub fn reserved(rate: f64, live_entries: usize) -> f64 {
+        rate * RESERVED_PART / live_entries.max(1) as f64
     }
 
     /// Returns the sum of the grants that hold.
--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -5,6 +5,7 @@
 use kumquatkeel_types::message::{MemberState, ProbeReply};
 use kumquatkeel_types::{TargetName, Timestamp};
 use rand::Rng;
+use rand::seq::index;
 
 use super::link::{LinkBudget, LinkStep};
 use super::prefix::PrefixIndex;
@@ -16,6 +17,8 @@
 use crate::kernel::{UnknownPlugin, find_plugin};
 use crate::retry::{Ejector, slow_start};
 
+/// Replicas of one model that are looked at for one decision.
+const MAX_LOOKED_AT: usize = 96;
 /// A load heard within this time was probably probed for the same request.
 const JUST_HEARD: Duration = Duration::from_millis(100);
 /// Rounds of probes for one attempt.
@@ -143,9 +146,9 @@
         rng: &mut dyn Rng,
     ) -> Vec<Candidate> {
         let replicas = self.view.replicas(&request.service, request.model.as_ref());
-        let mut sample = Sample::default();
-        for replica in replicas.iter().filter(|r| self.is_open(r, round)) {
-            sample.add(replica, self.shown_as(replica, now));
+        let mut sample = self.sample(look_at(replicas, now, rng), round, now);
+        if sample.is_empty() {
+            sample = self.sample(replicas.iter().collect(), round, now);
         }
         let mut shown = sample.draw(rng);
         let panic = self
@@ -207,13 +210,28 @@
         }
     }
 
+    fn sample<'a>(
+        &self,
+        replicas: Vec<&'a ReplicaView>,
+        round: &RouteRound,
+        now: Timestamp,
+    ) -> Sample<'a> {
+        let mut sample = Sample::default();
+        for replica in replicas {
+            if self.is_open(replica, round) {
+                sample.add(replica, self.shown_as(replica, now));
+            }
+        }
+        sample
+    }
+
     fn is_open(&self, replica: &ReplicaView, round: &RouteRound) -> bool {
         let agent = self.agent(replica);
         agent.state == MemberState::Serving && !round.tried.contains(&agent.target)
     }
 
     fn shown_as(&self, replica: &ReplicaView, now: Timestamp) -> ShownAs {
-        if now.since(replica.heard) <= JUST_HEARD {
+        if is_just_heard(replica, now) {
             ShownAs::JustHeard
         } else if self.agent(replica).distance == Distance::OtherRegion {
             ShownAs::Far
@@ -276,6 +294,29 @@
     }
 }
 
+fn is_just_heard(replica: &ReplicaView, now: Timestamp) -> bool {
+    now.since(replica.heard) <= JUST_HEARD
+}
+
+/// Returns the replicas to look at: all, or of very many those just heard of and a random part.
+fn look_at<'a>(
+    replicas: &'a [ReplicaView],
+    now: Timestamp,
+    rng: &mut dyn Rng,
+) -> Vec<&'a ReplicaView> {
+    if replicas.len() <= MAX_LOOKED_AT {
+        return replicas.iter().collect();
+    }
+    let heard = replicas.iter().filter(|r| is_just_heard(r, now));
+    let mut looked: Vec<_> = heard.take(MAX_LOOKED_AT).collect();
+    for at in index::sample(rng, replicas.len(), MAX_LOOKED_AT) {
+        if !is_just_heard(&replicas[at], now) {
+            looked.push(&replicas[at]);
+        }
+    }
+    looked
+}
+
 fn hinted(candidates: &[Candidate], round: &RouteRound) -> Option<TargetName> {
     let hint = round.hint.as_ref()?;
     candidates
--- a/crates/core/src/routing/sample.rs
+++ b/crates/core/src/routing/sample.rs
@@ -39,6 +39,11 @@
         }
     }
 
+    /// Says whether no replica was added.
+    pub(super) const fn is_empty(&self) -> bool {
+        self.heard.is_empty() && self.near.is_empty() && self.far.is_empty()
+    }
+
     /// Draws the replicas to show: those just heard of, then near ones, then far ones.
     pub(super) fn draw(mut self, rng: &mut dyn Rng) -> Vec<&'a ReplicaView> {
         let mut shown = Vec::with_capacity(MAX_SHOWN);
--- a/crates/daemon/src/rpc.rs
+++ b/crates/daemon/src/rpc.rs
@@ -2,11 +2,13 @@
 
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
+use kumquatkeel_core::admission::ShareGrant;
 use kumquatkeel_core::ledger::{OpAnswer, Operation};
 use kumquatkeel_types::message::{
     DemandReport, FenceReply, FenceRequest, Member, Order, OrderReply, PollReply, PollRequest,
     ProbeReply, ProbeRequest,
 };
+use kumquatkeel_types::{EntryName, ServiceName};
 
 /// What an agent answers.
 #[rpc(client, server, namespace = "agent")]
@@ -43,3 +45,16 @@
     #[method(name = "demand")]
     async fn demand(&self) -> RpcResult<DemandReport>;
 }
+
+/// What an entry answers to other entries.
+#[rpc(client, server, namespace = "entry")]
+pub trait EntryApi {
+    /// Grants a share of a service's rate to an entry with `demand` requests a second.
+    #[method(name = "share")]
+    async fn share(
+        &self,
+        entry: EntryName,
+        service: ServiceName,
+        demand: f64,
+    ) -> RpcResult<ShareGrant>;
+}
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -21,6 +21,7 @@
 struct Lane {
     gate: ServiceGate,
     waiters: BTreeMap<Ticket, oneshot::Sender<Answer>>,
+    arrivals: u64,
 }
 
 /// The gates of all services.
@@ -55,6 +56,7 @@
         let lane = lanes.entry(service.clone()).or_insert_with(|| Lane {
             gate: ServiceGate::new(limits, now),
             waiters: BTreeMap::new(),
+            arrivals: 0,
         });
         lane.gate.set_limits(limits, now);
         if slots > 0 {
@@ -116,6 +118,13 @@
         }
     }
 
+    /// Returns how many requests of a service have come since the last call.
+    pub fn take_arrivals(&self, service: &ServiceName) -> u64 {
+        let mut lanes = self.lock();
+        let arrivals = lanes.get_mut(service).map(|lane| &mut lane.arrivals);
+        arrivals.map_or(0, std::mem::take)
+    }
+
     /// Returns how many requests of a service run and how many wait.
     pub fn load(&self, service: &ServiceName) -> (usize, usize) {
         let lanes = self.lock();
@@ -131,6 +140,7 @@
     ) -> Result<Option<oneshot::Receiver<Answer>>, Refusal> {
         let mut lanes = self.lock();
         let lane = lanes.get_mut(service).ok_or_else(closed)?;
+        lane.arrivals += 1;
         match lane.gate.arrive(arrival, self.clock.now()) {
             AdmitStep::Run => Ok(None),
             AdmitStep::Queued => Ok(Some(lane.wait(arrival.ticket))),
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -9,6 +9,7 @@
 use jsonrpsee::Methods;
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_daemon::metrics::{Metrics, MetricsError};
+use kumquatkeel_daemon::rpc::EntryApiServer;
 use kumquatkeel_daemon::server::{NoRoutes, PeerServer, Routes};
 use kumquatkeel_types::Incarnation;
 use log::info;
@@ -23,6 +24,7 @@
 use crate::fleet::{FleetSource, follow_fleet};
 use crate::measure::EntryMetrics;
 use crate::settings::EntrySettings;
+use crate::shares::{ShareService, renew_shares};
 use crate::state::EntryState;
 
 /// How often limits are taken over from the members.
@@ -38,6 +40,9 @@
     /// The store does not give the entry a life.
     #[display("start a life: {_0}")]
     Life(kumquatkeel_platform::StoreError),
+    /// Two methods for the system's own processes have one name.
+    #[display("register the methods: {_0}")]
+    Methods(jsonrpsee::core::RegisterMethodError),
     /// The listener for the system's own processes did not start.
     #[display("start the internal listener: {_0}")]
     Internal(std::io::Error),
@@ -124,8 +129,9 @@
             Some(listener) => listener,
             None => TcpListener::bind(listen).await?,
         };
-        let internal =
-            PeerServer::start_on(listener, key, parts.metrics, parts.methods, parts.routes)?;
+        let mut methods = parts.methods;
+        methods.merge(ShareService(state.clone()).into_rpc())?;
+        let internal = PeerServer::start_on(listener, key, parts.metrics, methods, parts.routes)?;
         let api = start_api(state.clone())?;
         let stop = CancellationToken::new();
         let loops = TaskTracker::new();
@@ -197,6 +203,7 @@
 async fn refresh(state: Arc<EntryState>, stop: CancellationToken) {
     let mut ticks = tokio::time::interval(REFRESH);
     while stop.run_until_cancelled(ticks.tick()).await.is_some() {
+        renew_shares(&state).await;
         state.refresh_services();
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,6 +19,7 @@
 mod entry;
 mod measure;
 mod settings;
+mod shares;
 mod state;
 
 pub use entry::{Entry, EntryError, EntryHandle, EntryParts};
--- /dev/null
+++ b/crates/entry/src/shares.rs
@@ -0,0 +1,138 @@
+//! Shares of the services' rates: granted to other entries, and asked of them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use async_trait::async_trait;
+use futures::future::join_all;
+use jsonrpsee::core::RpcResult;
+use kumquatkeel_core::admission::{RateShares, ShareGrant, ShareHolder, ShareStep};
+use kumquatkeel_daemon::rpc::{EntryApiClient, EntryApiServer};
+use kumquatkeel_types::digest::rendezvous;
+use kumquatkeel_types::document::Service;
+use kumquatkeel_types::{EntryName, ServiceName, Timestamp};
+use log::debug;
+
+use crate::EntryState;
+use crate::state::lock;
+
+/// The shares that one entry grants and holds.
+#[derive(Debug, Default)]
+pub(crate) struct Shares {
+    granted: Mutex<BTreeMap<ServiceName, RateShares>>,
+    held: Mutex<BTreeMap<ServiceName, ShareHolder>>,
+}
+
+impl Shares {
+    /// Returns this entry's share of a service's rate; none when the service has no limit.
+    pub(crate) fn rate(&self, service: &Service, entries: usize, now: Timestamp) -> Option<f64> {
+        let rate = f64::from(service.rate?);
+        let held = lock(&self.held);
+        let holder = held.get(&service.name).cloned().unwrap_or_default();
+        Some(holder.rate(rate, entries, now))
+    }
+
+    /// Grants a share to an entry.
+    fn grant(
+        &self,
+        entry: &EntryName,
+        service: &Service,
+        demand: f64,
+        now: Timestamp,
+    ) -> ShareGrant {
+        let mut granted = lock(&self.granted);
+        let shares = granted
+            .entry(service.name.clone())
+            .or_insert_with(|| RateShares::new(now));
+        let rate = service.rate.map_or(0.0, f64::from);
+        shares.ask(entry, demand, rate, now)
+    }
+
+    fn count(&self, service: &ServiceName, arrivals: u64, now: Timestamp) -> ShareStep {
+        let mut held = lock(&self.held);
+        let holder = held.entry(service.clone()).or_default();
+        holder.count(arrivals, now)
+    }
+
+    fn take(&self, service: &ServiceName, grant: ShareGrant, sent: Timestamp) {
+        let mut held = lock(&self.held);
+        let holder = held.entry(service.clone()).or_default();
+        holder.take(grant, sent);
+    }
+}
+
+/// Answers other entries that ask for shares.
+#[derive(Debug, Clone)]
+pub(crate) struct ShareService(pub(crate) Arc<EntryState>);
+
+#[async_trait]
+impl EntryApiServer for ShareService {
+    async fn share(
+        &self,
+        entry: EntryName,
+        service: ServiceName,
+        demand: f64,
+    ) -> RpcResult<ShareGrant> {
+        let Self(state) = self;
+        let now = state.clock.now();
+        let document = state.document();
+        let service = document.as_ref().and_then(|d| d.service(&service));
+        let nothing = ShareGrant {
+            rate: 0.0,
+            life_ms: 0,
+        };
+        Ok(service.map_or(nothing, |s| state.shares.grant(&entry, s, demand, now)))
+    }
+}
+
+/// Asks for the shares of all services that have a limit and requests here.
+pub(crate) async fn renew_shares(state: &Arc<EntryState>) {
+    let Some(document) = state.document() else {
+        return;
+    };
+    let limited = document.services.iter().filter(|s| s.rate.is_some());
+    join_all(limited.map(|service| renew(state, service))).await;
+}
+
+async fn renew(state: &Arc<EntryState>, service: &Service) {
+    let sent = state.clock.now();
+    let arrivals = state.admission.take_arrivals(&service.name);
+    let ShareStep::Ask { demand } = state.shares.count(&service.name, arrivals, sent) else {
+        return;
+    };
+    let own = &state.settings.name;
+    let grant = match granter_of(state, &service.name) {
+        None => Some(state.shares.grant(own, service, demand, sent)),
+        Some(address) => ask(state, address, service, demand).await,
+    };
+    if let Some(grant) = grant {
+        state.shares.take(&service.name, grant, sent);
+    }
+}
+
+/// Returns the address of the entry that grants a service's shares; none when it is this one.
+fn granter_of(state: &EntryState, service: &ServiceName) -> Option<SocketAddr> {
+    let own = &state.settings.name;
+    let entries = state.serving_entries();
+    let names = entries.keys().chain(std::iter::once(own));
+    let granter = *rendezvous(service.as_str(), names).first()?;
+    (granter != own).then(|| entries.get(granter).copied())?
+}
+
+async fn ask(
+    state: &EntryState,
+    address: SocketAddr,
+    service: &Service,
+    demand: f64,
+) -> Option<ShareGrant> {
+    let client = state.agent(address)?;
+    let own = state.settings.name.clone();
+    match client.share(own, service.name.clone(), demand).await {
+        Ok(grant) => Some(grant),
+        Err(error) => {
+            debug!(target: "admission", "admission: no share from {address}: {error}");
+            None
+        }
+    }
+}
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,11 +1,12 @@
 //! What the parts of an entry share.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use jsonrpsee::http_client::HttpClient;
-use kumquatkeel_core::admission::{RateShares, Refusal, ServiceLimits, Ticket};
+use kumquatkeel_core::admission::{Refusal, ServiceLimits, Ticket};
 use kumquatkeel_core::burn::{Burn, BurnMeter};
 use kumquatkeel_core::request::FlowTools;
 use kumquatkeel_core::retry::{Backoff, RetryBudget};
@@ -16,7 +17,7 @@
 use kumquatkeel_types::message::{Member, MemberState, Role};
 use kumquatkeel_types::operator::{BurnCounts, ServiceCounts, StatusReport};
 use kumquatkeel_types::{
-    ErrorBody, ErrorCode, Incarnation, Outcome, RequestId, Revision, ServiceName,
+    EntryName, ErrorBody, ErrorCode, Incarnation, Outcome, RequestId, Revision, ServiceName,
 };
 use log::warn;
 use rand::SeedableRng;
@@ -32,6 +33,7 @@
 use crate::operator::{NoDesk, OperatorDesk};
 use crate::path::AGENT_TIMEOUT;
 use crate::settings::EntrySettings;
+use crate::shares::Shares;
 
 /// The routing decisions and their generator; no router before the first configuration.
 #[derive(Debug)]
@@ -78,11 +80,12 @@
     pub(crate) ledger: Arc<dyn CallLedger>,
     pub(crate) metrics: EntryMetrics,
     pub(crate) demand: SharedDemand,
+    pub(crate) shares: Shares,
     pub(crate) drain: CancellationToken,
     pub(crate) tasks: TaskTracker,
     decider: Mutex<Decider>,
     services: Mutex<BTreeMap<ServiceName, Arc<ServiceState>>>,
-    agents: Mutex<BTreeMap<std::net::SocketAddr, HttpClient>>,
+    agents: Mutex<BTreeMap<SocketAddr, HttpClient>>,
     members: Mutex<BTreeMap<Role, Member>>,
     desk: OnceLock<Arc<dyn OperatorDesk>>,
     numbers: AtomicU64,
@@ -105,6 +108,7 @@
             ledger,
             metrics,
             demand: SharedDemand::new(clock),
+            shares: Shares::default(),
             drain: CancellationToken::new(),
             tasks: TaskTracker::new(),
             decider: Mutex::new(Decider {
@@ -192,7 +196,10 @@
             .collect();
         drop(decider);
         for (service, slots) in document.services.iter().zip(slots) {
-            let limits = limits_of(service, entries);
+            let limits = ServiceLimits {
+                queue: service.queue as usize,
+                rate: self.shares.rate(service, entries, now),
+            };
             self.admission.set_service(&service.name, limits, slots);
             let state = self.service(service);
             lock(&state.retries).budget.set_share(service.retry_share);
@@ -222,6 +229,18 @@
             .map_or(1, |r| r.view().live_entries())
     }
 
+    /// Returns the other entries that serve, each with its address for the system's own messages.
+    pub(crate) fn serving_entries(&self) -> BTreeMap<EntryName, SocketAddr> {
+        let members = lock(&self.members);
+        let serving = members.values().filter(|m| m.state == MemberState::Serving);
+        serving
+            .filter_map(|member| match &member.role {
+                Role::Entry(name) => Some((name.clone(), member.address)),
+                Role::Agent(_) => None,
+            })
+            .collect()
+    }
+
     /// Takes no new requests from now on.
     pub fn stop_admission(&self) {
         self.drain.cancel();
@@ -324,7 +343,7 @@
     }
 
     /// Returns the RPC client of an agent.
-    pub(crate) fn agent(&self, address: std::net::SocketAddr) -> Option<HttpClient> {
+    pub(crate) fn agent(&self, address: SocketAddr) -> Option<HttpClient> {
         let mut agents = lock(&self.agents);
         if let Some(client) = agents.get(&address) {
             return Some(client.clone());
@@ -361,12 +380,3 @@
 pub(crate) const fn ticket_of(request: &RequestId) -> Ticket {
     Ticket(request.number)
 }
-
-fn limits_of(service: &Service, entries: usize) -> ServiceLimits {
-    ServiceLimits {
-        queue: service.queue as usize,
-        rate: service
-            .rate
-            .map(|rate| RateShares::fallback(f64::from(rate), entries)),
-    }
-}
--- a/crates/entry/tests/callers.rs
+++ b/crates/entry/tests/callers.rs
@@ -306,6 +306,18 @@
     assert!(site.agents[0].seen.try_recv().is_err(), "nothing is sent");
 }
 
+#[tokio::test]
+async fn a_call_over_the_services_rate_is_refused_with_the_time_to_come_back() {
+    let site = Site::start(&["plain-1"], None).await;
+    site.agents[0].script(Script::Answer(200));
+    let path = "/v1/services/limited/x";
+    let first = site.post(path, &[], "{}").await;
+    assert_eq!((first.status.as_u16(), first.outcome()), (200, "done"));
+    let second = site.post(path, &[], "{}").await;
+    assert_eq!((second.status.as_u16(), second.outcome()), (429, "not_run"));
+    assert!(second.headers.contains_key("retry-after"));
+}
+
 #[tokio::test]
 async fn the_models_are_those_that_the_caller_may_use() {
     let site = Site::start(&["t1"], None).await;
