feat(entry,agent): spread configuration and members, hold the lease, plan placement

Cause: the daemons polled agents, read the store one by one, and nobody planned placement. Change: EntryDaemon and AgentDaemon run the spread client; entries serve polls, ledger operations and their demand; one entry holds the placement lease, plans each second and gives orders under its epoch, and shows the epoch to agents by orders that change nothing. An entry whose store is out starts in a provisional life. An agent that knows no entry reads the status objects. Before: the demo placed models by itself. Conclusion: the whole path runs on the product's own parts.

--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -1,13 +1,14 @@
-//! The whole agent daemon: the agent wired to the platform's store.
+//! The whole agent daemon: the agent wired to the platform's store and to the entries.
 
 use std::sync::Arc;
 
-use kumquatkeel_daemon::config::follow_store;
+use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_daemon::metrics::Metrics;
-use kumquatkeel_platform::{CallCounts, HttpObjectStore, HttpOptions, ObjectStore};
-use kumquatkeel_types::document::Document;
-use kumquatkeel_types::message::Snapshot;
-use log::warn;
+use kumquatkeel_daemon::spread::{Hub, RpcTransport, SharedView, SpreadClient, SpreadOptions};
+use kumquatkeel_platform::{CallCounts, HttpObjectStore, HttpOptions, ObjectStore, WriteIds};
+use kumquatkeel_types::message::{Member, MemberState};
+use log::error;
+use rand::Rng;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
@@ -17,6 +18,8 @@
 #[derive(Debug)]
 pub struct AgentDaemon {
     agent: AgentHandle,
+    hub: Arc<Hub>,
+    spread: Option<SpreadClient>,
     stop: CancellationToken,
 }
 
@@ -34,16 +37,23 @@
             peer: settings.listen,
             reason: error.to_string(),
         })?;
+        let store = settings.store.map(store_at);
         let mut parts = AgentParts::new(configuration, metrics);
-        if let Some(address) = settings.store {
-            let store = store_at(address);
-            let (snapshots, received) = watch::channel(None);
-            tokio::spawn(follow_store(store.clone(), snapshots, stop.clone()));
-            tokio::spawn(check_snapshots(received, sender, stop.clone()));
-            parts = parts.store(store);
+        if let Some(store) = &store {
+            parts = parts.store(store.clone());
         }
-        let agent = Agent::start(settings, parts).await?;
-        Ok(Self { agent, stop })
+        let agent = Agent::start(settings.clone(), parts).await?;
+        let own = agent.member().borrow().clone();
+        let hub = Arc::new(Hub::new(own, rand::rng().next_u64(), Clock::start()));
+        tokio::spawn(follow_view(hub.view(), sender, stop.clone()));
+        tokio::spawn(report(agent.member(), hub.clone(), stop.clone()));
+        let spread = store.map(|store| spread(&settings, store, &hub, &stop));
+        Ok(Self {
+            agent,
+            hub,
+            spread,
+            stop,
+        })
     }
 
     /// Returns the running agent.
@@ -51,10 +61,15 @@
         &self.agent
     }
 
-    /// Drains the agent, then stops everything.
+    /// Tells the others that the agent leaves, drains it, then stops everything.
     pub async fn shutdown(self) {
+        self.hub.set_state(MemberState::Draining);
         self.agent.shutdown().await;
+        self.hub.set_state(MemberState::Gone);
         self.stop.cancel();
+        if let Some(spread) = &self.spread {
+            spread.stop().await;
+        }
     }
 }
 
@@ -67,28 +82,59 @@
     ))
 }
 
-/// Turns stored snapshots into checked configurations.
-async fn check_snapshots(
-    mut snapshots: watch::Receiver<Option<Snapshot>>,
+fn spread(
+    settings: &AgentSettings,
+    store: Arc<dyn ObjectStore>,
+    hub: &Arc<Hub>,
+    stop: &CancellationToken,
+) -> SpreadClient {
+    let options = SpreadOptions {
+        seeds: settings.relays.clone(),
+        transport: Arc::new(RpcTransport::new(settings.peer_key.clone())),
+        store,
+        instances: None,
+        ids: Arc::new(WriteIds::new(&settings.name, &mut rand::rng())),
+    };
+    SpreadClient::start(hub.clone(), options, stop.clone())
+}
+
+/// Hands each configuration of the spread to the agent.
+async fn follow_view(
+    mut view: watch::Receiver<SharedView>,
     configurations: watch::Sender<Option<Configuration>>,
     stop: CancellationToken,
 ) {
     loop {
-        let snapshot = snapshots.borrow_and_update().clone();
-        if let Some(snapshot) = snapshot {
-            let revision = snapshot.revision;
-            match Document::try_from((*snapshot.document).clone()) {
-                Ok(document) => {
-                    let document = Arc::new(document);
-                    configurations.send_replace(Some(Configuration { revision, document }));
-                }
-                Err(faults) => {
-                    warn!(target: "agent", "agent: revision {revision} has faults: {faults}");
-                }
-            }
+        let (revision, document, superseded) = {
+            let view = view.borrow_and_update();
+            (view.revision, view.document.clone(), view.superseded)
+        };
+        if superseded {
+            error!(target: "agent", "agent: a later life has this name");
+        }
+        let known = configurations
+            .borrow()
+            .as_ref()
+            .map(|c| c.revision)
+            .unwrap_or_default();
+        if revision > known {
+            configurations.send_replace(Some(Configuration { revision, document }));
+        }
+        if !matches!(stop.run_until_cancelled(view.changed()).await, Some(Ok(()))) {
+            return;
         }
-        let changed = stop.run_until_cancelled(snapshots.changed()).await;
-        if !matches!(changed, Some(Ok(()))) {
+    }
+}
+
+/// Hands the agent's report of itself to the spread.
+async fn report(mut member: watch::Receiver<Member>, hub: Arc<Hub>, stop: CancellationToken) {
+    loop {
+        let own = member.borrow_and_update().clone();
+        hub.take_report(&own);
+        if !matches!(
+            stop.run_until_cancelled(member.changed()).await,
+            Some(Ok(()))
+        ) {
             return;
         }
     }
--- a/crates/daemon/src/rpc.rs
+++ b/crates/daemon/src/rpc.rs
@@ -4,8 +4,8 @@
 use jsonrpsee::proc_macros::rpc;
 use kumquatkeel_core::ledger::{OpAnswer, Operation};
 use kumquatkeel_types::message::{
-    FenceReply, FenceRequest, Member, Order, OrderReply, PollReply, PollRequest, ProbeReply,
-    ProbeRequest,
+    DemandReport, FenceReply, FenceRequest, Member, Order, OrderReply, PollReply, PollRequest,
+    ProbeReply, ProbeRequest,
 };
 
 /// What an agent answers.
@@ -38,4 +38,8 @@
     /// Applies an operation on a partition of the ledger that this entry batches.
     #[method(name = "ledger")]
     async fn ledger(&self, operation: Operation) -> RpcResult<OpAnswer>;
+
+    /// Returns the demand that this entry has seen, for the holder of the placement lease.
+    #[method(name = "demand")]
+    async fn demand(&self) -> RpcResult<DemandReport>;
 }
--- a/crates/daemon/src/server.rs
+++ b/crates/daemon/src/server.rs
@@ -115,6 +115,21 @@
         routes: Arc<dyn Routes>,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(listen).await?;
+        Self::start_on(listener, key, metrics, methods, routes)
+    }
+
+    /// Starts on a listener that is bound already, so that its address is known before.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the listener has no address.
+    pub fn start_on(
+        listener: TcpListener,
+        key: PeerKey,
+        metrics: Metrics,
+        methods: impl Into<Methods>,
+        routes: Arc<dyn Routes>,
+    ) -> io::Result<Self> {
         let address = listener.local_addr()?;
         let (rpc_stop, rpc) = stop_channel();
         let config = ServerConfig::builder()
--- a/crates/daemon/src/spread/discover.rs
+++ b/crates/daemon/src/spread/discover.rs
@@ -25,7 +25,9 @@
     let mut addresses: BTreeSet<_> = options.seeds.iter().copied().collect();
     let mut round = 0;
     loop {
-        if hub.plan().store && round % STATUS_ROUNDS == 0 {
+        let plan = hub.plan();
+        let is_lost = !plan.store && plan.groups.is_empty();
+        if is_lost || (plan.store && round % STATUS_ROUNDS == 0) {
             addresses.extend(stored_addresses(options).await);
         }
         let unknown = unknown(hub, &addresses);
--- a/crates/entry/src/api/completions.rs
+++ b/crates/entry/src/api/completions.rs
@@ -7,6 +7,7 @@
 use dropshot::Body;
 use http::{HeaderMap, Response, StatusCode};
 use kumquatkeel_core::admission::Arrival;
+use kumquatkeel_core::demand::DemandKey;
 use kumquatkeel_core::request::{FlowAnswer, FlowSpec};
 use kumquatkeel_core::routing::RouteRequest;
 use kumquatkeel_core::routing::prefix::prefix_blocks;
@@ -140,11 +141,18 @@
         priority,
         start_by,
     };
+    let mut demand = state.demand.start(DemandKey {
+        model: offer.model.clone(),
+        adapter: offer.adapter.clone(),
+    });
     let place = state
         .admission
         .admit(&service.name, arrival)
         .await
-        .map_err(|refusal| state.refuse(service, refusal))?;
+        .map_err(|refusal| {
+            demand.failed(refusal.code);
+            state.refuse(service, refusal)
+        })?;
     let answer_bytes = u64::from(completion.max_tokens) * TOKEN_BYTES;
     let route = RouteRequest {
         service: service.name.clone(),
@@ -179,6 +187,7 @@
         call: None,
         arrived: sender.arrived,
         place,
+        demand: Some(demand),
     };
     Ok(start_run(state, input))
 }
--- a/crates/entry/src/api/plain.rs
+++ b/crates/entry/src/api/plain.rs
@@ -137,6 +137,7 @@
         service: Arc::new(service.clone()),
         arrived: sender.arrived,
         place,
+        demand: None,
     };
     let mut outputs = start_run(state, input);
     collect(&mut outputs, &mut String::new()).await
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -1,5 +1,9 @@
 //! Control leases: one entry at a time plans placement.
 
+mod fleet;
 mod keeper;
+mod peers;
+mod planner;
 
 pub use keeper::{LeaseKeeper, LeaseKeeperOptions};
+pub use planner::PlacementLoop;
--- /dev/null
+++ b/crates/entry/src/control/planner.rs
@@ -0,0 +1,193 @@
+//! The loop that plans placement while this entry holds the lease.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquatkeel_core::demand::DemandTotal;
+use kumquatkeel_core::kernel::find_plugin;
+use kumquatkeel_core::lease::{Certainty, StepKind};
+use kumquatkeel_core::placement::{PlacementPlugin, PlacementPolicy, PlanInput, PlannedOrder};
+use kumquatkeel_daemon::clock::Clock;
+use kumquatkeel_daemon::peer::PeerKey;
+use kumquatkeel_daemon::spread::SharedView;
+use kumquatkeel_types::Epoch;
+use kumquatkeel_types::message::{Member, Order, OrderAction, Role};
+use log::{info, warn};
+use tokio::sync::watch;
+use tokio::time::{MissedTickBehavior, interval};
+use tokio_util::sync::CancellationToken;
+
+use super::LeaseKeeper;
+use super::fleet::FleetState;
+use super::peers::PlannerPeers;
+
+/// Time between planning rounds.
+const ROUND: Duration = Duration::from_secs(1);
+/// Plans placement and gives the orders.
+pub struct PlacementLoop {
+    clock: Clock,
+    view: watch::Receiver<SharedView>,
+    keeper: Arc<LeaseKeeper>,
+    peers: PlannerPeers,
+    policy: Option<NamedPolicy>,
+    orders: u64,
+}
+
+/// What one round plans from, besides the configuration.
+#[derive(Clone, Copy)]
+struct Round<'a> {
+    fleet: &'a FleetState,
+    demand: &'a DemandTotal,
+    epoch: Epoch,
+    in_doubt: bool,
+}
+
+/// The policy in use, and the name by which the document chose it.
+struct NamedPolicy {
+    name: String,
+    policy: Box<dyn PlacementPolicy>,
+}
+
+impl PlacementLoop {
+    /// Makes the loop of the entry that keeps `keeper`.
+    pub fn new(view: watch::Receiver<SharedView>, keeper: Arc<LeaseKeeper>, key: PeerKey) -> Self {
+        Self {
+            clock: Clock::start(),
+            view,
+            keeper,
+            peers: PlannerPeers::new(key),
+            policy: None,
+            orders: 0,
+        }
+    }
+
+    /// Runs rounds until it is stopped.
+    pub async fn run(mut self, stop: CancellationToken) {
+        let mut ticks = interval(ROUND);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        while stop.run_until_cancelled(ticks.tick()).await.is_some() {
+            if stop.run_until_cancelled(self.round()).await.is_none() {
+                return;
+            }
+        }
+    }
+
+    async fn round(&mut self) {
+        let (epoch, in_doubt) = match self.keeper.certainty() {
+            Certainty::Certain(epoch) => (epoch, false),
+            Certainty::InDoubt(epoch) => (epoch, true),
+            Certainty::Lost => {
+                self.policy = None;
+                return;
+            }
+        };
+        let view = self.view.borrow().clone();
+        if !view.is_ready() {
+            return;
+        }
+        let fleet = FleetState::of(&view);
+        for order in fleet.fencing_orders(epoch) {
+            self.give(&view, order).await;
+        }
+        let demand = self.peers.demand(&view).await;
+        let round = Round {
+            fleet: &fleet,
+            demand: &demand,
+            epoch,
+            in_doubt,
+        };
+        for order in self.plan(&view, &round) {
+            self.give(&view, order).await;
+        }
+    }
+
+    fn plan(&mut self, view: &SharedView, round: &Round<'_>) -> Vec<PlannedOrder> {
+        let Round {
+            fleet,
+            demand,
+            epoch,
+            in_doubt,
+        } = *round;
+        let input = PlanInput {
+            now: self.clock.now(),
+            document: &view.document,
+            serving: &fleet.serving,
+            leaving: &fleet.leaving,
+            replicas: &fleet.replicas,
+            demand: &demand.models,
+            adapters: &demand.adapters,
+            committed_mb: &fleet.committed_mb,
+            fenced: &fleet.fenced_by(epoch),
+            loading: fleet.loading,
+            in_doubt,
+        };
+        let Some(policy) = self.policy(&view.document.policy.placement) else {
+            return Vec::new();
+        };
+        policy.plan(&input)
+    }
+
+    /// Returns the policy that the document names, made anew when the name has changed.
+    fn policy(&mut self, name: &str) -> Option<&mut dyn PlacementPolicy> {
+        if self
+            .policy
+            .as_ref()
+            .is_none_or(|current| current.name != name)
+        {
+            match find_plugin::<PlacementPlugin>(name) {
+                Ok(plugin) => {
+                    info!(target: "placement", "placement: policy {name} plans from now on");
+                    self.policy = Some(NamedPolicy {
+                        name: name.into(),
+                        policy: (plugin.make)(),
+                    });
+                }
+                Err(error) => {
+                    warn!(target: "placement", "placement: {error}");
+                    return None;
+                }
+            }
+        }
+        Some(&mut *self.policy.as_mut()?.policy)
+    }
+
+    /// Gives one order, if the lease permits it at this moment.
+    async fn give(&mut self, view: &SharedView, planned: PlannedOrder) {
+        let role = Role::Agent(planned.target.clone());
+        let Some(member) = view.members.get(&role) else {
+            return;
+        };
+        let Some(epoch) = self.keeper.permit(kind_of(&planned.action)) else {
+            return;
+        };
+        let order = self.number(planned, member, epoch);
+        let target = order.target.clone();
+        let action = order.action.clone();
+        match self.peers.send(member.address, order).await {
+            Ok(reply) => {
+                info!(target: "placement", "placement: {action:?} at {target}: {:?}", reply.result);
+            }
+            Err(reason) => {
+                warn!(target: "placement", "placement: {action:?} at {target} is open: {reason}");
+            }
+        }
+    }
+
+    fn number(&mut self, planned: PlannedOrder, member: &Member, epoch: Epoch) -> Order {
+        self.orders += 1;
+        Order {
+            epoch,
+            number: self.orders,
+            target: planned.target,
+            incarnation: member.version.incarnation,
+            action: planned.action,
+        }
+    }
+}
+
+const fn kind_of(action: &OrderAction) -> StepKind {
+    match action {
+        OrderAction::Load { .. } | OrderAction::LoadAdapter { .. } => StepKind::Additive,
+        OrderAction::Unload { .. } | OrderAction::UnloadAdapter { .. } => StepKind::Destructive,
+    }
+}
--- a/crates/entry/src/daemon/mod.rs
+++ b/crates/entry/src/daemon/mod.rs
@@ -1,36 +1,52 @@
 //! The whole entry daemon: its parts wired to the platform and to the other processes.
 
-mod peers;
+mod life;
 
 use std::sync::Arc;
 
-use kumquatkeel_daemon::config::{follow_store, raise_incarnation};
+use jsonrpsee::Methods;
+use kumquatkeel_core::lease::LeaseOptions;
 use kumquatkeel_daemon::metrics::Metrics;
-use kumquatkeel_platform::{CallCounts, HttpObjectStore, HttpOptions, ObjectStore, WriteIds};
-use kumquatkeel_types::Incarnation;
-use kumquatkeel_types::message::{Role, Snapshot};
-use tokio::sync::watch;
+use kumquatkeel_daemon::rpc::RelayApiServer;
+use kumquatkeel_daemon::spread::{Hub, RpcTransport, SpreadClient, SpreadOptions};
+use kumquatkeel_platform::{
+    CallCounts, HttpInstanceList, HttpObjectStore, HttpOptions, ObjectStore, WriteIds,
+};
+use kumquatkeel_types::message::MemberState;
+use rand::Rng;
+use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use self::peers::FleetPeers;
-use crate::fleet::{FleetSource, PollingFleet};
-use crate::ledger::{PathLedger, StoreLedger, WallClock};
+use self::life::{announce, first_report, start_life};
+use crate::control::{LeaseKeeper, LeaseKeeperOptions, PlacementLoop};
+use crate::fleet::FleetSource;
+use crate::ledger::{PathLedger, RpcPeers, StoreLedger, WallClock};
 use crate::operator::StoreDesk;
+use crate::relay::{RelayService, SpreadFleet};
 use crate::{Entry, EntryError, EntryHandle, EntryParts, EntrySettings};
 
+/// The name of the lease on placement.
+const PLACEMENT_LEASE: &str = "placement";
+
 /// A running entry daemon; dropping it stops it at once.
 #[derive(Debug)]
 pub struct EntryDaemon {
     entry: EntryHandle,
+    hub: Arc<Hub>,
+    spread: SpreadClient,
+    keeper: Arc<LeaseKeeper>,
     stop: CancellationToken,
 }
 
 impl EntryDaemon {
     /// Starts the daemon against the platform named in its settings.
     ///
+    /// When the store is out, the entry starts in a provisional life and serves the newest
+    /// configuration that its neighbours have.
+    ///
     /// # Errors
     ///
-    /// Returns an error when the store does not give the entry a life, or a listener can't start.
+    /// Returns an error when a listener can't start.
     pub async fn start(settings: EntrySettings) -> Result<Self, EntryError> {
         Self::start_with(settings, |fleet| fleet).await
     }
@@ -39,35 +55,51 @@
     ///
     /// # Errors
     ///
-    /// Returns an error when the store does not give the entry a life, or a listener can't start.
+    /// Returns an error when a listener can't start.
     pub async fn start_with(
         settings: EntrySettings,
         wrap: impl FnOnce(Arc<dyn FleetSource>) -> Arc<dyn FleetSource>,
     ) -> Result<Self, EntryError> {
-        let counts = Arc::new(CallCounts::default());
-        let http = HttpObjectStore::new(settings.platform, HttpOptions::default(), counts);
-        let store: Arc<dyn ObjectStore> = Arc::new(http);
-        let name = settings.name.clone();
-        let ids = WriteIds::new(&name, &mut rand::rng());
-        let role = Role::Entry(name);
-        let life = raise_incarnation(&*store, &ids, &role, Incarnation::default()).await?;
         let stop = CancellationToken::new();
-        let (sender, snapshots) = watch::channel(None::<Snapshot>);
-        tokio::spawn(follow_store(store.clone(), sender, stop.clone()));
-        let metrics = Metrics::start()?;
-        let polling = PollingFleet::new(snapshots, settings.peer_key.clone());
-        let fleet = wrap(Arc::new(polling));
-        let peers = Arc::new(FleetPeers::new(settings.name.clone(), life));
-        let wall = WallClock::start();
-        let desk_ids = WriteIds::new(format!("{}.desk", settings.name), &mut rand::rng());
-        let desk = Arc::new(StoreDesk::new(store.clone(), desk_ids));
-        let ledger = StoreLedger::new(store, ids, peers.clone(), wall, stop.clone());
-        let mut parts = EntryParts::new(life, metrics, fleet);
+        let platform = Platform::of(&settings);
+        let listener = TcpListener::bind(settings.internal).await?;
+        let life = start_life(&*platform.store, &platform.ids, &settings.name).await;
+        let own = first_report(&settings, life, listener.local_addr()?);
+        let mut parts = EntryParts::new(life, Metrics::start()?, Arc::new(crate::fleet::NoNews));
+        let hub = Arc::new(Hub::new(own, rand::rng().next_u64(), parts.clock));
+        parts.fleet = wrap(Arc::new(SpreadFleet::new(hub.clone())));
+        parts.listener = Some(listener);
+        let ledger = platform.ledger(&settings, &hub, &stop);
+        parts.methods = methods(&hub, &ledger, &parts);
         parts.ledger = Arc::new(PathLedger::new(ledger));
+        let options = LeaseKeeperOptions {
+            name: PLACEMENT_LEASE.into(),
+            holder: settings.name.clone(),
+            life,
+            times: LeaseOptions::default(),
+        };
+        let key = settings.peer_key.clone();
+        let spread = platform.spread(&settings, &hub, &stop);
         let entry = Entry::start(settings, parts).await?;
-        peers.connect(entry.state());
-        entry.state().connect_desk(desk);
-        Ok(Self { entry, stop })
+        entry.state().connect_desk(platform.desk());
+        let keeper = LeaseKeeper::start(
+            options,
+            platform.store.clone(),
+            platform.ids.clone(),
+            hub.view(),
+            stop.clone(),
+        );
+        let keeper = Arc::new(keeper);
+        let placement = PlacementLoop::new(hub.view(), keeper.clone(), key);
+        tokio::spawn(placement.run(stop.clone()));
+        tokio::spawn(announce(hub.clone(), entry.state().clone(), stop.clone()));
+        Ok(Self {
+            entry,
+            hub,
+            spread,
+            keeper,
+            stop,
+        })
     }
 
     /// Returns the running entry.
@@ -75,9 +107,78 @@
         &self.entry
     }
 
-    /// Drains the entry, then stops everything.
+    /// Tells the others that the entry leaves, drains it, then stops everything.
     pub async fn shutdown(self) {
+        self.hub.set_state(MemberState::Draining);
         self.entry.shutdown().await;
+        self.hub.set_state(MemberState::Gone);
+        self.keeper.stop().await;
         self.stop.cancel();
+        self.spread.stop().await;
+    }
+}
+
+/// The platform as the daemon's parts reach it.
+struct Platform {
+    store: Arc<dyn ObjectStore>,
+    instances: Arc<HttpInstanceList>,
+    ids: Arc<WriteIds>,
+    name: String,
+}
+
+impl Platform {
+    fn of(settings: &EntrySettings) -> Self {
+        let counts = Arc::new(CallCounts::default());
+        let options = HttpOptions::default();
+        let store = HttpObjectStore::new(settings.platform, options, counts.clone());
+        Self {
+            store: Arc::new(store),
+            instances: Arc::new(HttpInstanceList::new(settings.platform, options, counts)),
+            ids: Arc::new(WriteIds::new(&settings.name, &mut rand::rng())),
+            name: settings.name.to_string(),
+        }
     }
+
+    /// Makes the ids of a part that owns its own.
+    fn ids_of(&self, part: &str) -> WriteIds {
+        WriteIds::new(format!("{}.{part}", self.name), &mut rand::rng())
+    }
+
+    fn desk(&self) -> Arc<StoreDesk> {
+        Arc::new(StoreDesk::new(self.store.clone(), self.ids_of("desk")))
+    }
+
+    fn ledger(&self, settings: &EntrySettings, hub: &Hub, stop: &CancellationToken) -> StoreLedger {
+        let key = settings.peer_key.clone();
+        let peers = Arc::new(RpcPeers::new(settings.name.clone(), key, hub.view()));
+        let ids = self.ids_of("ledger");
+        StoreLedger::new(
+            self.store.clone(),
+            ids,
+            peers,
+            WallClock::start(),
+            stop.clone(),
+        )
+    }
+
+    fn spread(
+        &self,
+        settings: &EntrySettings,
+        hub: &Arc<Hub>,
+        stop: &CancellationToken,
+    ) -> SpreadClient {
+        let options = SpreadOptions {
+            seeds: settings.entries.clone(),
+            transport: Arc::new(RpcTransport::new(settings.peer_key.clone())),
+            store: self.store.clone(),
+            instances: Some(self.instances.clone()),
+            ids: self.ids.clone(),
+        };
+        SpreadClient::start(hub.clone(), options, stop.clone())
+    }
+}
+
+fn methods(hub: &Arc<Hub>, ledger: &StoreLedger, parts: &EntryParts) -> Methods {
+    let relay = RelayService::new(hub.clone(), ledger.clone(), parts.demand.clone());
+    relay.into_rpc().into()
 }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -12,12 +12,14 @@
 use kumquatkeel_daemon::server::{NoRoutes, PeerServer, Routes};
 use kumquatkeel_types::Incarnation;
 use log::info;
+use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::admission::TICK;
 use crate::api::{ApiContext, start_api};
 use crate::call::{CallLedger, NoLedger};
+use crate::demand::SharedDemand;
 use crate::fleet::{FleetSource, follow_fleet};
 use crate::measure::EntryMetrics;
 use crate::settings::EntrySettings;
@@ -56,9 +58,13 @@
     /// Keeps calls from running more than once.
     #[debug(skip)]
     pub ledger: Arc<dyn CallLedger>,
+    /// Counts the demand for each model.
+    pub demand: SharedDemand,
     /// JSON-RPC methods for the system's own processes.
     #[debug(skip)]
     pub methods: Methods,
+    /// The listener for the system's own processes; bound by the settings when there is none.
+    pub listener: Option<TcpListener>,
     /// Routes for the system's own processes and operators.
     #[debug(skip)]
     pub routes: Arc<dyn Routes>,
@@ -67,13 +73,16 @@
 impl EntryParts {
     /// Makes the parts of an entry without ledger, methods and routes of its own.
     pub fn new(life: Incarnation, metrics: Metrics, fleet: Arc<dyn FleetSource>) -> Self {
+        let clock = Clock::start();
         Self {
             life,
-            clock: Clock::start(),
+            demand: SharedDemand::new(clock),
+            clock,
             metrics,
             fleet,
             ledger: Arc::new(NoLedger),
             methods: Methods::new(),
+            listener: None,
             routes: Arc::new(NoRoutes),
         }
     }
@@ -107,10 +116,16 @@
         let listen = settings.internal;
         let key = settings.peer_key.clone();
         let metrics = EntryMetrics::new(&parts.metrics);
-        let (life, clock, ledger) = (parts.life, parts.clock, parts.ledger);
-        let state = Arc::new(EntryState::new(settings, life, ledger, metrics, clock));
+        let ledger = parts.ledger;
+        let mut state = EntryState::new(settings, parts.life, ledger, metrics, parts.clock);
+        state.demand = parts.demand;
+        let state = Arc::new(state);
+        let listener = match parts.listener {
+            Some(listener) => listener,
+            None => TcpListener::bind(listen).await?,
+        };
         let internal =
-            PeerServer::start(listen, key, parts.metrics, parts.methods, parts.routes).await?;
+            PeerServer::start_on(listener, key, parts.metrics, parts.methods, parts.routes)?;
         let api = start_api(state.clone())?;
         let stop = CancellationToken::new();
         let loops = TaskTracker::new();
@@ -152,8 +167,7 @@
     /// balancer still sends some.
     pub async fn drain(&self) {
         info!(target: "entry", "entry: draining begins");
-        self.state.drain.cancel();
-        self.state.admission.drain();
+        self.state.stop_admission();
         self.state.tasks.close();
         let linger = tokio::time::sleep(self.state.settings.drain_time);
         tokio::join!(linger, self.state.tasks.wait());
--- a/crates/entry/src/fleet/mod.rs
+++ b/crates/entry/src/fleet/mod.rs
@@ -26,3 +26,14 @@
     /// The future may be dropped and asked for again without losing news.
     async fn next(&self) -> Vec<FleetNews>;
 }
+
+/// A source that never has news.
+#[derive(Debug, Clone, Copy)]
+pub struct NoNews;
+
+#[async_trait]
+impl FleetSource for NoNews {
+    async fn next(&self) -> Vec<FleetNews> {
+        std::future::pending().await
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod call;
 pub mod control;
 pub mod daemon;
+pub mod demand;
 pub mod fleet;
 pub mod ledger;
 pub mod operator;
--- a/crates/entry/src/path/agent.rs
+++ b/crates/entry/src/path/agent.rs
@@ -74,7 +74,7 @@
 }
 
 /// Returns where a target's agent takes work.
-pub(crate) fn address_of(state: &EntryState, target: &TargetName) -> Option<SocketAddr> {
+pub(super) fn address_of(state: &EntryState, target: &TargetName) -> Option<SocketAddr> {
     let decider = state.decider();
     let view = decider.router.as_ref()?.view();
     view.agent(target).map(|agent| agent.address)
--- a/crates/entry/src/path/mod.rs
+++ b/crates/entry/src/path/mod.rs
@@ -7,5 +7,4 @@
 mod watch;
 
 pub use agent::AGENT_TIMEOUT;
-pub(crate) use agent::address_of;
 pub use run::{FlowOutput, RunInput, start_run};
--- a/crates/entry/src/path/run.rs
+++ b/crates/entry/src/path/run.rs
@@ -18,6 +18,7 @@
 use crate::EntryState;
 use crate::admission::Place;
 use crate::call::{CallEnd, ClaimStep, ClaimedAttempt, KeyedCall};
+use crate::demand::DemandGuard;
 use crate::state::{Decider, ServiceState, lock};
 
 /// Outputs that wait for a slow caller.
@@ -52,6 +53,8 @@
     pub arrived: Timestamp,
     /// The place at the service's gate.
     pub place: Place,
+    /// Counts the request's demand for a model.
+    pub demand: Option<DemandGuard>,
 }
 
 /// Starts a request; its outputs come through the receiver, whose end means that the caller left.
@@ -71,6 +74,7 @@
     call: Option<KeyedCall>,
     claimed: Option<AttemptId>,
     place: Place,
+    demand: Option<DemandGuard>,
     outputs: mpsc::Sender<FlowOutput>,
     open: Option<(AttemptStream, OpenAttempt)>,
     pace: Pace,
@@ -91,6 +95,7 @@
             call: input.call,
             claimed: None,
             place: input.place,
+            demand: input.demand,
             outputs,
             open: None,
             pace: Pace::new(input.arrived),
@@ -265,6 +270,9 @@
             _ => CallEnd::Unknown,
         };
         self.settle(end).await;
+        if let Some(demand) = &mut self.demand {
+            demand.failed(body.code);
+        }
         self.state.record_burn(&self.service, false);
         let outcome = body.outcome;
         debug!(target: "path", "path: request fails as {outcome}: {}", body.message);
--- a/crates/entry/src/relay/mod.rs
+++ b/crates/entry/src/relay/mod.rs
@@ -11,8 +11,9 @@
 use kumquatkeel_core::ledger::{OpAnswer, Operation};
 use kumquatkeel_daemon::rpc::RelayApiServer;
 use kumquatkeel_daemon::spread::Hub;
-use kumquatkeel_types::message::{PollReply, PollRequest};
+use kumquatkeel_types::message::{DemandReport, PollReply, PollRequest};
 
+use crate::demand::SharedDemand;
 use crate::ledger::StoreLedger;
 
 /// The RPC of an entry for other processes.
@@ -20,12 +21,17 @@
 pub struct RelayService {
     hub: Arc<Hub>,
     ledger: StoreLedger,
+    demand: SharedDemand,
 }
 
 impl RelayService {
-    /// Makes the RPC that answers from `hub` and `ledger`.
-    pub const fn new(hub: Arc<Hub>, ledger: StoreLedger) -> Self {
-        Self { hub, ledger }
+    /// Makes the RPC that answers from `hub`, `ledger` and `demand`.
+    pub const fn new(hub: Arc<Hub>, ledger: StoreLedger, demand: SharedDemand) -> Self {
+        Self {
+            hub,
+            ledger,
+            demand,
+        }
     }
 }
 
@@ -38,4 +44,8 @@
     async fn ledger(&self, operation: Operation) -> RpcResult<OpAnswer> {
         Ok(self.ledger.apply(&operation).await)
     }
+
+    async fn demand(&self) -> RpcResult<DemandReport> {
+        Ok(self.demand.report())
+    }
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -28,6 +28,9 @@
     pub internal: SocketAddr,
     /// The address of the platform's object API.
     pub platform: SocketAddr,
+    /// The internal addresses of some entries, to find the others by.
+    #[serde(default)]
+    pub entries: Vec<SocketAddr>,
     /// The key of the system's own processes.
     pub peer_key: String,
     /// The digest of the operators' key that counts until there is a document.
@@ -60,6 +63,8 @@
     pub internal: SocketAddr,
     /// The address of the platform's object API.
     pub platform: SocketAddr,
+    /// The internal addresses of some entries, to find the others by.
+    pub entries: Vec<SocketAddr>,
     /// The key of the system's own processes.
     pub peer_key: PeerKey,
     /// The digest of the operators' key that counts until there is a document.
@@ -108,6 +113,7 @@
             listen: raw.listen,
             internal: raw.internal,
             platform: raw.platform,
+            entries: raw.entries,
             peer_key,
             bootstrap_key: raw.bootstrap_key_sha256,
             body_bytes: raw.body_bytes,
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -27,6 +27,7 @@
 use crate::admission::Admission;
 use crate::api::answer::not_run;
 use crate::call::CallLedger;
+use crate::demand::SharedDemand;
 use crate::measure::EntryMetrics;
 use crate::operator::{NoDesk, OperatorDesk};
 use crate::path::AGENT_TIMEOUT;
@@ -76,6 +77,7 @@
     pub(crate) client: PeerClient,
     pub(crate) ledger: Arc<dyn CallLedger>,
     pub(crate) metrics: EntryMetrics,
+    pub(crate) demand: SharedDemand,
     pub(crate) drain: CancellationToken,
     pub(crate) tasks: TaskTracker,
     decider: Mutex<Decider>,
@@ -102,6 +104,7 @@
             client: PeerClient::new(),
             ledger,
             metrics,
+            demand: SharedDemand::new(clock),
             drain: CancellationToken::new(),
             tasks: TaskTracker::new(),
             decider: Mutex::new(Decider {
@@ -219,6 +222,12 @@
             .map_or(1, |r| r.view().live_entries())
     }
 
+    /// Takes no new requests from now on.
+    pub fn stop_admission(&self) {
+        self.drain.cancel();
+        self.admission.drain();
+    }
+
     /// Connects the desk at which operators commit documents; only the first one counts.
     pub fn connect_desk(&self, desk: Arc<dyn OperatorDesk>) {
         let _ = self.desk.set(desk);
--- a/crates/standin/src/demo/mod.rs
+++ b/crates/standin/src/demo/mod.rs
@@ -36,8 +36,8 @@
 ///
 /// Fails with the first step that fails or the first check that does not hold.
 pub async fn run(options: DemoOptions) -> Result<DemoReport, DemoError> {
-    let mut fleet = Fleet::start(sample_plan()?).await?;
-    fleet.load_all().await?;
+    let fleet = Fleet::start(sample_plan()?).await?;
+    fleet.wait_placed().await?;
     print_addresses(&fleet);
     let mut report = DemoReport::default();
     if options.once {
--- a/crates/standin/src/fleet/agent.rs
+++ b/crates/standin/src/fleet/agent.rs
@@ -22,20 +22,23 @@
     address: SocketAddr,
     platform: SocketAddr,
     status: Link,
+    relays: Vec<SocketAddr>,
     fronts: Vec<Link>,
     life: Option<Life>,
 }
 
 impl AgentSlot {
-    /// Starts the agent of a target, reached by each of `entries` through a link of its own.
+    /// Starts the agent of a target, reached by each entry through a link of its own.
+    ///
+    /// `relays` are the entries' internal addresses.
     pub(super) async fn start(
         target: Target,
         address: SocketAddr,
         platform: SocketAddr,
-        entries: usize,
+        relays: Vec<SocketAddr>,
     ) -> Result<Self, FleetError> {
         let mut fronts = Vec::new();
-        for _ in 0..entries {
+        for _ in &relays {
             fronts.push(Link::start().await?);
         }
         let mut slot = Self {
@@ -43,6 +46,7 @@
             address,
             platform,
             status: Link::start().await?,
+            relays,
             fronts,
             life: None,
         };
@@ -156,6 +160,7 @@
             "accelerator_mb": self.target.accelerator_mb,
             "fencing": self.target.fencing,
             "store": store,
+            "relays": self.relays,
         }))
     }
 }
--- a/crates/standin/src/fleet/entry.rs
+++ b/crates/standin/src/fleet/entry.rs
@@ -17,16 +17,18 @@
     number: usize,
     daemon: EntryDaemon,
     store: Link,
+    internal: Link,
 }
 
 impl EntrySlot {
-    /// Starts the entry with this number.
+    /// Starts the entry with this number, which the others find through `fronts`.
     pub(super) async fn start(
         number: usize,
         name: &EntryName,
         data_centre: &DataCentreName,
         platform: SocketAddr,
         agents: &BTreeMap<TargetName, AgentSlot>,
+        fronts: &[Link],
     ) -> Result<Self, FleetError> {
         let store = Link::to(platform).await?;
         let settings: EntrySettings = checked_settings::<RawEntrySettings, _>(json!({
@@ -35,6 +37,7 @@
             "listen": loopback(),
             "internal": loopback(),
             "platform": store.address(),
+            "entries": fronts.iter().map(Link::address).collect::<Vec<_>>(),
             "peer_key": PEER_KEY,
             "drain_ms": 0,
         }))?;
@@ -47,10 +50,13 @@
         let daemon = daemon
             .await
             .map_err(|error| FleetError::step("start an entry", error.to_string()))?;
+        let internal = fronts[number].clone();
+        internal.lead_to(daemon.entry().internal());
         Ok(Self {
             number,
             daemon,
             store,
+            internal,
         })
     }
 
@@ -64,6 +70,11 @@
         self.handle().address()
     }
 
+    /// Returns the link by which other processes first find the entry.
+    pub const fn internal_link(&self) -> &Link {
+        &self.internal
+    }
+
     /// Returns the entry's link to the store.
     pub const fn store_link(&self) -> &Link {
         &self.store
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -97,8 +97,13 @@
             plain_servers: Vec::new(),
             orders: 0,
         };
+        let mut fronts = Vec::new();
+        for _ in &plan.entries {
+            fronts.push(Link::start().await?);
+        }
+        let relays: Vec<_> = fronts.iter().map(Link::address).collect();
         for target in fleet.document.targets.clone() {
-            fleet.start_target(target, plan.entries.len()).await?;
+            fleet.start_target(target, relays.clone()).await?;
         }
         for target in &mut fleet.document.targets {
             target.agent = fleet.agents[&target.name].address();
@@ -107,7 +112,7 @@
         for (number, entry) in plan.entries.iter().enumerate() {
             let platform = fleet.platform();
             let (name, centre) = (&entry.name, &entry.data_centre);
-            let slot = EntrySlot::start(number, name, centre, platform, &fleet.agents);
+            let slot = EntrySlot::start(number, name, centre, platform, &fleet.agents, &fronts);
             fleet.entries.push(slot.await?);
         }
         Ok(fleet)
@@ -160,13 +165,17 @@
         self.platform.stop().await;
     }
 
-    async fn start_target(&mut self, target: Target, entries: usize) -> Result<(), FleetError> {
+    async fn start_target(
+        &mut self,
+        target: Target,
+        relays: Vec<SocketAddr>,
+    ) -> Result<(), FleetError> {
         let address = match target.kind {
             TargetKind::Engine => self.start_engine(&target)?,
             TargetKind::Plain => self.start_plain(&target)?,
         };
         let name = target.name.clone();
-        let slot = AgentSlot::start(target, address, self.platform(), entries).await?;
+        let slot = AgentSlot::start(target, address, self.platform(), relays).await?;
         self.agents.insert(name, slot);
         Ok(())
     }
--- a/crates/standin/src/fleet/placement.rs
+++ b/crates/standin/src/fleet/placement.rs
@@ -11,6 +11,8 @@
 
 use super::{Fleet, FleetError, PEER_KEY};
 
+/// The epoch of a test's own orders: above that of every lease, so that no planner interferes.
+const ORDER_EPOCH: Epoch = Epoch(1 << 32);
 /// The step that an error names.
 const STEP: &str = "order a load";
 /// Longest wait for an agent's answer.
@@ -35,6 +37,35 @@
         Ok(())
     }
 
+    /// Waits until the planner has every model and adapter resident on some engine.
+    ///
+    /// # Errors
+    ///
+    /// Fails when that takes too long.
+    pub async fn wait_placed(&self) -> Result<(), FleetError> {
+        for action in loads_of(&self.document) {
+            let agents = self.agents.values().map(|agent| agent.handle().member());
+            let placed = agents.map(|mut member| {
+                let action = action.clone();
+                Box::pin(async move {
+                    let resident = member.wait_for(|member| is_resident(member, &action));
+                    resident.await.map(drop)
+                })
+            });
+            let placed = futures::future::select_ok(placed);
+            match tokio::time::timeout(LOAD_LIMIT, placed).await {
+                Ok(Ok(_)) => {}
+                _ => {
+                    return Err(FleetError::step(
+                        "wait for the planner",
+                        format!("{action:?}"),
+                    ));
+                }
+            }
+        }
+        Ok(())
+    }
+
     /// Orders one load and waits until it shows.
     ///
     /// # Errors
@@ -81,7 +112,7 @@
         let client = rpc_client(agent.address(), &key, ORDER_TIMEOUT)
             .map_err(|error| failed(error.to_string()))?;
         let order = Order {
-            epoch: Epoch(1),
+            epoch: ORDER_EPOCH,
             number: self.orders,
             target: target.clone(),
             incarnation: agent.incarnation(),
