--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -37,6 +37,8 @@
 
 /// The longest order delay that the agents of the tests assume.
 pub(crate) const ORDER_DELAY: Duration = Duration::from_millis(600);
+/// The longest time from an intent to its order that the agents of the tests allow.
+pub(crate) const ORDER_LEASE: Duration = Duration::from_millis(300);
 
 pub(crate) fn model(name: &str) -> ModelId {
     ModelId {
@@ -83,7 +85,7 @@
         "target": target, "accelerators": accelerators, "accelerator_mb": 100 * accelerators,
         "slots": 4,
         "limits": {
-            "order_delay_ms": ORDER_DELAY.as_millis() as u64, "order_lease_ms": 300,
+            "order_delay_ms": ORDER_DELAY.as_millis() as u64, "order_lease_ms": ORDER_LEASE.as_millis() as u64,
             "poll_ms": 20, "stall_ms": 2_000,
         },
     }))
--- a/crates/agent/tests/restart.rs
+++ b/crates/agent/tests/restart.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use common::{Site, committed_mb, engine_options, model, start_engine, state_of};
+use common::{ORDER_LEASE, Site, committed_mb, engine_options, model, start_engine, state_of};
 use kumquatkeel_core::memory::{Intent, TargetRecord};
 use kumquatkeel_platform::{ObjectKey, ObjectStore};
 use kumquatkeel_standin::engine::{EngineCall, EngineFault};
@@ -142,3 +142,17 @@
     let reply = second.fence_as(request).await;
     assert_eq!(reply, FenceReply::WrongIncarnation { incarnation });
 }
+
+#[tokio::test]
+async fn an_order_is_not_sent_when_its_intent_took_longer_than_the_lease() {
+    let (engine, server) = start_engine(engine_options());
+    let store = MemoryStore::new();
+    let site = Site::engine(server.address(), Some(Arc::new(store.clone()))).await;
+    site.serve("small").await;
+    let orders = engine.record().orders.len();
+    store.faults().set_write_delay(ORDER_LEASE * 2);
+    assert_eq!(site.unload("small").await.result, OrderResult::Started);
+    site.until(|m| state_of(m, "small") == Some(ReplicaState::Ready))
+        .await;
+    assert_eq!(engine.record().orders.len(), orders);
+}
