--- a/crates/entry/src/ledger/mod.rs
+++ b/crates/entry/src/ledger/mod.rs
@@ -5,15 +5,15 @@
 
 mod answer;
 mod bridge;
-mod direct;
 mod peers;
+mod rpc_peers;
 mod service;
 mod wall;
 mod worker;
 
 pub use answer::{CallLedger, ClaimAnswer, SettleAnswer};
 pub use bridge::PathLedger;
-pub use direct::DirectPeers;
 pub use peers::LedgerPeers;
+pub use rpc_peers::RpcPeers;
 pub use service::{LedgerOptions, StoreLedger};
 pub use wall::WallClock;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,8 @@
 
 pub mod demo;
 pub mod engine;
+pub mod fleet;
+pub mod measure;
 pub mod plain;
 pub mod platform;
 
