--- a/crates/core/src/ledger/batch.rs
+++ b/crates/core/src/ledger/batch.rs
@@ -127,6 +127,11 @@
         self.waiting.is_empty() && self.flight.is_none()
     }
 
+    /// Says whether the next step may be a write.
+    pub fn may_write(&self) -> bool {
+        self.known.is_some() && self.flight.is_none() && !self.waiting.is_empty()
+    }
+
     /// Adds an operation; `None` when too many wait already.
     pub fn submit(&mut self, operation: Operation) -> Option<Ticket> {
         if self.waiting.len() >= MAX_WAITING {
--- a/crates/entry/src/ledger/worker.rs
+++ b/crates/entry/src/ledger/worker.rs
@@ -80,8 +80,11 @@
 
     async fn work(&mut self) {
         loop {
-            while let Ok(submission) = self.submissions.try_recv() {
-                self.take(submission);
+            self.take_all();
+            if self.batcher.may_write() {
+                // What comes while the write waits for its turn goes along with it.
+                sleep_until(self.shared.clock.instant(self.reserve())).await;
+                self.take_all();
             }
             let now = self.shared.clock.now();
             let (step, replies) = self.batcher.step(now, self.shared.wall.now());
@@ -107,6 +110,12 @@
         }
     }
 
+    fn take_all(&mut self) {
+        while let Ok(submission) = self.submissions.try_recv() {
+            self.take(submission);
+        }
+    }
+
     fn take(&mut self, submission: Submission) {
         match self.batcher.submit(submission.operation) {
             Some(ticket) => self.replies.push((ticket, submission.reply)),
@@ -145,7 +154,6 @@
     }
 
     async fn write(&self, write: BatchWrite<ObjectVersion>) -> WriteEnd<ObjectVersion> {
-        sleep_until(self.shared.clock.instant(self.reserve())).await;
         let id = self.partition;
         let Ok(value) = serde_json::to_vec(&write.partition) else {
             return WriteEnd::Failed;
