fix(entry): count open streams among the entry's requests

The permit was given back when the handler returned, so that open streams did not count against the limit. It stays with the request to its end.

--- a/crates/entry/src/api/completions.rs
+++ b/crates/entry/src/api/completions.rs
@@ -15,7 +15,7 @@
 use kumquatkeel_types::message::{CompletionWork, Work};
 use kumquatkeel_types::{ErrorBody, ErrorCode, Outcome, RequestId, Timestamp};
 use serde::Deserialize;
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, mpsc};
 
 use super::answer::{error_answer, json_answer, name_request, refused};
 use super::body::read_json;
@@ -61,6 +61,7 @@
     pub(super) caller: &'a CallerEntry,
     pub(super) headers: &'a HeaderMap,
     pub(super) arrived: Timestamp,
+    pub(super) permit: Arc<OwnedSemaphorePermit>,
 }
 
 /// Runs a completion and makes its answer.
@@ -186,6 +187,7 @@
         service: Arc::new(service.clone()),
         call: None,
         arrived: sender.arrived,
+        permit: sender.permit.clone(),
         place,
         demand: Some(demand),
     };
--- a/crates/entry/src/api/plain.rs
+++ b/crates/entry/src/api/plain.rs
@@ -136,6 +136,7 @@
         },
         service: Arc::new(service.clone()),
         arrived: sender.arrived,
+        permit: sender.permit.clone(),
         place,
         demand: None,
     };
--- a/crates/entry/src/api/serve.rs
+++ b/crates/entry/src/api/serve.rs
@@ -14,7 +14,7 @@
 use schemars::JsonSchema;
 use serde::Deserialize;
 use slog::Drain;
-use tokio::sync::{Semaphore, SemaphorePermit};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use super::answer::{error_answer, json_answer, not_run};
 use super::body::read_body;
@@ -32,7 +32,7 @@
 #[derive(Debug)]
 pub struct ApiContext {
     pub(super) state: Arc<EntryState>,
-    permits: Semaphore,
+    permits: Arc<Semaphore>,
 }
 
 type Context = RequestContext<ApiContext>;
@@ -52,7 +52,7 @@
     };
     let log = slog::Logger::root(slog_stdlog::StdLog.fuse(), slog::o!());
     let context = ApiContext {
-        permits: Semaphore::new(state.settings.requests),
+        permits: Arc::new(Semaphore::new(state.settings.requests)),
         state,
     };
     let server = ServerBuilder::new(description()?, context, log);
@@ -170,7 +170,7 @@
     headers: HeaderMap,
     body: Bytes,
     arrived: Timestamp,
-    _permit: SemaphorePermit<'a>,
+    permit: Arc<OwnedSemaphorePermit>,
 }
 
 impl<'a> Admitted<'a> {
@@ -188,7 +188,7 @@
         };
         let (head, body) = request.into_inner().into_parts();
         let caller = caller_of(&document, &head.headers)?.clone();
-        let Ok(permit) = permits.try_acquire() else {
+        let Ok(permit) = permits.clone().try_acquire_owned() else {
             let message = "this entry has too many requests in progress";
             return Err(not_run(ErrorCode::Overloaded, message, COME_BACK));
         };
@@ -200,15 +200,16 @@
             body: read_body(body, most, time).await?,
             document,
             arrived,
-            _permit: permit,
+            permit: Arc::new(permit),
         })
     }
 
-    const fn sender(&self) -> Sender<'_> {
+    fn sender(&self) -> Sender<'_> {
         Sender {
             caller: &self.caller,
             headers: &self.headers,
             arrived: self.arrived,
+            permit: self.permit.clone(),
         }
     }
 }
--- a/crates/entry/src/path/run.rs
+++ b/crates/entry/src/path/run.rs
@@ -9,7 +9,7 @@
 use kumquatkeel_types::message::Dispatch;
 use kumquatkeel_types::{AttemptId, ErrorBody, Outcome, TargetName, Timestamp};
 use log::debug;
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, mpsc};
 
 use super::agent::{address_of, fence, probe};
 use super::attempt::AttemptStream;
@@ -53,6 +53,8 @@
     pub arrived: Timestamp,
     /// The place at the service's gate.
     pub place: Place,
+    /// The permit among the entry's requests, kept until the request ends.
+    pub permit: Arc<OwnedSemaphorePermit>,
     /// Counts the request's demand for a model.
     pub demand: Option<DemandGuard>,
 }
@@ -74,6 +76,7 @@
     call: Option<KeyedCall>,
     claimed: Option<AttemptId>,
     place: Place,
+    _permit: Arc<OwnedSemaphorePermit>,
     demand: Option<DemandGuard>,
     outputs: mpsc::Sender<FlowOutput>,
     open: Option<(AttemptStream, OpenAttempt)>,
@@ -95,6 +98,7 @@
             call: input.call,
             claimed: None,
             place: input.place,
+            _permit: input.permit,
             demand: input.demand,
             outputs,
             open: None,
--- a/crates/entry/tests/callers.rs
+++ b/crates/entry/tests/callers.rs
@@ -177,6 +177,28 @@
     drained.await;
 }
 
+#[tokio::test]
+async fn open_streams_count_against_the_entrys_requests() {
+    let mut site = Site::start(&["t1"], None).await;
+    let key = format!("Bearer {CALLER_KEY}");
+    let mut held = Vec::new();
+    for _ in 0..3 {
+        site.agents[0].script(Script::Hold);
+        held.push(
+            site.open(TEXT, &[("authorization", &key)], &body(true))
+                .await,
+        );
+        site.agents[0].next_attempt().await;
+    }
+    let reply = site.post(TEXT, &[], &body(true)).await;
+    assert_eq!((reply.status.as_u16(), reply.outcome()), (429, "not_run"));
+    site.agents[0].go_on();
+    for stream in held {
+        let text = stream.into_body().collect().await.unwrap().to_bytes();
+        assert!(text.ends_with(b"data: [DONE]\n\n"));
+    }
+}
+
 #[rstest]
 #[case::streamed(true)]
 #[case::whole(false)]
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -467,7 +467,7 @@
     let raw: RawEntrySettings = serde_json::from_value(json!({
         "name": "e", "data_centre": "dc", "listen": "127.0.0.1:0", "internal": "127.0.0.1:0",
         "platform": "127.0.0.1:1", "peer_key": PEER_KEY,
-        "body_bytes": 4096, "body_ms": 500, "drain_ms": 0,
+        "body_bytes": 4096, "body_ms": 500, "requests": 3, "drain_ms": 0,
     }))
     .unwrap();
     EntrySettings::try_from(raw).unwrap()
