--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -19,11 +19,13 @@
 mod in_flight;
 mod least_in_flight;
 mod least_loaded;
+mod news;
 mod policy;
 mod replica;
 mod round_robin;
 mod router;
 mod sample;
+mod shown;
 mod view;
 
 pub use candidate::{Candidate, Distance, RouteRequest};
