--- a/crates/kumquatkeel/src/cli.rs
+++ b/crates/kumquatkeel/src/cli.rs
@@ -128,6 +128,9 @@
     /// The weight of moves against attainment, from 0 to 1; the document's default when left out.
     #[arg(long)]
     pub moves_weight: Option<f64>,
+    /// The offered load, as a multiple of the workload's.
+    #[arg(long, default_value_t = 1.0)]
+    pub load: f64,
     /// Only this policy.
     #[arg(long)]
     pub policy: Option<String>,
