feat(agent): take configuration and members from the entries, and name another target

An agent with entries in its settings follows them instead of holding a watch on the store, reports itself through them, and tells refused callers the least loaded target of its region that serves the same work.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -10,15 +10,14 @@
 //! | `/rpc` | probe, fence, order and status, as JSON-RPC |
 //!
 //! ```no_run
-//! use kumquatkeel_agent::{Agent, AgentParts, AgentSettings, RawAgentSettings};
-//! use kumquatkeel_daemon::{metrics::Metrics, settings::load_settings};
-//! use tokio::sync::watch;
+//! use kumquatkeel_agent::daemon::AgentDaemon;
+//! use kumquatkeel_agent::{AgentSettings, RawAgentSettings};
+//! use kumquatkeel_daemon::settings::load_settings;
 //!
 //! # async fn run() -> Result<(), Box<dyn std::error::Error>> {
 //! let settings = load_settings::<RawAgentSettings, AgentSettings>("agent.jsonc")?;
-//! let (_configuration, receiver) = watch::channel(None);
-//! let agent = Agent::start(settings, AgentParts::new(receiver, Metrics::start()?)).await?;
-//! agent.shutdown().await;
+//! let daemon = AgentDaemon::start(settings).await?;
+//! daemon.shutdown().await;
 //! # Ok(())
 //! # }
 //! ```
@@ -33,6 +32,7 @@
 mod engine;
 mod error;
 mod events;
+mod hints;
 mod orders;
 mod plain;
 mod poll;
@@ -45,5 +45,5 @@
 pub use agent::{Agent, AgentHandle, AgentParts};
 pub use configuration::Configuration;
 pub use error::{AgentError, TargetError};
+pub use hints::{NoHints, PeerHints, ViewHints};
 pub use settings::{AgentLimits, AgentSettings, RawAgentLimits, RawAgentSettings};
-pub use shared::{NoHints, PeerHints};
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -7,7 +7,7 @@
 use kumquatkeel_types::message::{
     Member, MemberState, MemberVersion, Residency, Role, TargetStatus,
 };
-use kumquatkeel_types::{AdapterName, Incarnation, ModelId, Revision, TargetName, Timestamp};
+use kumquatkeel_types::{Incarnation, Revision, Timestamp};
 use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -17,27 +17,7 @@
 use crate::plain::PlainClient;
 use crate::record::RecordStore;
 use crate::telemetry::Telemetry;
-use crate::{AgentSettings, Configuration};
-
-/// Names another target for work that this agent does not take.
-pub trait PeerHints: Send + Sync {
-    /// Returns a target that may take the work; the model is none for a plain call.
-    fn elsewhere(
-        &self,
-        model: Option<&ModelId>,
-        adapter: Option<&AdapterName>,
-    ) -> Option<TargetName>;
-}
-
-/// Knows no other target.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct NoHints;
-
-impl PeerHints for NoHints {
-    fn elsewhere(&self, _: Option<&ModelId>, _: Option<&AdapterName>) -> Option<TargetName> {
-        None
-    }
-}
+use crate::{AgentSettings, Configuration, PeerHints};
 
 /// State and clients of one agent.
 pub(crate) struct Shared {
