--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -1,11 +1,15 @@
 //! The whole agent daemon: the agent wired to the platform's store and to the entries.
+<<<<<<< HEAD
 //!
 //! With entries named in the settings, configuration and members come and go through them; without
 //! any, the configuration is followed in the store.
+=======
+>>>>>>> main
 
 use std::sync::Arc;
 
 use kumquatkeel_daemon::clock::Clock;
+<<<<<<< HEAD
 use kumquatkeel_daemon::config::follow_store;
 use kumquatkeel_daemon::metrics::Metrics;
 use kumquatkeel_daemon::spread::{Hub, RpcTransport, SharedView, SpreadClient, SpreadOptions};
@@ -13,6 +17,14 @@
 use kumquatkeel_types::document::Document;
 use kumquatkeel_types::message::{Member, Snapshot};
 use log::{error, warn};
+=======
+use kumquatkeel_daemon::metrics::Metrics;
+use kumquatkeel_daemon::spread::{Hub, RpcTransport, SharedView, SpreadClient, SpreadOptions};
+use kumquatkeel_platform::{CallCounts, HttpObjectStore, HttpOptions, ObjectStore, WriteIds};
+use kumquatkeel_types::message::{Member, MemberState};
+use log::error;
+use rand::Rng;
+>>>>>>> main
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
@@ -22,6 +34,10 @@
 #[derive(Debug)]
 pub struct AgentDaemon {
     agent: AgentHandle,
+<<<<<<< HEAD
+=======
+    hub: Arc<Hub>,
+>>>>>>> main
     spread: Option<SpreadClient>,
     stop: CancellationToken,
 }
@@ -41,6 +57,7 @@
             peer: settings.listen,
             reason: error.to_string(),
         })?;
+<<<<<<< HEAD
         let hints = ViewHints::new(settings.name.clone(), view);
         let mut parts = AgentParts::new(configuration, metrics).hints(hints);
         let store = settings.store.map(store_at);
@@ -67,6 +84,22 @@
         };
         Ok(Self {
             agent,
+=======
+        let store = settings.store.map(store_at);
+        let mut parts = AgentParts::new(configuration, metrics);
+        if let Some(store) = &store {
+            parts = parts.store(store.clone());
+        }
+        let agent = Agent::start(settings.clone(), parts).await?;
+        let own = agent.member().borrow().clone();
+        let hub = Arc::new(Hub::new(own, rand::rng().next_u64(), Clock::start()));
+        tokio::spawn(follow_view(hub.view(), sender, stop.clone()));
+        tokio::spawn(report(agent.member(), hub.clone(), stop.clone()));
+        let spread = store.map(|store| spread(&settings, store, &hub, &stop));
+        Ok(Self {
+            agent,
+            hub,
+>>>>>>> main
             spread,
             stop,
         })
@@ -77,10 +110,17 @@
         &self.agent
     }
 
+<<<<<<< HEAD
     /// Drains the agent and tells the other processes, then stops everything.
+=======
+    /// Tells the others that the agent leaves, drains it, then stops everything.
+>>>>>>> main
     pub async fn shutdown(self) {
+        self.hub.set_state(MemberState::Draining);
         self.agent.shutdown().await;
+        self.hub.set_state(MemberState::Gone);
         self.stop.cancel();
+<<<<<<< HEAD
         if let Some(spread) = self.spread {
             spread.stop().await;
         }
@@ -134,6 +174,11 @@
         if member.changed().await.is_err() {
             return;
         }
+=======
+        if let Some(spread) = &self.spread {
+            spread.stop().await;
+        }
+>>>>>>> main
     }
 }
 
@@ -146,28 +191,59 @@
     ))
 }
 
-/// Turns stored snapshots into checked configurations.
-async fn check_snapshots(
-    mut snapshots: watch::Receiver<Option<Snapshot>>,
+fn spread(
+    settings: &AgentSettings,
+    store: Arc<dyn ObjectStore>,
+    hub: &Arc<Hub>,
+    stop: &CancellationToken,
+) -> SpreadClient {
+    let options = SpreadOptions {
+        seeds: settings.relays.clone(),
+        transport: Arc::new(RpcTransport::new(settings.peer_key.clone())),
+        store,
+        instances: None,
+        ids: Arc::new(WriteIds::new(&settings.name, &mut rand::rng())),
+    };
+    SpreadClient::start(hub.clone(), options, stop.clone())
+}
+
+/// Hands each configuration of the spread to the agent.
+async fn follow_view(
+    mut view: watch::Receiver<SharedView>,
     configurations: watch::Sender<Option<Configuration>>,
     stop: CancellationToken,
 ) {
     loop {
-        let snapshot = snapshots.borrow_and_update().clone();
-        if let Some(snapshot) = snapshot {
-            let revision = snapshot.revision;
-            match Document::try_from((*snapshot.document).clone()) {
-                Ok(document) => {
-                    let document = Arc::new(document);
-                    configurations.send_replace(Some(Configuration { revision, document }));
-                }
-                Err(faults) => {
-                    warn!(target: "agent", "agent: revision {revision} has faults: {faults}");
-                }
-            }
+        let (revision, document, superseded) = {
+            let view = view.borrow_and_update();
+            (view.revision, view.document.clone(), view.superseded)
+        };
+        if superseded {
+            error!(target: "agent", "agent: a later life has this name");
+        }
+        let known = configurations
+            .borrow()
+            .as_ref()
+            .map(|c| c.revision)
+            .unwrap_or_default();
+        if revision > known {
+            configurations.send_replace(Some(Configuration { revision, document }));
+        }
+        if !matches!(stop.run_until_cancelled(view.changed()).await, Some(Ok(()))) {
+            return;
         }
-        let changed = stop.run_until_cancelled(snapshots.changed()).await;
-        if !matches!(changed, Some(Ok(()))) {
+    }
+}
+
+/// Hands the agent's report of itself to the spread.
+async fn report(mut member: watch::Receiver<Member>, hub: Arc<Hub>, stop: CancellationToken) {
+    loop {
+        let own = member.borrow_and_update().clone();
+        hub.take_report(&own);
+        if !matches!(
+            stop.run_until_cancelled(member.changed()).await,
+            Some(Ok(()))
+        ) {
             return;
         }
     }
