--- a/crates/core/tests/memory_orders.rs
+++ b/crates/core/tests/memory_orders.rs
@@ -156,6 +156,21 @@
     assert_eq!(account.committed_mb(), [0]);
 }
 
+#[test]
+fn a_lagging_report_is_not_taken_for_newer_than_it_is() {
+    let mut account = Account::new(settings(Fencing::Ignored), at(0));
+    account.observe(&report(false, 0), at(1), size_of);
+    let _ = account.begin(&load(), Some(60), at(2));
+    account.settle(1, None, at(3));
+    let lagging = EngineLoad {
+        age_ms: 3_000,
+        ..report(false, 0)
+    };
+    // It describes the engine a second before the order's last possible arrival.
+    account.observe(&lagging, at(15), size_of);
+    assert_eq!(account.committed_mb(), [60]);
+}
+
 #[test]
 fn an_unload_that_is_confirmed_soon_after_the_load_waits_for_late_copies_of_it() {
     let mut account = Account::new(settings(Fencing::Ignored), at(0));
--- a/crates/core/tests/memory_worlds.rs
+++ b/crates/core/tests/memory_worlds.rs
@@ -40,7 +40,7 @@
         2 => any::<u8>().prop_map(|nth| Event::LoseAnswer { nth }),
         1 => any::<u8>().prop_map(|nth| Event::Drop { nth }),
         6 => (0..2_500_u16).prop_map(|millis| Event::Pass { millis }),
-        6 => (0..1_500_u16).prop_map(|age_ms| Event::Poll { age_ms }),
+        6 => (0..6_000_u16).prop_map(|age_ms| Event::Poll { age_ms }),
         1 => any::<bool>().prop_map(|store_up| Event::Restart { store_up }),
     ];
     prop::collection::vec(event, 1..160)
