--- a/crates/core/tests/gate_runs.rs
+++ b/crates/core/tests/gate_runs.rs
@@ -205,7 +205,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 1_000, rng_seed: RngSeed::Fixed(SEED), failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 400, rng_seed: RngSeed::Fixed(SEED), failure_persistence: None, ..ProptestConfig::default() })]
 
     #[test]
     fn nothing_runs_twice_or_after_it_was_said_not_to_run(
--- a/crates/core/tests/memory_worlds.rs
+++ b/crates/core/tests/memory_worlds.rs
@@ -357,7 +357,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 1_000, rng_seed: RngSeed::Fixed(SEED), failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 400, rng_seed: RngSeed::Fixed(SEED), failure_persistence: None, ..ProptestConfig::default() })]
 
     #[test]
     fn memory_is_never_over_size_with_engines_that_ignore_fencing(events in events()) {
