feat(agent): check each field of a dispatch and name the wrong one

A deadline near the largest number overflowed the runtime's clock and ended the attempt's task. Deadlines, priorities, paths and content types are checked before the gate sees them, and hints are given only where another target may do better.

--- a/crates/agent/src/attempt.rs
+++ b/crates/agent/src/attempt.rs
@@ -1,24 +1,25 @@
 //! `POST /v1/attempts`: one attempt, and the stream of its events.
 
+use std::error::Error;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use kumquatkeel_core::gate::{Admission, Ending, GateStep};
 use kumquatkeel_daemon::server::{Body, Routes, full_body, status_only};
 use kumquatkeel_types::message::{AttemptEvent, Dispatch, NotRunReason, Work};
-use kumquatkeel_types::{ErrorBody, ErrorCode, Outcome};
+use kumquatkeel_types::{ErrorBody, ErrorCode, Outcome, TargetName};
 use log::{debug, warn};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use crate::check::check_dispatch;
 use crate::decisions::Offered;
 use crate::events::{EventSender, answered, event_body};
-use crate::plain::is_valid_path;
 use crate::run::{Deadline, run_attempt};
 use crate::shared::Shared;
 
@@ -53,21 +54,25 @@
     let body = Limited::new(request.into_body(), limit).collect();
     let body = timeout(BODY_TIMEOUT, body).await;
     let body = body.map_err(|_| refusal(StatusCode::REQUEST_TIMEOUT, "the body is late"))?;
-    let content = body.map_err(|error| {
-        let message = format!("the body is cut or over {limit} bytes: {error}");
-        refusal(StatusCode::PAYLOAD_TOO_LARGE, message)
-    })?;
-    let content = content.to_bytes();
+    let content = body
+        .map_err(|error| body_refusal(&*error, limit))?
+        .to_bytes();
     let mut json = serde_json::Deserializer::from_slice(&content);
+    let bad = |message: String| refusal(StatusCode::BAD_REQUEST, message);
     let dispatch: Dispatch = serde_path_to_error::deserialize(&mut json)
-        .map_err(|error| refusal(StatusCode::BAD_REQUEST, format!("dispatch: {error}")))?;
-    match &dispatch.work {
-        Work::Plain(work) if !is_valid_path(&work.path) => {
-            let message = "work.plain.path: must be a path that starts with a slash";
-            Err(refusal(StatusCode::BAD_REQUEST, message))
-        }
-        _ => Ok(dispatch),
+        .map_err(|error| bad(format!("dispatch: {error}")))?;
+    json.end()
+        .map_err(|error| bad(format!("dispatch: {error}")))?;
+    check_dispatch(&dispatch).map_err(|fault| bad(fault.to_string()))?;
+    Ok(dispatch)
+}
+
+fn body_refusal(error: &(dyn Error + Send + Sync + 'static), limit: usize) -> Response<Body> {
+    if error.is::<LengthLimitError>() {
+        let message = format!("the body has more than {limit} bytes");
+        return refusal(StatusCode::PAYLOAD_TOO_LARGE, message);
     }
+    refusal(StatusCode::BAD_REQUEST, format!("the body is cut: {error}"))
 }
 
 fn refusal(status: StatusCode, message: impl Into<String>) -> Response<Body> {
@@ -197,19 +202,29 @@
     retry_after_ms: Option<u64>,
 ) -> AttemptEvent {
     shared.telemetry.count_not_run(reason);
-    let (model, adapter) = match &dispatch.work {
-        Work::Completion(work) => (Some(&work.model), work.adapter.as_ref()),
-        Work::Plain(_) => (None, None),
-    };
+    let hint = hint_for(shared, dispatch, reason);
     AttemptEvent::NotRun {
         attempt: dispatch.attempt.clone(),
         incarnation: shared.incarnation,
         reason,
-        hint: shared.hints.elsewhere(model, adapter),
+        hint,
         retry_after_ms,
     }
 }
 
+/// Returns where to go, when another target may do better.
+fn hint_for(shared: &Shared, dispatch: &Dispatch, reason: NotRunReason) -> Option<TargetName> {
+    match reason {
+        NotRunReason::Busy | NotRunReason::Draining | NotRunReason::NotResident => {}
+        _ => return None,
+    }
+    let (model, adapter) = match &dispatch.work {
+        Work::Completion(work) => (Some(&work.model), work.adapter.as_ref()),
+        Work::Plain(_) => (None, None),
+    };
+    shared.hints.elsewhere(model, adapter)
+}
+
 fn failed(dispatch: &Dispatch, code: ErrorCode, message: impl Into<String>) -> AttemptEvent {
     AttemptEvent::Failed {
         attempt: dispatch.attempt.clone(),
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -27,6 +27,7 @@
 mod agent;
 mod api;
 mod attempt;
+mod check;
 mod configuration;
 mod decisions;
 mod engine;
--- a/crates/agent/src/plain.rs
+++ b/crates/agent/src/plain.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use http::header::{CONNECTION, CONTENT_TYPE};
-use http::{HeaderName, Request, Uri};
+use http::{HeaderName, Request};
 use http_body_util::{BodyExt, Full, Limited};
 use kumquatkeel_core::gate::PlainAnswer;
 use kumquatkeel_daemon::http::PeerClient;
@@ -81,11 +81,3 @@
         }
     }
 }
-
-/// Says whether a path can stand below a service's address.
-pub(crate) fn is_valid_path(path: &str) -> bool {
-    path.starts_with('/')
-        && path
-            .parse::<Uri>()
-            .is_ok_and(|uri| uri.authority().is_none())
-}
--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -9,8 +9,9 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use futures::stream::BoxStream;
-use http::Request;
+use http::{Request, Response};
 use http_body_util::{BodyDataStream, Full};
+use hyper::body::Incoming;
 use jsonrpsee::http_client::HttpClient;
 use kumquatkeel_agent::{
     Agent, AgentHandle, AgentParts, AgentSettings, Configuration, RawAgentSettings,
@@ -134,16 +135,20 @@
             .fetch_add(1, std::sync::atomic::Ordering::Relaxed)
     }
 
-    /// Sends a dispatch and returns its events as they come.
-    pub(crate) async fn send(&self, dispatch: &Dispatch) -> BoxStream<'static, AttemptEvent> {
-        let body = serde_json::to_vec(dispatch).unwrap();
+    /// Sends a body as it is.
+    pub(crate) async fn post(&self, body: impl Into<Bytes>) -> Response<Incoming> {
         let key = PeerKey::try_from(KEY).unwrap();
         let address = self.agent.address();
         let request = Request::post(format!("http://{address}/v1/attempts"))
             .header("authorization", key.header())
-            .body(Full::from(body))
+            .body(Full::from(body.into()))
             .unwrap();
-        let response = self.http.send("attempt", address, request).await.unwrap();
+        self.http.send("attempt", address, request).await.unwrap()
+    }
+
+    /// Sends a dispatch and returns its events as they come.
+    pub(crate) async fn send(&self, dispatch: &Dispatch) -> BoxStream<'static, AttemptEvent> {
+        let response = self.post(serde_json::to_vec(dispatch).unwrap()).await;
         assert!(response.status().is_success(), "{}", response.status());
         lines(BodyDataStream::new(response.into_body()).map(Result::unwrap))
     }
--- a/crates/core/src/gate/record.rs
+++ b/crates/core/src/gate/record.rs
@@ -8,6 +8,9 @@
 use super::LaneId;
 use super::lane::Turn;
 
+/// Longest time that an attempt may wait to start.
+const MAX_WAIT: Duration = Duration::from_hours(24);
+
 /// The scope within which an idempotency key runs once.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct KeyScope {
@@ -63,7 +66,7 @@
         Work::Completion(_) => dispatch.first_token_ms.min(dispatch.deadline_ms),
         Work::Plain(_) => dispatch.deadline_ms,
     };
-    Duration::from_millis(limit_ms)
+    Duration::from_millis(limit_ms).min(MAX_WAIT)
 }
 
 /// The state of an attempt that is known to the gate.
