--- a/crates/agent/src/attempt.rs
+++ b/crates/agent/src/attempt.rs
@@ -91,7 +91,7 @@
 }
 
 fn start_attempt(shared: &Arc<Shared>, dispatch: Dispatch) -> Response<Body> {
-    let (events, body) = event_body();
+    let (events, body) = event_body(dispatch.attempt.clone(), shared.incarnation);
     let deadline = Deadline::of(&dispatch);
     let task = serve_attempt(shared.clone(), dispatch, deadline, events);
     shared.tasks.spawn(task);
--- a/crates/agent/src/events.rs
+++ b/crates/agent/src/events.rs
@@ -1,6 +1,7 @@
 //! The stream of an attempt's events, one JSON object a line.
 
 use std::convert::Infallible;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,8 +10,8 @@
 use hyper::body::Frame;
 use kumquatkeel_core::gate::PlainAnswer;
 use kumquatkeel_daemon::server::Body;
-use kumquatkeel_types::AttemptId;
 use kumquatkeel_types::message::AttemptEvent;
+use kumquatkeel_types::{AttemptId, Incarnation};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
@@ -19,34 +20,65 @@
 /// Longest time that an entry may leave its events unread before it counts as gone.
 const SEND_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Sends an attempt's events to the entry.
+/// Sends an attempt's events to the entry: `Accepted` goes before all but a `NotRun`.
 #[derive(Debug)]
-pub(crate) struct EventSender(mpsc::Sender<Bytes>);
+pub(crate) struct EventSender {
+    lines: mpsc::Sender<Bytes>,
+    attempt: AttemptId,
+    incarnation: Incarnation,
+    accepted: AtomicBool,
+}
 
 impl EventSender {
+    /// Tells that the attempt may run from now on, unless that was told before.
+    pub(crate) async fn accept(&self) -> bool {
+        if self.accepted.swap(true, Ordering::Relaxed) {
+            return true;
+        }
+        let event = AttemptEvent::Accepted {
+            attempt: self.attempt.clone(),
+            incarnation: self.incarnation,
+        };
+        self.send_line(&event).await
+    }
+
     /// Sends an event and says whether the entry is still there and reads on.
     pub(crate) async fn send(&self, event: &AttemptEvent) -> bool {
+        let is_refusal = matches!(event, AttemptEvent::NotRun { .. });
+        if !is_refusal && !self.accept().await {
+            return false;
+        }
+        self.send_line(event).await
+    }
+
+    async fn send_line(&self, event: &AttemptEvent) -> bool {
         let mut line = serde_json::to_vec(event).unwrap_or_default();
         line.push(b'\n');
-        let sent = timeout(SEND_TIMEOUT, self.0.send(Bytes::from(line))).await;
+        let sent = timeout(SEND_TIMEOUT, self.lines.send(Bytes::from(line))).await;
         matches!(sent, Ok(Ok(())))
     }
 
     /// Returns when the entry has left.
     pub(crate) async fn closed(&self) {
-        self.0.closed().await;
+        self.lines.closed().await;
     }
 }
 
 /// Makes a body and the sender of its events; the body ends when the sender is dropped.
-pub(crate) fn event_body() -> (EventSender, Body) {
+pub(crate) fn event_body(attempt: AttemptId, incarnation: Incarnation) -> (EventSender, Body) {
     let (sender, receiver) = mpsc::channel(MAX_PENDING);
     let lines = stream::unfold(receiver, |mut receiver| async move {
         let line = receiver.recv().await?;
         Some((Ok::<_, Infallible>(Frame::data(line)), receiver))
     });
     let body = StreamBody::new(lines).map_err(|never| match never {});
-    (EventSender(sender), BodyExt::boxed(body))
+    let events = EventSender {
+        lines: sender,
+        attempt,
+        incarnation,
+        accepted: AtomicBool::new(false),
+    };
+    (events, BodyExt::boxed(body))
 }
 
 /// Returns a plain service's answer as an event of `attempt`.
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -119,7 +119,9 @@
         Ok(Err(error)) => return Err(start_cut(error)),
         Ok(Ok(chunks)) => chunks,
     };
-    send(events, &accepted(shared, dispatch)).await?;
+    if !events.accept().await {
+        return Err(Cut::Left);
+    }
     let resumed = work.resume.len() as u32;
     let mut check = StreamCheck::new(completion.request_id, resumed, work.max_tokens);
     loop {
@@ -189,7 +191,6 @@
     let attempt = &dispatch.attempt;
     let (event, end) = match timeout_at(deadline.0, shared.plain.call(work)).await {
         Ok(Ok(answer)) => {
-            events.send(&accepted(shared, dispatch)).await;
             let event = answered(attempt.clone(), &answer);
             (event, Ending::Answered(Arc::new(answer)))
         }
@@ -224,13 +225,6 @@
     }
 }
 
-fn accepted(shared: &Shared, dispatch: &Dispatch) -> AttemptEvent {
-    AttemptEvent::Accepted {
-        attempt: dispatch.attempt.clone(),
-        incarnation: shared.incarnation,
-    }
-}
-
 fn not_sent(shared: &Shared, dispatch: &Dispatch, reason: NotRunReason) -> AttemptEvent {
     AttemptEvent::NotRun {
         attempt: dispatch.attempt.clone(),
--- a/crates/agent/tests/completion.rs
+++ b/crates/agent/tests/completion.rs
@@ -126,6 +126,7 @@
         "the waiting attempt never reached the engine"
     );
     assert_eq!(runs[0].end, RunEnd::Cancelled);
+    assert_eq!(engine.faults().calls(EngineCall::Cancel), 1);
     let events = site.run(&waiting).await;
     assert_eq!(reason(&events), Some(NotRunReason::Cancelled));
 }
--- a/crates/agent/tests/plain.rs
+++ b/crates/agent/tests/plain.rs
@@ -32,6 +32,11 @@
     let (first, second) = tokio::join!(site.run(&first), site.run(&second));
     let third = site.run(&site.call("k1")).await;
     for events in [&first, &second, &third] {
+        let first = events.first();
+        assert!(
+            matches!(first, Some(AttemptEvent::Accepted { .. })),
+            "{events:?}"
+        );
         assert_eq!(answer(events), Some(r#"{"number":1}"#), "{events:?}");
     }
     assert_eq!(service.executions("k1"), 1);
