--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -79,7 +79,10 @@
             .gate
             .uses_adapter(model, adapter)
             .then(|| refused("requests use the adapter"))?,
-        OrderAction::Load { .. } | OrderAction::LoadAdapter { .. } => None,
+        OrderAction::Load { .. } | OrderAction::LoadAdapter { .. } => core
+            .gate
+            .is_draining()
+            .then(|| refused("the agent takes no new work"))?,
     }
 }
 
--- a/crates/agent/tests/completion.rs
+++ b/crates/agent/tests/completion.rs
@@ -5,7 +5,7 @@
 use common::{Site, engine_options, running, start_engine};
 use futures::StreamExt;
 use kumquatkeel_standin::engine::{EngineCall, EngineFault, Prompt, RunEnd};
-use kumquatkeel_types::message::{AttemptEvent, NotRunReason};
+use kumquatkeel_types::message::{AttemptEvent, NotRunReason, OrderResult};
 use rstest::rstest;
 
 fn tokens(events: &[AttemptEvent]) -> Vec<String> {
@@ -45,6 +45,7 @@
 #[rstest]
 #[case::cut(EngineFault::CutAfter(3), 3)]
 #[case::lost(EngineFault::LostAfter, 0)]
+#[case::silent(EngineFault::Silent, 0)]
 #[tokio::test]
 async fn an_answer_without_its_end_mark_is_never_finished(
     #[case] fault: EngineFault,
@@ -149,6 +150,8 @@
     let (drained, events, refused) =
         tokio::join!(site.agent.drain(), stream.collect::<Vec<_>>(), refused);
     assert!(drained);
+    let load = site.load("large").await.result;
+    assert!(matches!(load, OrderResult::Refused { .. }), "{load:?}");
     assert!(
         matches!(events.last(), Some(AttemptEvent::Finished { .. })),
         "{events:?}"
