--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -31,7 +31,7 @@
 use crate::record::{RecordStore, Takeover};
 use crate::shared::{Shared, starting_member};
 use crate::telemetry::Telemetry;
-use crate::{AgentError, AgentSettings, Configuration, NoHints, PeerHints};
+use crate::{AgentControl, AgentError, AgentSettings, Configuration, NoHints, PeerHints};
 
 /// Longest time to wait for the store at the start.
 const TAKEOVER_TIMEOUT: Duration = Duration::from_secs(3);
@@ -130,6 +130,11 @@
         self.shared.incarnation
     }
 
+    /// Returns a handle for other parts of the daemon.
+    pub fn control(&self) -> AgentControl {
+        AgentControl(self.shared.clone())
+    }
+
     /// Returns the agent's report of itself, as it changes.
     pub fn member(&self) -> watch::Receiver<Member> {
         self.shared.member.subscribe()
--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -7,12 +7,14 @@
 use kumquatkeel_daemon::spread::{Hub, RpcTransport, SharedView, SpreadClient, SpreadOptions};
 use kumquatkeel_platform::{CallCounts, HttpObjectStore, HttpOptions, ObjectStore, WriteIds};
 use kumquatkeel_types::message::{Member, MemberState};
-use log::error;
 use rand::Rng;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-use crate::{Agent, AgentError, AgentHandle, AgentParts, AgentSettings, Configuration, ViewHints};
+use crate::{
+    Agent, AgentControl, AgentError, AgentHandle, AgentParts, AgentSettings, Configuration,
+    ViewHints,
+};
 
 /// A running agent daemon; dropping it leaves its tasks to the runtime.
 #[derive(Debug)]
@@ -47,7 +49,13 @@
         let agent = Agent::start(settings.clone(), parts).await?;
         let own = agent.member().borrow().clone();
         let hub = Arc::new(Hub::new(own, rand::rng().next_u64(), Clock::start()));
-        tokio::spawn(follow_view(hub.view(), views, sender, stop.clone()));
+        tokio::spawn(follow_view(
+            hub.view(),
+            agent.control(),
+            views,
+            sender,
+            stop.clone(),
+        ));
         tokio::spawn(report(agent.member(), hub.clone(), stop.clone()));
         let spread = store.map(|store| spread(&settings, store, &hub, &stop));
         Ok(Self {
@@ -103,6 +111,7 @@
 /// Hands the spread's news to the agent.
 async fn follow_view(
     mut view: watch::Receiver<SharedView>,
+    agent: AgentControl,
     views: watch::Sender<SharedView>,
     configurations: watch::Sender<Option<Configuration>>,
     stop: CancellationToken,
@@ -110,7 +119,7 @@
     loop {
         let news = view.borrow_and_update().clone();
         if news.superseded {
-            error!(target: "agent", "agent: a later life has this name");
+            agent.give_way("others have heard of a later life");
         }
         let known = configurations
             .borrow()
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -29,6 +29,7 @@
 mod attempt;
 mod check;
 mod configuration;
+mod control;
 mod decisions;
 mod engine;
 mod error;
@@ -45,6 +46,7 @@
 
 pub use agent::{Agent, AgentHandle, AgentParts};
 pub use configuration::Configuration;
+pub use control::AgentControl;
 pub use error::{AgentError, TargetError};
 pub use hints::{NoHints, PeerHints, ViewHints};
 pub use settings::{AgentLimits, AgentSettings, RawAgentLimits, RawAgentSettings};
--- a/crates/agent/tests/completion.rs
+++ b/crates/agent/tests/completion.rs
@@ -147,9 +147,13 @@
             .await;
         site.run(&site.completion("small", 4)).await
     };
-    let (drained, events, refused) =
-        tokio::join!(site.agent.drain(), stream.collect::<Vec<_>>(), refused);
-    assert!(drained);
+    let drained = async {
+        let all_ended = site.agent.drain().await;
+        (all_ended, running(&site.status().await))
+    };
+    let events = stream.collect::<Vec<_>>();
+    let (drained, events, refused) = tokio::join!(drained, events, refused);
+    assert_eq!(drained, (true, 0));
     let load = site.load("large").await.result;
     assert!(matches!(load, OrderResult::Refused { .. }), "{load:?}");
     assert!(
--- a/crates/agent/tests/restart.rs
+++ b/crates/agent/tests/restart.rs
@@ -156,3 +156,16 @@
         .await;
     assert_eq!(engine.record().orders.len(), orders);
 }
+
+#[tokio::test]
+async fn an_agent_that_hears_of_a_later_life_gives_way() {
+    let (engine, server) = start_engine(engine_options());
+    let site = Site::engine(server.address(), None).await;
+    site.serve("small").await;
+    let orders = engine.record().orders.len();
+    site.agent.control().give_way("a later life serves");
+    let refused = site.unload("small").await.result;
+    assert_eq!(refused, OrderResult::WrongIncarnation);
+    assert_eq!(site.status().await.state, MemberState::Draining);
+    assert_eq!(engine.record().orders.len(), orders);
+}
