--- /dev/null
+++ b/crates/entry/tests/relay.rs
@@ -0,0 +1,238 @@
+//! Polls and forwarded ledger operations over real sockets.
+
+#[path = "../../platform/tests/common/mod.rs"]
+mod common;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::FakeStore;
+use kumquatkeel_core::lease::{Certainty, LeaseOptions, StepKind};
+use kumquatkeel_core::ledger::example_call;
+use kumquatkeel_daemon::clock::Clock;
+use kumquatkeel_daemon::config::{Proposal, commit_document};
+use kumquatkeel_daemon::metrics::Metrics;
+use kumquatkeel_daemon::peer::PeerKey;
+use kumquatkeel_daemon::rpc::RelayApiServer;
+use kumquatkeel_daemon::server::{NoRoutes, PeerServer};
+use kumquatkeel_daemon::spread::{Hub, RpcTransport, SharedView, SpreadClient, SpreadOptions};
+use kumquatkeel_entry::control::{LeaseKeeper, LeaseKeeperOptions};
+use kumquatkeel_entry::fleet::{FleetNews, FleetSource};
+use kumquatkeel_entry::ledger::{CallLedger, ClaimAnswer, RpcPeers, StoreLedger, WallClock};
+use kumquatkeel_entry::relay::{RelayService, SpreadFleet};
+use kumquatkeel_platform::WriteIds;
+use kumquatkeel_types::document::{RawDocument, Region};
+use kumquatkeel_types::message::{Member, MemberState, MemberVersion, Role};
+use kumquatkeel_types::{DataCentreName, EntryName, Incarnation, RegionName, Revision};
+use tokio::net::TcpListener;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+fn key() -> PeerKey {
+    PeerKey::try_from("a-peer-key-for-tests-only".to_owned()).unwrap()
+}
+
+fn name(number: u16) -> EntryName {
+    EntryName::try_from(format!("entry-{number}")).unwrap()
+}
+
+fn ids(owner: &str) -> WriteIds {
+    WriteIds::new(owner, &mut rand::rng())
+}
+
+struct Node {
+    hub: Arc<Hub>,
+    ledger: StoreLedger,
+    server: PeerServer,
+    spread: SpreadClient,
+}
+
+async fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap()
+}
+
+async fn start(
+    number: u16,
+    address: SocketAddr,
+    seeds: &[SocketAddr],
+    store: &Arc<FakeStore>,
+) -> Node {
+    let member = Member {
+        role: Role::Entry(name(number)),
+        version: MemberVersion {
+            incarnation: Incarnation(1),
+            sequence: 1,
+        },
+        data_centre: DataCentreName::try_from("amman-a").unwrap(),
+        address,
+        state: MemberState::Serving,
+        revision: Revision::default(),
+        target: None,
+    };
+    let stop = CancellationToken::new();
+    let hub = Arc::new(Hub::new(member, u64::from(number), Clock::start()));
+    let peers = RpcPeers::new(name(number), key(), hub.view());
+    let ledger = StoreLedger::new(
+        store.clone(),
+        ids("ledger"),
+        Arc::new(peers),
+        WallClock::start(),
+        stop.clone(),
+    );
+    let service = RelayService::new(hub.clone(), ledger.clone());
+    let metrics = Metrics::start().unwrap();
+    let routes = Arc::new(NoRoutes);
+    let server = PeerServer::start(address, key(), metrics, service.into_rpc(), routes);
+    let server = server.await.unwrap();
+    let options = SpreadOptions {
+        seeds: seeds.to_vec(),
+        transport: Arc::new(RpcTransport::new(key())),
+        store: store.clone(),
+        instances: None,
+        ids: Arc::new(ids("spread")),
+    };
+    let spread = SpreadClient::start(hub.clone(), options, stop);
+    Node {
+        hub,
+        ledger,
+        server,
+        spread,
+    }
+}
+
+async fn wait(hub: &Hub, holds: impl FnMut(&SharedView) -> bool) {
+    let mut view = hub.view();
+    timeout(LIMIT, view.wait_for(holds)).await.unwrap().unwrap();
+}
+
+fn document() -> RawDocument {
+    let region = Region {
+        name: RegionName::try_from("amman").unwrap(),
+        data_centres: vec![DataCentreName::try_from("amman-a").unwrap()],
+    };
+    RawDocument {
+        regions: vec![region],
+        ..RawDocument::default()
+    }
+}
+
+#[tokio::test]
+async fn entries_share_the_configuration_and_the_ledger_over_sockets() {
+    let store = Arc::new(FakeStore::default());
+    let seeds = [
+        free_address().await,
+        free_address().await,
+        free_address().await,
+    ];
+    let mut nodes = Vec::new();
+    for (number, address) in (1..).zip(seeds) {
+        nodes.push(start(number, address, &seeds, &store).await);
+    }
+    let proposal = Proposal {
+        document: document(),
+        base: None,
+    };
+    commit_document(&*store, &ids("operator"), proposal)
+        .await
+        .unwrap();
+    for node in &nodes {
+        let all = |view: &SharedView| view.is_ready() && view.serving_entries().count() == 3;
+        wait(&node.hub, all).await;
+    }
+    let news = timeout(LIMIT, SpreadFleet::new(nodes[0].hub.clone()).next())
+        .await
+        .unwrap();
+    assert!(
+        news.iter()
+            .any(|n| matches!(n, FleetNews::Config(s) if s.revision == Revision(1)))
+    );
+    assert_eq!(
+        news.iter()
+            .filter(|n| matches!(n, FleetNews::Member(_)))
+            .count(),
+        3
+    );
+    // Whatever the entry, each key is claimed once; some go through their partition's owner.
+    for number in 0..12 {
+        let key = format!("swap-{number}");
+        let first = nodes[0].ledger.claim(example_call(&key, number)).await;
+        assert!(matches!(first, ClaimAnswer::Run(_)), "{first:?}");
+        let second = nodes[1]
+            .ledger
+            .claim(example_call(&key, 100 + number))
+            .await;
+        assert!(!matches!(second, ClaimAnswer::Run(_)), "{second:?}");
+    }
+    for node in nodes {
+        node.spread.stop().await;
+        timeout(LIMIT, node.server.stop()).await.unwrap();
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_entry_keeps_the_lease_and_another_takes_it_when_it_stops() {
+    let store = Arc::new(FakeStore::default());
+    let view = tokio::sync::watch::channel(view_of_two()).1;
+    let keeper = |number| {
+        let options = LeaseKeeperOptions {
+            name: "placement".into(),
+            holder: name(number),
+            life: Incarnation(1),
+            times: LeaseOptions::default(),
+        };
+        let ids = Arc::new(ids(&format!("keeper-{number}")));
+        LeaseKeeper::start(
+            options,
+            store.clone(),
+            ids,
+            view.clone(),
+            CancellationToken::new(),
+        )
+    };
+    let (first, second) = (keeper(1), keeper(2));
+    tokio::time::sleep(Duration::from_secs(60)).await;
+    let held = [first.certainty(), second.certainty()];
+    let certain = held
+        .iter()
+        .filter(|c| matches!(c, Certainty::Certain(_)))
+        .count();
+    assert_eq!(certain, 1, "{held:?}");
+    let (holder, other) = if held[0] == Certainty::Lost {
+        (second, first)
+    } else {
+        (first, second)
+    };
+    let epoch = holder.permit(StepKind::Destructive).unwrap();
+    holder.stop().await;
+    assert_eq!(holder.permit(StepKind::Additive), None);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    assert_eq!(other.permit(StepKind::Destructive), Some(epoch.next()));
+    store.set_down(true);
+    tokio::time::sleep(Duration::from_secs(60)).await;
+    assert_eq!(other.permit(StepKind::Destructive), None);
+    assert_eq!(other.permit(StepKind::Additive), Some(epoch.next()));
+}
+
+/// A view with two serving entries.
+fn view_of_two() -> SharedView {
+    let mut view = SharedView::empty();
+    let member = |number: u16| Member {
+        role: Role::Entry(name(number)),
+        version: MemberVersion {
+            incarnation: Incarnation(1),
+            sequence: 1,
+        },
+        data_centre: DataCentreName::try_from("amman-a").unwrap(),
+        address: ([127, 0, 0, 1], number).into(),
+        state: MemberState::Serving,
+        revision: Revision(1),
+        target: None,
+    };
+    let members = [member(1), member(2)].map(|m| (m.role.clone(), Arc::new(m)));
+    view.members = Arc::new(members.into());
+    view
+}
