--- a/crates/entry/tests/relay.rs
+++ b/crates/entry/tests/relay.rs
@@ -18,6 +18,7 @@
 use kumquatkeel_daemon::server::{NoRoutes, PeerServer};
 use kumquatkeel_daemon::spread::{Hub, RpcTransport, SharedView, SpreadClient, SpreadOptions};
 use kumquatkeel_entry::control::{LeaseKeeper, LeaseKeeperOptions};
+use kumquatkeel_entry::demand::SharedDemand;
 use kumquatkeel_entry::fleet::{FleetNews, FleetSource};
 use kumquatkeel_entry::ledger::{CallLedger, ClaimAnswer, RpcPeers, StoreLedger, WallClock};
 use kumquatkeel_entry::relay::{RelayService, SpreadFleet};
@@ -32,7 +33,7 @@
 const LIMIT: Duration = Duration::from_secs(20);
 
 fn key() -> PeerKey {
-    PeerKey::try_from("a-peer-key-for-tests-only".to_owned()).unwrap()
+    PeerKey::try_from("a-peer-key-for-tests-only").unwrap()
 }
 
 fn name(number: u16) -> EntryName {
@@ -83,7 +84,11 @@
         WallClock::start(),
         stop.clone(),
     );
-    let service = RelayService::new(hub.clone(), ledger.clone());
+    let service = RelayService::new(
+        hub.clone(),
+        ledger.clone(),
+        SharedDemand::new(Clock::start()),
+    );
     let metrics = Metrics::start().unwrap();
     let routes = Arc::new(NoRoutes);
     let server = PeerServer::start(address, key(), metrics, service.into_rpc(), routes);
