--- a/crates/core/src/lease/mod.rs
+++ b/crates/core/src/lease/mod.rs
@@ -7,6 +7,8 @@
 
 mod record;
 mod state;
+mod step;
 
 pub use record::LeaseRecord;
-pub use state::{Certainty, Lease, LeaseOptions, LeaseRead, LeaseStep, LeaseWrite, StepKind};
+pub use state::Lease;
+pub use step::{Certainty, LeaseOptions, LeaseRead, LeaseStep, LeaseWrite, StepKind};
--- a/crates/daemon/src/config/mod.rs
+++ b/crates/daemon/src/config/mod.rs
@@ -4,7 +4,6 @@
 mod error;
 mod incarnation;
 mod reader;
-mod watch;
 
 pub use commit::{CommitOutcome, ConfigConflict, Proposal, commit_document};
 pub use error::ConfigError;
@@ -17,4 +16,3 @@
 pub fn head_key() -> ObjectKey {
     ObjectKey::from("config/head")
 }
-pub use watch::follow_store;
--- a/crates/entry/src/ledger/service.rs
+++ b/crates/entry/src/ledger/service.rs
@@ -102,6 +102,12 @@
         MAX_PENDING - self.inner.pending.available_permits()
     }
 
+    /// Returns when no outcome is left to be stored; to be called before the daemon stops.
+    pub async fn flush(&self) {
+        let all = self.inner.pending.acquire_many(MAX_PENDING as u32).await;
+        drop(all);
+    }
+
     /// Applies an operation in this entry, as the partition's owner or in its place.
     pub async fn apply(&self, operation: &Operation) -> OpAnswer {
         let wait = self.inner.options.wait;
