--- a/crates/core/tests/ledger.rs
+++ b/crates/core/tests/ledger.rs
@@ -177,6 +177,30 @@
     assert_eq!(after_fence(reply), step);
 }
 
+#[test]
+fn an_answer_that_changes_nothing_needs_a_new_read() {
+    let mut batcher = Batcher::new(Duration::ZERO);
+    let call = example_call("a", 1);
+    let settle = |key: &str| Operation::Settle {
+        key: example_call(key, 1).key,
+        attempt: call.attempt.clone(),
+        outcome: CallOutcome::NotRun,
+    };
+    batcher.submit(settle("b"));
+    assert_eq!(batcher.step(Timestamp::ZERO, NOW).0, BatchStep::Read);
+    batcher.on_read(ReadEnd::Found(None));
+    let (_, replies) = batcher.step(Timestamp::ZERO, NOW);
+    assert_eq!(replies[0].answer, OpAnswer::NotHolder);
+    // Another entry makes the claim meanwhile; the copy without it must not speak.
+    let mut partition = Partition::default();
+    claim(&mut partition, &call, NOW);
+    batcher.submit(settle("a"));
+    assert_eq!(batcher.step(Timestamp::ZERO, NOW).0, BatchStep::Read);
+    batcher.on_read(ReadEnd::Found(Some((1_u64, partition))));
+    let (step, _) = batcher.step(Timestamp::ZERO, NOW);
+    assert!(matches!(step, BatchStep::Write(_)), "{step:?}");
+}
+
 #[test]
 fn writes_are_bounded_whatever_the_rate() {
     let mut pace = WritePace::new(4);
--- a/crates/entry/tests/ledger.rs
+++ b/crates/entry/tests/ledger.rs
@@ -223,6 +223,22 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_stale_copy_of_the_partition_is_found_out_by_the_condition() {
+    let bench = Bench::new();
+    let (first, second) = (bench.entry("first", true), bench.entry("second", true));
+    let wanted = call(1, 2, 1);
+    let partition = wanted.key.partition();
+    let neighbour = (0..)
+        .map(|number| example_call(&format!("other-{number}"), 50))
+        .find(|call| call.key.partition() == partition)
+        .unwrap();
+    assert!(matches!(second.claim(neighbour).await, ClaimAnswer::Run(_)));
+    assert!(matches!(first.claim(wanted).await, ClaimAnswer::Run(_)));
+    let again = second.claim(call(2, 2, 1)).await;
+    assert!(matches!(again, ClaimAnswer::Running { .. }), "{again:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_store_outage_refuses_at_once_and_never_runs() {
     let bench = Bench::new();
