--- a/crates/core/src/member/own.rs
+++ b/crates/core/src/member/own.rs
@@ -31,9 +31,9 @@
         &self.member
     }
 
-    /// Sets whether the process takes new work.
+    /// Sets whether the process takes new work. A life only goes on, from starting to gone.
     pub fn set_state(&mut self, state: MemberState) {
-        if self.member.state != state {
+        if stage_of(state) > stage_of(self.member.state) {
             self.member.state = state;
             self.raise();
         }
@@ -85,6 +85,16 @@
     }
 }
 
+/// Returns how far a life in this state is.
+const fn stage_of(state: MemberState) -> u8 {
+    match state {
+        MemberState::Starting => 0,
+        MemberState::Serving => 1,
+        MemberState::Draining => 2,
+        MemberState::Gone => 3,
+    }
+}
+
 fn without_load(status: &TargetStatus) -> TargetStatus {
     let mut status = status.clone();
     status.load = kumquatkeel_types::message::LoadSummary::default();
--- a/crates/core/tests/member.rs
+++ b/crates/core/tests/member.rs
@@ -134,6 +134,15 @@
     assert_eq!(report.on_echo(&later), Echo::Superseded);
 }
 
+#[test]
+fn a_draining_process_never_serves_again_in_its_life() {
+    let mut report = OwnReport::new(agent(1, 2, 1, MemberState::Serving));
+    report.set_state(MemberState::Draining);
+    report.set_state(MemberState::Serving);
+    assert_eq!(report.member().state, MemberState::Draining);
+    assert_eq!(report.member().version.sequence, 2);
+}
+
 #[test]
 fn loads_are_no_news() {
     let mut report = OwnReport::new(full_agent(1));
