--- a/crates/standin/src/fleet/agent.rs
+++ b/crates/standin/src/fleet/agent.rs
@@ -59,6 +59,16 @@
         self.life.as_ref().expect("the agent runs").daemon.agent()
     }
 
+    /// Says whether the agent runs.
+    pub const fn is_running(&self) -> bool {
+        self.life.is_some()
+    }
+
+    /// Returns the target as the document describes it.
+    pub const fn target(&self) -> &Target {
+        &self.target
+    }
+
     /// Returns the address that the document names.
     pub const fn address(&self) -> SocketAddr {
         self.status.address()
@@ -134,6 +144,7 @@
     pub async fn shutdown(&mut self) {
         if let Some(life) = self.life.take() {
             life.daemon.shutdown().await;
+            self.set_fronts(LinkMode::Cut);
         }
     }
 
--- a/crates/standin/src/fleet/link.rs
+++ b/crates/standin/src/fleet/link.rs
@@ -91,13 +91,40 @@
     }
 }
 
+/// Takes connections; while the link is cut nobody listens, as after a process's end.
 async fn accept(
     listener: TcpListener,
     mode: watch::Receiver<LinkMode>,
     backend: watch::Receiver<Option<SocketAddr>>,
 ) {
-    while let Ok((client, _)) = listener.accept().await {
-        tokio::spawn(connect(client, mode.clone(), backend.clone()));
+    let Ok(address) = listener.local_addr() else {
+        return;
+    };
+    let mut listener = Some(listener);
+    while let Some(open) = listener.take() {
+        accept_until_cut(&open, &mode, &backend).await;
+        drop(open);
+        let passing = |mode: &LinkMode| *mode != LinkMode::Cut;
+        if mode.clone().wait_for(passing).await.is_err() {
+            return;
+        }
+        listener = TcpListener::bind(address).await.ok();
+    }
+}
+
+async fn accept_until_cut(
+    listener: &TcpListener,
+    mode: &watch::Receiver<LinkMode>,
+    backend: &watch::Receiver<Option<SocketAddr>>,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = wait_cut(mode.clone()) => return,
+        };
+        if let Ok((client, _)) = accepted {
+            tokio::spawn(connect(client, mode.clone(), backend.clone()));
+        }
     }
 }
 
--- a/crates/standin/src/plain/faults.rs
+++ b/crates/standin/src/plain/faults.rs
@@ -43,6 +43,18 @@
         state.scripts.insert(number, fault);
     }
 
+    /// Returns how many calls arrived.
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    /// Ends all faults; the count stays.
+    pub fn clear(&self) {
+        let mut state = self.lock();
+        state.dead = false;
+        state.scripts.clear();
+    }
+
     /// Counts a call and returns the fault that it meets.
     pub(super) fn meet(&self) -> Option<PlainFault> {
         let mut state = self.lock();
--- /dev/null
+++ b/crates/standin/tests/matrix/step.rs
@@ -0,0 +1,230 @@
+//! The steps at which faults strike.
+
+use std::time::Duration;
+
+use kumquatkeel_daemon::config::CommitOutcome;
+use tokio::time::sleep;
+
+use crate::fault::Fault;
+use crate::world::{World, eventually, load, target, unload};
+
+/// Time after a drain began in which new work may still arrive.
+const DRAIN_NOTICE: Duration = Duration::from_secs(4);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Step {
+    Admit,
+    Claim,
+    Dispatch,
+    Stream,
+    Settle,
+    Load,
+    Unload,
+    Switch,
+    Drain,
+    Apply,
+    Boot,
+}
+
+impl Step {
+    pub(crate) const ALL: [Self; 11] = [
+        Self::Admit,
+        Self::Claim,
+        Self::Dispatch,
+        Self::Stream,
+        Self::Settle,
+        Self::Load,
+        Self::Unload,
+        Self::Switch,
+        Self::Drain,
+        Self::Apply,
+        Self::Boot,
+    ];
+
+    pub(crate) const fn gives_orders(self) -> bool {
+        matches!(self, Self::Load | Self::Unload | Self::Switch)
+    }
+
+    /// Leads the world to the step and lets the faults strike there.
+    pub(crate) async fn run(self, world: &mut World, faults: &[Fault]) {
+        match self {
+            Self::Admit => {
+                world.traffic.send_some();
+                strike_all(world, faults, self).await;
+            }
+            Self::Claim => self.run_at_claim(world, faults).await,
+            Self::Dispatch => self.run_at_dispatch(world, faults).await,
+            Self::Stream => self.run_at_stream(world, faults).await,
+            Self::Settle => self.run_at_settle(world, faults).await,
+            Self::Load | Self::Unload | Self::Switch => self.run_at_order(world, faults).await,
+            Self::Drain => self.run_at_drain(world, faults).await,
+            Self::Apply => self.run_at_apply(world, faults).await,
+            Self::Boot => self.run_at_boot(world, faults).await,
+        }
+    }
+
+    async fn run_at_claim(self, world: &mut World, faults: &[Fault]) {
+        let puts = world.fleet.store.calls().writes();
+        world.traffic.send_some();
+        let store = world.fleet.store.clone();
+        eventually(|| store.calls().writes() > puts).await;
+        strike_all(world, faults, self).await;
+    }
+
+    async fn run_at_dispatch(self, world: &mut World, faults: &[Fault]) {
+        if faults.contains(&Fault::AnswerLost) {
+            strike_all(world, faults, self).await;
+            world.traffic.send_some();
+            return;
+        }
+        world.traffic.send_some();
+        let plains: Vec<_> = world.fleet.plains.values().cloned().collect();
+        eventually(|| plains.iter().any(|plain| plain.faults().calls() > 0)).await;
+        strike_all(world, faults, self).await;
+    }
+
+    async fn run_at_stream(self, world: &mut World, faults: &[Fault]) {
+        if faults.contains(&Fault::AnswerLost) {
+            strike_all(world, faults, self).await;
+            world.traffic.send_some();
+            return;
+        }
+        world.traffic.send_some();
+        let engine = world.fleet.engines[&target("engine-a")].clone();
+        let other = world.fleet.engines[&target("engine-b")].clone();
+        let runs = || [engine.record(), other.record()];
+        eventually(|| {
+            runs()
+                .iter()
+                .any(|record| record.runs.iter().any(|run| run.sent > 2))
+        })
+        .await;
+        strike_all(world, faults, self).await;
+    }
+
+    async fn run_at_settle(self, world: &mut World, faults: &[Fault]) {
+        world.traffic.send_some();
+        let plains: Vec<_> = world.fleet.plains.values().cloned().collect();
+        eventually(|| plains.iter().any(|plain| !plain.executed().is_empty())).await;
+        strike_all(world, faults, self).await;
+    }
+
+    async fn run_at_order(self, world: &mut World, faults: &[Fault]) {
+        let engine = target("engine-a");
+        let actions = match self {
+            Self::Load => vec![unload("shelf", "1"), load("box", "2")],
+            Self::Unload => vec![unload("shelf", "1")],
+            _ => vec![
+                unload("shelf", "1"),
+                load("box", "2"),
+                unload("box", "1"),
+                load("shelf", "1"),
+            ],
+        };
+        let (last, first) = actions.split_last().expect("actions");
+        if self == Self::Load {
+            for action in first {
+                let _ = world.fleet.order(&engine, action).await;
+            }
+            sleep(Duration::from_secs(3)).await;
+        }
+        world.traffic.send_some();
+        let orders = if self == Self::Load {
+            std::slice::from_ref(last)
+        } else {
+            &actions
+        };
+        for (number, action) in orders.iter().enumerate() {
+            let _ = world.fleet.order(&engine, action).await;
+            if number == 0 {
+                strike_all(world, faults, self).await;
+            }
+            sleep(Duration::from_secs(1)).await;
+        }
+        // What memory allows in the worst case is tried again once the faults have ended.
+        world.heal().await;
+        sleep(Duration::from_secs(14)).await;
+        for action in orders {
+            let _ = world.fleet.order(&engine, action).await;
+            sleep(Duration::from_secs(2)).await;
+        }
+    }
+
+    async fn run_at_drain(self, world: &mut World, faults: &[Fault]) {
+        world.traffic.send_some();
+        sleep(Duration::from_millis(30)).await;
+        let name = target("swaps-a");
+        world.left.push(name.clone());
+        let Some(mut leaving) = world.fleet.agents.remove(&name) else {
+            return;
+        };
+        let service = world.fleet.plains[&name].clone();
+        let draining = tokio::spawn(async move {
+            leaving.shutdown().await;
+            leaving
+        });
+        let others: Vec<Fault> = faults.to_vec();
+        if others.contains(&Fault::ProcessDies) || others.contains(&Fault::ProcessPaused) {
+            // The leaving agent's own death or pause is struck at the boot step; here its peer's.
+            world.left.push(target("swaps-b"));
+            world.left.pop();
+        }
+        strike_all(world, faults, self).await;
+        sleep(DRAIN_NOTICE).await;
+        let executed = service.executed().len();
+        world.traffic.send_some();
+        world.traffic.finish().await;
+        assert_eq!(service.executed().len(), executed, "new work after leaving");
+        let leaving = draining.await.expect("drains");
+        world.fleet.agents.insert(name, leaving);
+    }
+
+    async fn run_at_apply(self, world: &mut World, faults: &[Fault]) {
+        world.traffic.send_some();
+        let mut document = world.fleet.document.clone();
+        world.applied += 1;
+        document.policy.link_bytes = 1_200_000 + world.applied;
+        let base = Some(world.revision);
+        if faults.contains(&Fault::AnswerLost) || faults.contains(&Fault::WatchGap) {
+            strike_all(world, faults, self).await;
+            let outcome = world.fleet.commit(document, base).await.ok();
+            world.note_commit(outcome);
+            return;
+        }
+        let outcome = world.fleet.commit(document, base).await.ok();
+        world.note_commit(outcome);
+        strike_all(world, faults, self).await;
+    }
+
+    async fn run_at_boot(self, world: &mut World, faults: &[Fault]) {
+        world.traffic.send_some();
+        let name = target("swaps-b");
+        if let Some(agent) = world.fleet.agents.get_mut(&name) {
+            agent.kill();
+        }
+        let booted = async {
+            sleep(Duration::from_millis(50)).await;
+        };
+        booted.await;
+        if let Some(agent) = world.fleet.agents.get_mut(&name) {
+            agent.revive().await.expect("agent starts");
+            world.monitor.watch_agent(&name, agent);
+        }
+        strike_all(world, faults, self).await;
+    }
+}
+
+impl World {
+    /// Notes the revision that a commit made.
+    pub(crate) fn note_commit(&mut self, outcome: Option<CommitOutcome>) {
+        if let Some(CommitOutcome::Committed(revision)) = outcome {
+            self.revision = self.revision.max(revision);
+        }
+    }
+}
+
+async fn strike_all(world: &mut World, faults: &[Fault], step: Step) {
+    for fault in faults {
+        fault.strike(world, step).await;
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/matrix/world.rs
@@ -0,0 +1,142 @@
+//! The fleet of one cell, its traffic and its monitor.
+
+use std::time::Duration;
+
+use kumquatkeel_standin::fleet::{EntryPlan, Fleet, FleetPlan, LinkMode};
+use kumquatkeel_types::document::RawDocument;
+use kumquatkeel_types::message::OrderAction;
+use kumquatkeel_types::{ModelId, Revision, TargetName, jsonc};
+use tokio::time::{Instant, sleep};
+
+use crate::monitor::Monitor;
+use crate::traffic::Traffic;
+
+const SAMPLE: &str = include_str!("sample.jsonc");
+
+/// One step of the paused clock.
+const TICK: Duration = Duration::from_millis(1);
+/// Time that sockets get at each step of the paused clock.
+const SOCKET_TIME: Duration = Duration::from_micros(10);
+/// Longest wait for a condition.
+const WAIT_LIMIT: Duration = Duration::from_secs(40);
+
+pub(crate) struct World {
+    pub(crate) fleet: Fleet,
+    pub(crate) traffic: Traffic,
+    pub(crate) monitor: Monitor,
+    pub(crate) revision: Revision,
+    pub(crate) applied: u32,
+    /// Targets whose agents were asked to stop; they stay stopped.
+    pub(crate) left: Vec<TargetName>,
+}
+
+/// Advances the paused clock evenly, so that it never jumps over a socket's answer.
+async fn pace() {
+    loop {
+        sleep(TICK).await;
+        std::thread::sleep(SOCKET_TIME);
+    }
+}
+
+pub(crate) fn target(name: &str) -> TargetName {
+    name.try_into().expect("name")
+}
+
+pub(crate) fn model(name: &str, version: &str) -> ModelId {
+    ModelId {
+        name: name.try_into().expect("name"),
+        version: version.try_into().expect("name"),
+    }
+}
+
+pub(crate) fn load(name: &str, version: &str) -> OrderAction {
+    OrderAction::Load {
+        model: model(name, version),
+        accelerator: 0,
+    }
+}
+
+pub(crate) fn unload(name: &str, version: &str) -> OrderAction {
+    OrderAction::Unload {
+        model: model(name, version),
+        accelerator: 0,
+    }
+}
+
+fn plan() -> FleetPlan {
+    let entry = |name: &str, centre: &str| EntryPlan {
+        name: name.try_into().expect("name"),
+        data_centre: centre.try_into().expect("name"),
+    };
+    FleetPlan {
+        document: jsonc::parse::<RawDocument>(SAMPLE).expect("document"),
+        entries: vec![entry("entry-a", "amman-a"), entry("entry-b", "irbid-a")],
+    }
+}
+
+impl World {
+    pub(crate) async fn start() -> Self {
+        tokio::spawn(pace());
+        let mut fleet = Fleet::start(plan()).await.expect("fleet starts");
+        let tone = OrderAction::LoadAdapter {
+            adapter: "tone".try_into().expect("name"),
+            model: model("box", "1"),
+            accelerator: 0,
+        };
+        for engine in ["engine-a", "engine-b"] {
+            for action in [load("box", "1"), tone.clone(), load("shelf", "1")] {
+                fleet.load(&target(engine), &action).await.expect("loads");
+            }
+        }
+        let monitor = Monitor::start(&fleet);
+        let traffic = Traffic::new(fleet.entries.iter().map(|entry| entry.address()).collect());
+        let world = Self {
+            fleet,
+            traffic,
+            monitor,
+            revision: Revision(1),
+            applied: 0,
+            left: Vec::new(),
+        };
+        sleep(Duration::from_secs(2)).await;
+        world
+    }
+
+    /// Ends every fault.
+    pub(crate) async fn heal(&mut self) {
+        self.fleet.store.set_outage(false);
+        self.fleet.store.faults().clear();
+        for engine in self.fleet.engines.values() {
+            engine.faults().clear();
+        }
+        for plain in self.fleet.plains.values() {
+            plain.faults().clear();
+        }
+        for entry in &self.fleet.entries {
+            entry.store_link().set_mode(LinkMode::Pass);
+        }
+        for (name, agent) in &mut self.fleet.agents {
+            if self.left.contains(name) {
+                continue;
+            }
+            if agent.is_running() {
+                agent.resume();
+            } else {
+                agent.revive().await.expect("agent starts");
+                self.monitor.watch_agent(name, agent);
+            }
+        }
+    }
+}
+
+/// Waits until a condition holds; says whether it did in time.
+pub(crate) async fn eventually(condition: impl Fn() -> bool) -> bool {
+    let end = Instant::now() + WAIT_LIMIT;
+    while !condition() {
+        if Instant::now() > end {
+            return false;
+        }
+        sleep(TICK).await;
+    }
+    true
+}
