--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -33,9 +33,12 @@
 const KEY: &str = "a-peer-key-of-the-tests";
 const ANY_PORT: &str = "127.0.0.1:0";
 const TIMEOUT: Duration = Duration::from_secs(30);
+const STATUS_PAUSE: Duration = Duration::from_millis(2);
 
 /// The longest order delay that the agents of the tests assume.
 pub(crate) const ORDER_DELAY: Duration = Duration::from_millis(600);
+/// The longest time from an intent to its order that the agents of the tests allow.
+pub(crate) const ORDER_LEASE: Duration = Duration::from_millis(300);
 
 pub(crate) fn model(name: &str) -> ModelId {
     ModelId {
@@ -82,7 +85,7 @@
         "target": target, "accelerators": accelerators, "accelerator_mb": 100 * accelerators,
         "slots": 4,
         "limits": {
-            "order_delay_ms": ORDER_DELAY.as_millis() as u64, "order_lease_ms": 300,
+            "order_delay_ms": ORDER_DELAY.as_millis() as u64, "order_lease_ms": ORDER_LEASE.as_millis() as u64,
             "poll_ms": 20, "stall_ms": 2_000,
         },
     }))
@@ -159,6 +162,10 @@
             attempt: attempt.clone(),
             incarnation: self.agent.incarnation(),
         };
+        self.fence_as(request).await
+    }
+
+    pub(crate) async fn fence_as(&self, request: FenceRequest) -> FenceReply {
         self.rpc.fence(request).await.unwrap()
     }
 
@@ -195,9 +202,17 @@
 
     /// Waits until the agent reports so.
     pub(crate) async fn until(&self, what: impl Fn(&Member) -> bool) -> Member {
-        let mut member = self.agent.member();
-        let reported = tokio::time::timeout(TIMEOUT, member.wait_for(|m| what(m))).await;
-        reported.expect("a report in time").unwrap().clone()
+        let reported = async {
+            loop {
+                let member = self.status().await;
+                if what(&member) {
+                    return member;
+                }
+                tokio::time::sleep(STATUS_PAUSE).await;
+            }
+        };
+        let reported = tokio::time::timeout(TIMEOUT, reported).await;
+        reported.expect("a report in time")
     }
 
     /// Waits until the quarantine of the start is over and the model serves.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod server;
 pub mod settings;
 pub mod signal;
+pub mod spread;
--- a/crates/entry/src/ledger/mod.rs
+++ b/crates/entry/src/ledger/mod.rs
@@ -6,6 +6,7 @@
 mod answer;
 mod bridge;
 mod peers;
+mod rpc_peers;
 mod service;
 mod wall;
 mod worker;
@@ -13,5 +14,6 @@
 pub use answer::{CallLedger, ClaimAnswer, SettleAnswer};
 pub use bridge::PathLedger;
 pub use peers::LedgerPeers;
+pub use rpc_peers::RpcPeers;
 pub use service::{LedgerOptions, StoreLedger};
 pub use wall::WallClock;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,11 +7,14 @@
 pub mod admission;
 pub mod api;
 pub mod call;
+pub mod control;
 pub mod daemon;
+pub mod demand;
 pub mod fleet;
 pub mod ledger;
 pub mod operator;
 pub mod path;
+pub mod relay;
 
 mod entry;
 mod measure;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -13,7 +13,7 @@
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_daemon::http::{PeerClient, rpc_client};
 use kumquatkeel_types::document::{Document, Service};
-use kumquatkeel_types::message::{Member, Role};
+use kumquatkeel_types::message::{Member, MemberState, Role};
 use kumquatkeel_types::operator::{BurnCounts, ServiceCounts, StatusReport};
 use kumquatkeel_types::{
     ErrorBody, ErrorCode, Incarnation, Outcome, RequestId, Revision, ServiceName,
@@ -27,6 +27,7 @@
 use crate::admission::Admission;
 use crate::api::answer::not_run;
 use crate::call::CallLedger;
+use crate::demand::SharedDemand;
 use crate::measure::EntryMetrics;
 use crate::operator::{NoDesk, OperatorDesk};
 use crate::path::AGENT_TIMEOUT;
@@ -76,6 +77,7 @@
     pub(crate) client: PeerClient,
     pub(crate) ledger: Arc<dyn CallLedger>,
     pub(crate) metrics: EntryMetrics,
+    pub(crate) demand: SharedDemand,
     pub(crate) drain: CancellationToken,
     pub(crate) tasks: TaskTracker,
     decider: Mutex<Decider>,
@@ -102,6 +104,7 @@
             client: PeerClient::new(),
             ledger,
             metrics,
+            demand: SharedDemand::new(clock),
             drain: CancellationToken::new(),
             tasks: TaskTracker::new(),
             decider: Mutex::new(Decider {
@@ -128,6 +131,17 @@
         decider.router.as_ref().map(|r| r.view().document().clone())
     }
 
+    /// Returns how many targets take new work, as far as this entry has heard.
+    pub fn serving_targets(&self) -> usize {
+        let decider = self.decider();
+        let agents = decider
+            .router
+            .as_ref()
+            .map_or(&[][..], |r| r.view().agents());
+        let serving = agents.iter().filter(|a| a.state == MemberState::Serving);
+        serving.count()
+    }
+
     /// Takes over a newer configuration.
     pub fn apply_document(&self, revision: Revision, document: Arc<Document>) {
         let now = self.clock.now();
@@ -208,6 +222,12 @@
             .map_or(1, |r| r.view().live_entries())
     }
 
+    /// Takes no new requests from now on.
+    pub fn stop_admission(&self) {
+        self.drain.cancel();
+        self.admission.drain();
+    }
+
     /// Connects the desk at which operators commit documents; only the first one counts.
     pub fn connect_desk(&self, desk: Arc<dyn OperatorDesk>) {
         let _ = self.desk.set(desk);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod demo;
 pub mod engine;
 pub mod fleet;
+pub mod measure;
 pub mod plain;
 pub mod platform;
 
--- a/crates/types/src/message/mod.rs
+++ b/crates/types/src/message/mod.rs
@@ -3,6 +3,7 @@
 //! Control messages travel as JSON-RPC; work travels as an HTTP request whose answer is a stream of
 //! [`AttemptEvent`], one JSON object a line.
 
+mod demand;
 mod dispatch;
 mod fence;
 mod member;
@@ -10,6 +11,7 @@
 mod probe;
 mod spread;
 
+pub use demand::{DemandReport, ModelDemand};
 pub use dispatch::{
     AttemptEvent, CompletionWork, Dispatch, FinishReason, NotRunReason, PlainWork, Work,
 };
