--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -108,7 +108,10 @@
         let shared = Arc::new(Shared::start(settings, parts.clone(), clock).await);
         let server = listen(&shared, parts.metrics).await?;
         let address = server.address();
-        shared.member.send_modify(|member| member.address = address);
+        let advertised = shared.settings.advertise.unwrap_or(address);
+        shared
+            .member
+            .send_modify(|member| member.address = advertised);
         shared.telemetry.observe(&shared);
         shared.spawn_loops();
         shared.publish();
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -27,6 +27,9 @@
     pub data_centre: DataCentreName,
     /// The address to listen on; port 0 takes a free one.
     pub listen: SocketAddr,
+    /// The address at which the other processes reach the agent, if it is not `listen`.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
     /// The key that all of the system's processes share.
     pub peer_key: String,
     /// What the target is.
@@ -108,6 +111,8 @@
     pub data_centre: DataCentreName,
     /// The address to listen on.
     pub listen: SocketAddr,
+    /// The address at which the other processes reach the agent, if it is not `listen`.
+    pub advertise: Option<SocketAddr>,
     /// The key that all of the system's processes share.
     pub peer_key: PeerKey,
     /// What the target is.
@@ -186,12 +191,19 @@
         let mut faults = Faults::default();
         check_numbers(&raw, &mut faults);
         check_kind(&raw, &mut faults);
+        if raw
+            .advertise
+            .is_some_and(|a| a.port() == 0 || a.ip().is_unspecified())
+        {
+            faults.add("advertise", "must be an IP address and a port above 0");
+        }
         let peer_key = PeerKey::try_from(raw.peer_key.as_str());
         match peer_key {
             Ok(peer_key) if faults.is_empty() => Ok(Self {
                 name: raw.name,
                 data_centre: raw.data_centre,
                 listen: raw.listen,
+                advertise: raw.advertise,
                 peer_key,
                 kind: raw.kind,
                 target: raw.target,
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -136,7 +136,7 @@
             sequence: 0,
         },
         data_centre: settings.data_centre.clone(),
-        address: settings.listen,
+        address: settings.advertise.unwrap_or(settings.listen),
         state: MemberState::Starting,
         revision: Revision::default(),
         target: None,
--- a/crates/entry/src/daemon/mod.rs
+++ b/crates/entry/src/daemon/mod.rs
@@ -19,7 +19,6 @@
 
 use self::life::{announce, first_report, start_life};
 use crate::control::{LeaseKeeper, LeaseKeeperOptions, PlacementLoop};
-use crate::fleet::FleetSource;
 use crate::ledger::{PathLedger, RpcPeers, StoreLedger, WallClock};
 use crate::operator::StoreDesk;
 use crate::relay::{RelayService, SpreadFleet};
@@ -48,26 +47,15 @@
     ///
     /// Returns an error when a listener can't start.
     pub async fn start(settings: EntrySettings) -> Result<Self, EntryError> {
-        Self::start_with(settings, |fleet| fleet).await
-    }
-
-    /// Starts the daemon with a source of news that `wrap` makes of its own.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error when a listener can't start.
-    pub async fn start_with(
-        settings: EntrySettings,
-        wrap: impl FnOnce(Arc<dyn FleetSource>) -> Arc<dyn FleetSource>,
-    ) -> Result<Self, EntryError> {
         let stop = CancellationToken::new();
         let platform = Platform::of(&settings);
         let listener = TcpListener::bind(settings.internal).await?;
         let life = start_life(&*platform.store, &platform.ids, &settings.name).await;
-        let own = first_report(&settings, life, listener.local_addr()?);
+        let address = settings.advertise.unwrap_or(listener.local_addr()?);
+        let own = first_report(&settings, life, address);
         let mut parts = EntryParts::new(life, Metrics::start()?, Arc::new(crate::fleet::NoNews));
         let hub = Arc::new(Hub::new(own, rand::rng().next_u64(), parts.clock));
-        parts.fleet = wrap(Arc::new(SpreadFleet::new(hub.clone())));
+        parts.fleet = Arc::new(SpreadFleet::new(hub.clone()));
         parts.listener = Some(listener);
         let ledger = platform.ledger(&settings, &hub, &stop);
         parts.methods = methods(&hub, &ledger, &parts);
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -26,6 +26,9 @@
     pub listen: SocketAddr,
     /// The address for the system's own processes.
     pub internal: SocketAddr,
+    /// The address at which the other processes reach the entry, if it is not `internal`.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
     /// The address of the platform's object API.
     pub platform: SocketAddr,
     /// The internal addresses of some entries, to find the others by.
@@ -61,6 +64,8 @@
     pub listen: SocketAddr,
     /// The address for the system's own processes.
     pub internal: SocketAddr,
+    /// The address at which the other processes reach the entry, if it is not `internal`.
+    pub advertise: Option<SocketAddr>,
     /// The address of the platform's object API.
     pub platform: SocketAddr,
     /// The internal addresses of some entries, to find the others by.
@@ -94,6 +99,12 @@
         check(&mut faults, "body_ms", raw.body_ms, 1, MOST_MS);
         check(&mut faults, "requests", raw.requests, 1, usize::MAX);
         check(&mut faults, "drain_ms", raw.drain_ms, 0, MOST_MS);
+        if raw
+            .advertise
+            .is_some_and(|a| a.port() == 0 || a.ip().is_unspecified())
+        {
+            faults.add("advertise", "must be an IP address and a port above 0");
+        }
         let same = raw.listen == raw.internal && raw.listen.port() != 0;
         if same {
             faults.add("internal", "is also the callers' address");
@@ -112,6 +123,7 @@
             data_centre: raw.data_centre,
             listen: raw.listen,
             internal: raw.internal,
+            advertise: raw.advertise,
             platform: raw.platform,
             entries: raw.entries,
             peer_key,
--- a/crates/standin/src/fleet/placement.rs
+++ b/crates/standin/src/fleet/placement.rs
@@ -1,11 +1,12 @@
 //! Loads models through the agents' order interface, in the place of a planner.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use kumquatkeel_daemon::http::rpc_client;
 use kumquatkeel_daemon::peer::PeerKey;
 use kumquatkeel_daemon::rpc::AgentApiClient;
-use kumquatkeel_types::document::{Model, RawDocument};
+use kumquatkeel_types::document::{RawDocument, ServedModel};
 use kumquatkeel_types::message::{Member, Order, OrderAction, OrderResult, ReplicaState};
 use kumquatkeel_types::{Epoch, ModelId, TargetName};
 
@@ -125,10 +126,12 @@
     }
 }
 
-/// Returns the loads of every model and adapter onto the first accelerator.
+/// Returns the loads of every served model and its adapters onto the first accelerator.
 fn loads_of(document: &RawDocument) -> Vec<OrderAction> {
-    let models = document.models.iter().map(Model::id);
+    let served = document.deployments.iter().flat_map(|d| &d.models);
+    let models: BTreeSet<ModelId> = served.map(ServedModel::id).collect();
     models
+        .into_iter()
         .flat_map(|model| loads_of_model(document, model))
         .collect()
 }
