--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -7,12 +7,14 @@
 mod entry;
 mod error;
 mod link;
+mod pace;
 mod placement;
 
 pub use agent::AgentSlot;
 pub use entry::EntrySlot;
 pub use error::FleetError;
 pub use link::{Link, LinkMode};
+pub use pace::pace_clock;
 
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
--- a/crates/standin/tests/matrix/world.rs
+++ b/crates/standin/tests/matrix/world.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kumquatkeel_standin::fleet::{EntryPlan, Fleet, FleetPlan, LinkMode};
+use kumquatkeel_standin::fleet::{EntryPlan, Fleet, FleetPlan, LinkMode, pace_clock};
 use kumquatkeel_types::document::RawDocument;
 use kumquatkeel_types::{Revision, TargetName, jsonc};
 use tokio::time::{Instant, sleep};
@@ -12,10 +12,8 @@
 
 const SAMPLE: &str = include_str!("sample.jsonc");
 
-/// One step of the paused clock.
+/// Time between two looks at a condition.
 const TICK: Duration = Duration::from_millis(1);
-/// Time that sockets get at each step of the paused clock.
-const SOCKET_TIME: Duration = Duration::from_micros(10);
 /// Longest wait for a condition.
 const WAIT_LIMIT: Duration = Duration::from_secs(40);
 
@@ -30,14 +28,6 @@
     pub(crate) left: Vec<TargetName>,
 }
 
-/// Advances the paused clock evenly, so that it never jumps over a socket's answer.
-async fn pace() {
-    loop {
-        sleep(TICK).await;
-        std::thread::sleep(SOCKET_TIME);
-    }
-}
-
 pub(crate) fn target(name: &str) -> TargetName {
     name.try_into().expect("name")
 }
@@ -55,7 +45,7 @@
 
 impl World {
     pub(crate) async fn start() -> Self {
-        tokio::spawn(pace());
+        tokio::spawn(pace_clock());
         let fleet = Fleet::start(plan()).await.expect("fleet starts");
         fleet.wait_placed().await.expect("models are placed");
         let monitor = Monitor::start(&fleet);
