--- a/crates/standin/tests/processes/site.rs
+++ b/crates/standin/tests/processes/site.rs
@@ -123,6 +123,12 @@
         self.agents.insert(name.into(), daemon);
     }
 
+    /// Ends an entry at once; callers do not use it any more.
+    pub(crate) async fn kill_entry(&mut self, number: usize) {
+        self.entries.remove(number).kill().await;
+        self.handle.callers.remove(number);
+    }
+
     /// Applies a changed document through an entry and returns its revision.
     pub(crate) async fn apply(&self) -> Revision {
         let current: CurrentDocument = self.operate(Method::GET, "document", Bytes::new()).await;
