--- a/crates/entry/tests/callers.rs
+++ b/crates/entry/tests/callers.rs
@@ -177,6 +177,28 @@
     drained.await;
 }
 
+#[tokio::test]
+async fn open_streams_count_against_the_entrys_requests() {
+    let mut site = Site::start(&["t1"], None).await;
+    let key = format!("Bearer {CALLER_KEY}");
+    let mut held = Vec::new();
+    for _ in 0..3 {
+        site.agents[0].script(Script::Hold);
+        held.push(
+            site.open(TEXT, &[("authorization", &key)], &body(true))
+                .await,
+        );
+        site.agents[0].next_attempt().await;
+    }
+    let reply = site.post(TEXT, &[], &body(true)).await;
+    assert_eq!((reply.status.as_u16(), reply.outcome()), (429, "not_run"));
+    site.agents[0].go_on();
+    for stream in held {
+        let text = stream.into_body().collect().await.unwrap().to_bytes();
+        assert!(text.ends_with(b"data: [DONE]\n\n"));
+    }
+}
+
 #[rstest]
 #[case::streamed(true)]
 #[case::whole(false)]
@@ -306,6 +328,18 @@
     assert!(site.agents[0].seen.try_recv().is_err(), "nothing is sent");
 }
 
+#[tokio::test]
+async fn a_call_over_the_services_rate_is_refused_with_the_time_to_come_back() {
+    let site = Site::start(&["plain-1"], None).await;
+    site.agents[0].script(Script::Answer(200));
+    let path = "/v1/services/limited/x";
+    let first = site.post(path, &[], "{}").await;
+    assert_eq!((first.status.as_u16(), first.outcome()), (200, "done"));
+    let second = site.post(path, &[], "{}").await;
+    assert_eq!((second.status.as_u16(), second.outcome()), (429, "not_run"));
+    assert!(second.headers.contains_key("retry-after"));
+}
+
 #[tokio::test]
 async fn the_models_are_those_that_the_caller_may_use() {
     let site = Site::start(&["t1"], None).await;
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -7,13 +7,14 @@
 mod entry;
 mod error;
 mod link;
+mod pace;
 mod placement;
-mod source;
 
 pub use agent::AgentSlot;
 pub use entry::EntrySlot;
 pub use error::FleetError;
 pub use link::{Link, LinkMode};
+pub use pace::pace_clock;
 
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -112,7 +113,7 @@
         for (number, entry) in plan.entries.iter().enumerate() {
             let platform = fleet.platform();
             let (name, centre) = (&entry.name, &entry.data_centre);
-            let slot = EntrySlot::start(number, name, centre, platform, &fleet.agents, &fronts);
+            let slot = EntrySlot::start(number, name, centre, platform, &fronts);
             fleet.entries.push(slot.await?);
         }
         Ok(fleet)
