perf(placement): read slots from reports, let demand fall in seconds, plan for 0.7 of the slots

Cause: the estimate of a past burst kept idle copies for minutes, the plan filled accelerators to 0.85 of a replica's slots although their agents allow fewer, and the workload was sized for tokens of 25 ms where the engine takes about 40. Change: spare slots come from the load reports, estimates fall within 10 to 30 s by the moves' weight, FILL is 0.7; demand is sized by 24 slots and 40 ms a token.

--- a/crates/core/src/placement/board.rs
+++ b/crates/core/src/placement/board.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use kumquatkeel_types::document::{Document, TargetKind};
-use kumquatkeel_types::message::ReplicaState;
+use kumquatkeel_types::message::{LoadSummary, ReplicaState};
 use kumquatkeel_types::{DataCentreName, ModelId, ModelName, TargetName};
 
 use super::PlanInput;
@@ -31,6 +31,27 @@
     pub(super) fenced: bool,
     /// The models with a copy on it, by their place on the board.
     pub(super) models: Vec<usize>,
+    /// Requests that run on it.
+    pub(super) running: f64,
+    /// Requests that it could run besides, as its agent reports; none before a report.
+    pub(super) spare: Option<f64>,
+}
+
+impl Accelerator {
+    /// Returns the requests that the accelerator runs at a time, or none while no report tells.
+    pub(super) fn slots(&self) -> Option<f64> {
+        self.spare.map(|spare| self.running + spare)
+    }
+
+    /// Takes in the load of a ready copy.
+    fn note_load(&mut self, load: &LoadSummary) {
+        if load.slots == 0 {
+            return;
+        }
+        let spare = f64::from(load.slots.saturating_sub(load.running));
+        self.running += f64::from(load.running);
+        self.spare = Some(self.spare.map_or(spare, |known| known.max(spare)));
+    }
 }
 
 /// Whether a copy may be unloaded.
@@ -141,6 +162,8 @@
                     usable: serves && used_mb.is_some(),
                     fenced: input.fenced.contains(&target.name),
                     models: Vec::new(),
+                    running: 0.0,
+                    spare: None,
                 });
             }
         }
@@ -205,6 +228,9 @@
                 accelerator.room_mb -= missing_mb;
             }
             accelerator.models.push(model);
+            if replica.state == ReplicaState::Ready {
+                accelerator.note_load(&replica.load);
+            }
             row.copies.push(Copy {
                 accelerator: place,
                 state,
--- a/crates/core/src/placement/estimate.rs
+++ b/crates/core/src/placement/estimate.rs
@@ -10,9 +10,9 @@
 /// Time constant by which an estimate follows rising demand.
 const RISE: Duration = Duration::from_secs(4);
 /// Time constant by which an estimate follows falling demand when moves weigh nothing.
-const FALL: Duration = Duration::from_secs(45);
+const FALL: Duration = Duration::from_secs(10);
 /// Time added to [`FALL`] when only moves weigh.
-const FALL_BY_WEIGHT: Duration = Duration::from_mins(4);
+const FALL_BY_WEIGHT: Duration = Duration::from_secs(20);
 /// Time constant of the estimate of a request's running time.
 const SERVICE: Duration = Duration::from_secs(90);
 /// A request's running time before any was seen, in seconds.
--- a/crates/core/src/placement/flow.rs
+++ b/crates/core/src/placement/flow.rs
@@ -4,7 +4,7 @@
 use super::model_row::CopyState;
 
 /// Share of an accelerator's slots that the plan fills.
-const FILL: f64 = 0.85;
+const FILL: f64 = 0.7;
 /// Passes over the models; each moves what is left to copies with slots left.
 const PASSES: usize = 4;
 
@@ -25,7 +25,11 @@
         let slots = board.models.iter().map(|m| m.slots).fold(1.0, f64::max);
         let shares = board.models.iter().map(|m| vec![0.0; m.copies.len()]);
         let mut flow = Self {
-            left: vec![slots * FILL; board.accelerators.len()],
+            left: board
+                .accelerators
+                .iter()
+                .map(|a| a.slots().map_or(slots, |s| s.min(slots)) * FILL)
+                .collect(),
             short: levels.to_vec(),
             shares: shares.collect(),
         };
@@ -52,7 +56,7 @@
                 if copy.state == CopyState::Doubtful {
                     return 0.0;
                 }
-                let own = row.slots * FILL - self.shares[model][i];
+                let own = row.slots - self.shares[model][i];
                 self.left[copy.accelerator].min(own).max(0.0)
             })
             .collect();
--- a/crates/standin/src/measure/policy/agent.rs
+++ b/crates/standin/src/measure/policy/agent.rs
@@ -14,8 +14,9 @@
 
 use super::engine::Engine;
 
-/// Attempts that an agent lets run on an accelerator.
-const ACCELERATOR_SLOTS: u32 = 44;
+/// Attempts that an agent lets run on an accelerator: the most for which co-resident models that
+/// fill the memory keep the limit between tokens.
+pub(super) const ACCELERATOR_SLOTS: u32 = 24;
 
 /// An agent and its target.
 #[derive(Debug)]
--- a/crates/standin/src/measure/policy/schedule.rs
+++ b/crates/standin/src/measure/policy/schedule.rs
@@ -8,6 +8,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
+use super::agent::ACCELERATOR_SLOTS;
 use super::workload::Site;
 
 /// Requests in progress that the evening keeps on average without bursts, as a share of all slots.
@@ -27,7 +28,7 @@
 /// The exponent of the models' popularity.
 const SKEW: f64 = 0.8;
 /// Time between two tokens by which demand is sized, in seconds.
-const TOKEN_SECS: f64 = 0.025;
+const TOKEN_SECS: f64 = 0.04;
 /// Share of completions that use an adapter.
 const ADAPTER_SHARE: f64 = 0.6;
 /// Plain calls for each completion.
@@ -125,9 +126,9 @@
     let document: &Document = &site.document;
     let engines = document.targets.iter();
     let engines = engines.filter(|t| t.kind == TargetKind::Engine).count();
-    let slots = document.models.first().map_or(0.0, |m| f64::from(m.slots));
     let tokens = f64::from(site.tokens.0 + site.tokens.1) / 2.0;
-    let total = engines as f64 * slots * BASE_SHARE * load / (tokens * TOKEN_SECS);
+    let total =
+        engines as f64 * f64::from(ACCELERATOR_SLOTS) * BASE_SHARE * load / (tokens * TOKEN_SECS);
     let shares: Vec<f64> = (1..=document.models.len())
         .map(|rank| (rank as f64).powf(-SKEW))
         .collect();
