--- /dev/null
+++ b/crates/core/tests/memory_limit.rs
@@ -0,0 +1,72 @@
+//! A load is begun only when memory suffices in every possible case.
+
+use kumquatkeel_core::memory::{Account, AccountSettings, BeginStep};
+use kumquatkeel_types::engine::{EngineLoad, EngineOrderReply};
+use kumquatkeel_types::message::OrderAction;
+use kumquatkeel_types::{ModelId, Timestamp};
+use rstest::rstest;
+
+const SIZE_MB: u32 = 100;
+
+fn load(name: &str) -> OrderAction {
+    OrderAction::Load {
+        model: ModelId {
+            name: name.try_into().expect("name"),
+            version: "1".try_into().expect("name"),
+        },
+        accelerator: 0,
+    }
+}
+
+fn account() -> Account {
+    let settings = AccountSettings {
+        accelerators: 1,
+        accelerator_mb: SIZE_MB,
+        ..AccountSettings::default()
+    };
+    let mut account = Account::new(settings, Timestamp::ZERO);
+    let empty = EngineLoad {
+        used_mb: vec![0],
+        ..EngineLoad::default()
+    };
+    account.observe(&empty, Timestamp::from_millis(1), |_| None);
+    account
+}
+
+/// How the first load stands when the second is asked for.
+#[derive(Debug, Clone, Copy)]
+enum First {
+    InFlight,
+    Settled(Option<EngineOrderReply>),
+}
+
+#[rstest]
+#[case(First::InFlight, 60, 40, true)]
+#[case(First::InFlight, 60, 41, false)]
+#[case(First::Settled(Some(EngineOrderReply::Done)), 60, 40, true)]
+#[case(First::Settled(Some(EngineOrderReply::Done)), 60, 41, false)]
+#[case(First::Settled(None), 60, 41, false)]
+#[case(First::Settled(Some(EngineOrderReply::Refused)), 60, 41, false)]
+fn a_load_that_may_not_fit_is_refused(
+    #[case] first: First,
+    #[case] first_mb: u32,
+    #[case] second_mb: u32,
+    #[case] fits: bool,
+) {
+    let mut account = account();
+    let now = Timestamp::from_millis(2);
+    let begun = account.begin(&load("first"), Some(first_mb), now);
+    let BeginStep::Send { number } = begun else {
+        panic!("{begun:?}");
+    };
+    if let First::Settled(reply) = first {
+        account.settle(number, reply, now);
+    }
+    let second = account.begin(&load("second"), Some(second_mb), now);
+    assert_eq!(matches!(second, BeginStep::Send { .. }), fits, "{second:?}");
+    assert!(account.committed_mb().iter().all(|mb| *mb <= SIZE_MB));
+    if !fits {
+        let free_mb = SIZE_MB - first_mb;
+        assert_eq!(second, BeginStep::NoMemory { free_mb });
+    }
+}
--- a/crates/standin/tests/histories/calls.rs
+++ b/crates/standin/tests/histories/calls.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use kumquatkeel_standin::demo::{CALLER_KEY, Caller, sample_plan};
-use kumquatkeel_standin::fleet::{Fleet, pace_clock};
+use kumquatkeel_standin::fleet::{EntrySlot, Fleet, pace_clock};
 use kumquatkeel_standin::plain::PlainFault;
 use kumquatkeel_types::Outcome;
 use rand::{RngExt, SeedableRng};
@@ -98,7 +98,7 @@
         .faults()
         .script(rng.random_range(1..4), PlainFault::LostAfter);
     fleet.store.faults().set_losses(LOST_SHARE, seed);
-    let entries: Vec<_> = fleet.entries.iter().map(|entry| entry.address()).collect();
+    let entries: Vec<_> = fleet.entries.iter().map(EntrySlot::address).collect();
     let recorders: Vec<_> = (0..KEYS).map(|_| Recorder::new()).collect();
     let mut callers = JoinSet::new();
     for (number, recorder) in recorders.iter().enumerate() {
--- a/crates/standin/tests/matrix/fault.rs
+++ b/crates/standin/tests/matrix/fault.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use kumquatkeel_platform::{InstanceRecord, InstanceState};
 use kumquatkeel_standin::engine::{EngineCall, EngineFault};
 use kumquatkeel_standin::fleet::LinkMode;
 use kumquatkeel_standin::plain::PlainFault;
@@ -58,7 +59,6 @@
             Self::OrderLost | Self::OrderLate if !step.gives_orders() => {
                 Some("the step gives no order")
             }
-            Self::ListStale => Some("no daemon reads the list of instances yet"),
             _ => None,
         }
     }
@@ -89,7 +89,13 @@
                 world.fleet.store.faults().script(CallKind::Watch, 1, gap);
                 world.fleet.store.compact();
             }
-            Self::ListStale => {}
+            Self::ListStale => {
+                world.fleet.store.set_instances([InstanceRecord {
+                    name: "swaps-a".try_into().expect("name"),
+                    data_centre: "amman-a".try_into().expect("name"),
+                    state: InstanceState::Leaving,
+                }]);
+            }
             Self::LinkCut => {
                 set_region(world, LinkMode::Cut);
                 sleep(OUTAGE).await;
@@ -187,6 +193,6 @@
     second.policy.link_bytes = 1_000_002;
     let fleet = &world.fleet;
     let (first, second) = tokio::join!(fleet.commit(first, base), fleet.commit(second, base));
-    world.note_commit(first.ok());
-    world.note_commit(second.ok());
+    world.note_commit(first.ok().as_ref());
+    world.note_commit(second.ok().as_ref());
 }
--- a/crates/standin/tests/matrix/step.rs
+++ b/crates/standin/tests/matrix/step.rs
@@ -189,13 +189,13 @@
         if outcome.is_some() {
             self.fleet.document = document;
         }
-        self.note_commit(outcome);
+        self.note_commit(outcome.as_ref());
     }
 
     /// Notes the revision that a commit made.
-    pub(crate) fn note_commit(&mut self, outcome: Option<CommitOutcome>) {
+    pub(crate) fn note_commit(&mut self, outcome: Option<&CommitOutcome>) {
         if let Some(CommitOutcome::Committed(revision)) = outcome {
-            self.revision = self.revision.max(revision);
+            self.revision = self.revision.max(*revision);
         }
     }
 }
--- a/crates/standin/tests/matrix/world.rs
+++ b/crates/standin/tests/matrix/world.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use kumquatkeel_standin::fleet::{EntryPlan, Fleet, FleetPlan, LinkMode, pace_clock};
+use kumquatkeel_standin::fleet::{EntryPlan, EntrySlot, Fleet, FleetPlan, LinkMode, pace_clock};
 use kumquatkeel_types::document::RawDocument;
 use kumquatkeel_types::{Revision, TargetName, jsonc};
 use tokio::time::{Instant, sleep};
@@ -49,7 +49,7 @@
         let fleet = Fleet::start(plan()).await.expect("fleet starts");
         fleet.wait_placed().await.expect("models are placed");
         let monitor = Monitor::start(&fleet);
-        let traffic = Traffic::new(fleet.entries.iter().map(|entry| entry.address()).collect());
+        let traffic = Traffic::new(fleet.entries.iter().map(EntrySlot::address).collect());
         let world = Self {
             fleet,
             traffic,
@@ -66,6 +66,7 @@
     pub(crate) async fn heal(&mut self) {
         self.fleet.store.set_outage(false);
         self.fleet.store.faults().clear();
+        self.fleet.store.set_instances([]);
         self.traffic.set_models(self.served.clone());
         for engine in self.fleet.engines.values() {
             engine.faults().clear();
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -4,7 +4,7 @@
 
 use kumquatkeel_platform::{
     InstanceList, InstanceRecord, InstanceState, ObjectKey, ObjectStore, ObjectVersion,
-    Precondition, StoreFault, WriteId,
+    Precondition, Settled, StoreFault, WriteId, put_settled,
 };
 use kumquatkeel_standin::platform::{CallFault, CallKind, MemoryStore};
 use rstest::rstest;
@@ -141,3 +141,15 @@
     tokio::time::sleep(Duration::from_secs(10)).await;
     assert_eq!(store.instances().await.expect("reads").len(), 1);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_write_that_takes_effect_while_it_is_sent_again_is_found() {
+    let store = MemoryStore::new();
+    let late = CallFault::LateEffect(Duration::from_millis(5));
+    store.faults().script(CallKind::Put, 1, late);
+    store.faults().set_read_delay(Duration::from_millis(1));
+    store.faults().set_write_delay(Duration::from_millis(10));
+    let write = WriteId::from("w1");
+    let settled = put_settled(&store, &key(), Precondition::Absent, &write, "a".into()).await;
+    assert!(matches!(settled, Ok(Settled::Written(_))), "{settled:?}");
+}
--- a/crates/standin/tests/processes/site.rs
+++ b/crates/standin/tests/processes/site.rs
@@ -47,7 +47,7 @@
     settings: BTreeMap<String, Value>,
     entries: Vec<Daemon>,
     directory: tempfile::TempDir,
-    _servers: (PlatformServer, Vec<EngineServer>, PlainServer),
+    servers: (PlatformServer, Vec<EngineServer>, PlainServer),
 }
 
 impl Deref for Site {
@@ -96,7 +96,7 @@
             settings: BTreeMap::new(),
             entries: Vec::new(),
             directory: tempfile::tempdir().expect("makes a directory"),
-            _servers: (platform, Vec::new(), plain_server),
+            servers: (platform, Vec::new(), plain_server),
         };
         for target in &document.targets {
             site.add_agent(&document, target, internals).await;
@@ -178,12 +178,12 @@
 
     async fn add_agent(&mut self, document: &RawDocument, target: &Target, relays: &[SocketAddr]) {
         let address = match target.kind {
-            TargetKind::Plain => self._servers.2.address(),
+            TargetKind::Plain => self.servers.2.address(),
             TargetKind::Engine => {
                 let engine = Engine::new(EngineOptions::of_target(document, target));
                 let server = EngineServer::start(loopback(), engine.clone()).expect("starts");
                 let address = server.address();
-                self._servers.1.push(server);
+                self.servers.1.push(server);
                 self.handle.engines.insert(target.name.to_string(), engine);
                 address
             }
@@ -192,7 +192,7 @@
             "name": target.name, "data_centre": target.data_centre, "listen": target.agent,
             "peer_key": PEER_KEY, "kind": target.kind, "target": address,
             "accelerators": target.accelerators, "accelerator_mb": target.accelerator_mb,
-            "fencing": target.fencing, "store": self._servers.0.address(), "relays": relays,
+            "fencing": target.fencing, "store": self.servers.0.address(), "relays": relays,
         });
         self.settings.insert(target.name.to_string(), settings);
         self.start_agent(target.name.as_str()).await;
@@ -201,7 +201,7 @@
     async fn start_entry(&mut self, number: usize, internal: SocketAddr, all: &[SocketAddr]) {
         let settings = json!({
             "name": format!("entry-{number}"), "data_centre": "kol-salt", "listen": loopback(),
-            "internal": internal, "platform": self._servers.0.address(), "entries": all,
+            "internal": internal, "platform": self.servers.0.address(), "entries": all,
             "peer_key": PEER_KEY, "drain_ms": 100,
         });
         let daemon = Daemon::start(ENTRY, self.directory.path(), &settings).await;
