--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -7,12 +7,14 @@
 use kumquatkeel_daemon::spread::{Hub, RpcTransport, SharedView, SpreadClient, SpreadOptions};
 use kumquatkeel_platform::{CallCounts, HttpObjectStore, HttpOptions, ObjectStore, WriteIds};
 use kumquatkeel_types::message::{Member, MemberState};
-use log::error;
 use rand::Rng;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-use crate::{Agent, AgentError, AgentHandle, AgentParts, AgentSettings, Configuration};
+use crate::{
+    Agent, AgentControl, AgentError, AgentHandle, AgentParts, AgentSettings, Configuration,
+    ViewHints,
+};
 
 /// A running agent daemon; dropping it leaves its tasks to the runtime.
 #[derive(Debug)]
@@ -38,14 +40,22 @@
             reason: error.to_string(),
         })?;
         let store = settings.store.map(store_at);
-        let mut parts = AgentParts::new(configuration, metrics);
+        let views = watch::Sender::new(SharedView::empty());
+        let hints = ViewHints::new(settings.name.clone(), views.subscribe());
+        let mut parts = AgentParts::new(configuration, metrics).hints(hints);
         if let Some(store) = &store {
             parts = parts.store(store.clone());
         }
         let agent = Agent::start(settings.clone(), parts).await?;
         let own = agent.member().borrow().clone();
         let hub = Arc::new(Hub::new(own, rand::rng().next_u64(), Clock::start()));
-        tokio::spawn(follow_view(hub.view(), sender, stop.clone()));
+        tokio::spawn(follow_view(
+            hub.view(),
+            agent.control(),
+            views,
+            sender,
+            stop.clone(),
+        ));
         tokio::spawn(report(agent.member(), hub.clone(), stop.clone()));
         let spread = store.map(|store| spread(&settings, store, &hub, &stop));
         Ok(Self {
@@ -98,28 +108,30 @@
     SpreadClient::start(hub.clone(), options, stop.clone())
 }
 
-/// Hands each configuration of the spread to the agent.
+/// Hands the spread's news to the agent.
 async fn follow_view(
     mut view: watch::Receiver<SharedView>,
+    agent: AgentControl,
+    views: watch::Sender<SharedView>,
     configurations: watch::Sender<Option<Configuration>>,
     stop: CancellationToken,
 ) {
     loop {
-        let (revision, document, superseded) = {
-            let view = view.borrow_and_update();
-            (view.revision, view.document.clone(), view.superseded)
-        };
-        if superseded {
-            error!(target: "agent", "agent: a later life has this name");
+        let news = view.borrow_and_update().clone();
+        if news.superseded {
+            agent.give_way("others have heard of a later life");
         }
         let known = configurations
             .borrow()
             .as_ref()
             .map(|c| c.revision)
             .unwrap_or_default();
-        if revision > known {
+        if news.revision > known {
+            let revision = news.revision;
+            let document = news.document.clone();
             configurations.send_replace(Some(Configuration { revision, document }));
         }
+        views.send_replace(news);
         if !matches!(stop.run_until_cancelled(view.changed()).await, Some(Ok(()))) {
             return;
         }
--- a/crates/agent/tests/completion.rs
+++ b/crates/agent/tests/completion.rs
@@ -5,7 +5,7 @@
 use common::{Site, engine_options, running, start_engine};
 use futures::StreamExt;
 use kumquatkeel_standin::engine::{EngineCall, EngineFault, Prompt, RunEnd};
-use kumquatkeel_types::message::{AttemptEvent, NotRunReason};
+use kumquatkeel_types::message::{AttemptEvent, NotRunReason, OrderResult};
 use rstest::rstest;
 
 fn tokens(events: &[AttemptEvent]) -> Vec<String> {
@@ -45,6 +45,7 @@
 #[rstest]
 #[case::cut(EngineFault::CutAfter(3), 3)]
 #[case::lost(EngineFault::LostAfter, 0)]
+#[case::silent(EngineFault::Silent, 0)]
 #[tokio::test]
 async fn an_answer_without_its_end_mark_is_never_finished(
     #[case] fault: EngineFault,
@@ -126,6 +127,7 @@
         "the waiting attempt never reached the engine"
     );
     assert_eq!(runs[0].end, RunEnd::Cancelled);
+    assert_eq!(engine.faults().calls(EngineCall::Cancel), 1);
     let events = site.run(&waiting).await;
     assert_eq!(reason(&events), Some(NotRunReason::Cancelled));
 }
@@ -145,9 +147,15 @@
             .await;
         site.run(&site.completion("small", 4)).await
     };
-    let (drained, events, refused) =
-        tokio::join!(site.agent.drain(), stream.collect::<Vec<_>>(), refused);
-    assert!(drained);
+    let drained = async {
+        let all_ended = site.agent.drain().await;
+        (all_ended, running(&site.status().await))
+    };
+    let events = stream.collect::<Vec<_>>();
+    let (drained, events, refused) = tokio::join!(drained, events, refused);
+    assert_eq!(drained, (true, 0));
+    let load = site.load("large").await.result;
+    assert!(matches!(load, OrderResult::Refused { .. }), "{load:?}");
     assert!(
         matches!(events.last(), Some(AttemptEvent::Finished { .. })),
         "{events:?}"
