--- a/crates/kumquatkeel/src/commands/measure.rs
+++ b/crates/kumquatkeel/src/commands/measure.rs
@@ -3,6 +3,7 @@
 use kumquatkeel_standin::measure::policy::{
     PolicyLine, PolicyOptions, Workload, policy_names, run,
 };
+use kumquatkeel_standin::measure::slopes::{self, Sample, SlopeLine};
 
 use crate::cli::PolicyArgs;
 use crate::error::CommandError;
@@ -94,9 +95,36 @@
 }
 
 /// Prints the costs of each role at several sizes.
-pub(super) fn slopes(_json: bool) -> Result<(), CommandError> {
-    Err(CommandError::Run {
-        step: "measure slopes",
-        reason: "is not wired yet".into(),
-    })
+pub(super) fn slopes(json: bool) {
+    for line in slopes::run() {
+        if json {
+            println!("{}", serde_json::to_string(&line).unwrap_or_default());
+        } else {
+            print!("{}", table_of(&line));
+        }
+    }
+}
+
+fn table_of(line: &SlopeLine) -> String {
+    let mut rows = vec![format!("{} by {}", line.role, line.axis)];
+    rows.extend(line.samples.iter().map(row_of));
+    let slope = &line.slope;
+    rows.push(format!(
+        "  each: {:.3} B/s, {:.5} ms/s, {:.0} B, {:.5} calls/s; none: {:.0} B/s, {:.3} ms/s, {:.0} B",
+        slope.bytes,
+        slope.cpu_ms,
+        slope.memory,
+        slope.calls,
+        slope.fixed.bytes,
+        slope.fixed.cpu_ms,
+        slope.fixed.memory,
+    ));
+    rows.join("\n") + "\n"
+}
+
+fn row_of(sample: &Sample) -> String {
+    format!(
+        "  {:>6}: {:>9.0} B/s {:>9.3} ms/s {:>10.0} B {:>6.2} calls/s",
+        sample.size, sample.bytes, sample.cpu_ms, sample.memory, sample.calls
+    )
 }
--- a/crates/kumquatkeel/src/commands/mod.rs
+++ b/crates/kumquatkeel/src/commands/mod.rs
@@ -19,6 +19,9 @@
         Command::Report(Report::Burn(args)) => burn::run(args).await,
         Command::Demo { once } => demo::run(once).await,
         Command::Measure(Measure::Policy(args)) => measure::policy(&args),
-        Command::Measure(Measure::Slopes { json }) => measure::slopes(json),
+        Command::Measure(Measure::Slopes { json }) => {
+            measure::slopes(json);
+            Ok(())
+        }
     }
 }
--- a/crates/standin/src/measure/mod.rs
+++ b/crates/standin/src/measure/mod.rs
@@ -1,3 +1,4 @@
 //! The measuring tool.
 
 pub mod policy;
+pub mod slopes;
