--- a/crates/kumquatkeel/src/cli.rs
+++ b/crates/kumquatkeel/src/cli.rs
@@ -43,6 +43,9 @@
         #[arg(long)]
         once: bool,
     },
+    /// Run a stand-in for the platform or for a target, to try the daemons without the real ones.
+    #[command(subcommand)]
+    StandIn(StandIn),
     /// Measure decisions and costs.
     #[command(subcommand)]
     Measure(Measure),
@@ -100,6 +103,28 @@
     pub svg: Option<PathBuf>,
 }
 
+/// The stand-ins; each runs until it is interrupted.
+#[derive(Debug, Subcommand)]
+pub(crate) enum StandIn {
+    /// The platform: its object API and its list of instances, kept in memory.
+    Platform {
+        /// The address to listen on.
+        #[arg(long)]
+        listen: SocketAddr,
+    },
+    /// A target of a document: a model engine or a plain service.
+    Target {
+        /// The target's name in the document.
+        name: String,
+        /// The document, JSON with comments.
+        #[arg(long)]
+        document: PathBuf,
+        /// The address to listen on.
+        #[arg(long)]
+        listen: SocketAddr,
+    },
+}
+
 /// The measurements.
 #[derive(Debug, Subcommand)]
 pub(crate) enum Measure {
--- a/crates/kumquatkeel/src/commands/mod.rs
+++ b/crates/kumquatkeel/src/commands/mod.rs
@@ -5,6 +5,7 @@
 mod check;
 mod demo;
 mod measure;
+mod stand_in;
 mod status;
 
 use crate::cli::{Cli, Command, Measure, Report};
@@ -18,6 +19,7 @@
         Command::Status { entry, json } => status::run(&entry, json).await,
         Command::Report(Report::Burn(args)) => burn::run(args).await,
         Command::Demo { once } => demo::run(once).await,
+        Command::StandIn(which) => stand_in::run(which).await,
         Command::Measure(Measure::Policy(args)) => measure::policy(&args),
         Command::Measure(Measure::Slopes { json }) => {
             measure::slopes(json);
