--- a/crates/kumquatkeel/src/commands/stand_in.rs
+++ b/crates/kumquatkeel/src/commands/stand_in.rs
@@ -23,7 +23,11 @@
 pub(super) async fn run(which: StandIn) -> Result<(), CommandError> {
     match which {
         StandIn::Platform { listen } => run_platform(listen).await,
-        StandIn::Target { name, document, listen } => run_target(&name, &document, listen).await,
+        StandIn::Target {
+            name,
+            document,
+            listen,
+        } => run_target(&name, &document, listen).await,
     }
 }
 
@@ -37,7 +41,10 @@
 
 async fn run_target(name: &str, document: &Path, listen: SocketAddr) -> Result<(), CommandError> {
     let document = read_document(document)?;
-    let wrong = |reason: String| CommandError::Argument { argument: "name", reason };
+    let wrong = |reason: String| CommandError::Argument {
+        argument: "name",
+        reason,
+    };
     let name = TargetName::try_from(name).map_err(|error| wrong(error.to_string()))?;
     let target = document
         .target(&name)
@@ -62,11 +69,15 @@
 }
 
 async fn wait() -> Result<(), CommandError> {
-    stop_requested()
-        .await
-        .map_err(|error| CommandError::Run { step: "watch signals", reason: error.to_string() })
+    stop_requested().await.map_err(|error| CommandError::Run {
+        step: "watch signals",
+        reason: error.to_string(),
+    })
 }
 
 fn failed(error: StandInError) -> CommandError {
-    CommandError::Run { step: "start the stand-in", reason: error.to_string() }
+    CommandError::Run {
+        step: "start the stand-in",
+        reason: error.to_string(),
+    }
 }
