--- a/crates/entry/src/api/mod.rs
+++ b/crates/entry/src/api/mod.rs
@@ -7,7 +7,10 @@
 //! | `/v1/models` | GET | the models and adapters that the caller may use |
 //! | `/v1/services/{service}/{path}` | POST | the plain service's answer |
 //!
-//! Every answer names its outcome in the header `kumquatkeel-outcome`; a stream names it in its
+//! An unknown path or method is answered with 404 or 405 by the server library, which names no
+//! outcome; nothing is run then.
+//!
+//! Every other answer names its outcome in the header `kumquatkeel-outcome`; a stream names it in its
 //! last event. An answer that is not a whole result has an `ErrorBody`. See [`answer`] for the
 //! statuses.
 
--- a/crates/entry/tests/callers.rs
+++ b/crates/entry/tests/callers.rs
@@ -8,14 +8,20 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use kumquatkeel_daemon::http::rpc_client;
+use kumquatkeel_daemon::peer::PeerKey;
+use kumquatkeel_daemon::rpc::EntryApiClient;
 use kumquatkeel_entry::call::{CallEnd, CallLedger, ClaimStep, ClaimedAttempt, KeyedCall};
 use kumquatkeel_types::AttemptId;
 use kumquatkeel_types::message::{FenceReply, NotRunReason, Work};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
 use rstest::rstest;
-use support::{CALLER_KEY, OTHER_KEY, Script, Seen, Site};
+use support::{CALLER_KEY, OTHER_KEY, PEER_KEY, Script, Seen, Site};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+const TIMEOUT: std::time::Duration = std::time::Duration::from_secs(30);
 const TEXT: &str = "/v1/completions";
 const BOOK: &str = "/v1/services/book/swaps/new";
 
@@ -156,7 +162,7 @@
     site.agents[0].script(Script::Hold);
     let key = format!("Bearer {CALLER_KEY}");
     let held = site
-        .open(TEXT, &[("authorization", &key)], &body(true))
+        .open(TEXT, &[("authorization", &key)], body(true))
         .await;
     site.agents[0].next_attempt().await;
     let next = body(false);
@@ -185,7 +191,7 @@
     for _ in 0..3 {
         site.agents[0].script(Script::Hold);
         held.push(
-            site.open(TEXT, &[("authorization", &key)], &body(true))
+            site.open(TEXT, &[("authorization", &key)], body(true))
                 .await,
         );
         site.agents[0].next_attempt().await;
@@ -340,6 +346,54 @@
     assert!(second.headers.contains_key("retry-after"));
 }
 
+#[tokio::test]
+async fn shares_of_a_rate_are_granted_to_entries_with_the_peer_key_only() {
+    let site = Site::start(&["plain-1"], None).await;
+    let share = async |key: &str, service: &str| {
+        let key = PeerKey::try_from(key).unwrap();
+        let client = rpc_client(site.entry.internal(), &key, TIMEOUT).unwrap();
+        let entry = "other".try_into().unwrap();
+        client.share(entry, service.try_into().unwrap(), 5.0).await
+    };
+    let first = share(PEER_KEY, "limited").await.unwrap();
+    assert!(
+        first.rate <= 0.0,
+        "an earlier granter's shares may still hold"
+    );
+    assert!(first.life_ms > 0);
+    assert_eq!(share(PEER_KEY, "none").await.unwrap().life_ms, 0);
+    assert!(share("another-key-of-16-bytes", "limited").await.is_err());
+}
+
+#[tokio::test]
+async fn every_mutated_body_gets_an_answer_that_names_its_outcome() {
+    let site = Site::start(&["t1"], None).await;
+    let whole = body(false).into_bytes();
+    let mut rng = Pcg64::seed_from_u64(21);
+    for _ in 0..200 {
+        let mut mutated = whole.clone();
+        for _ in 0..rng.random_range(1..4) {
+            let at = rng.random_range(0..mutated.len());
+            mutated[at] = rng.random();
+        }
+        mutated.truncate(rng.random_range(1..=whole.len()));
+        let reply = site.post_bytes(TEXT, mutated).await;
+        let expected = match reply.status.as_u16() {
+            400 | 404 => "refused",
+            429 | 503 => "not_run",
+            status => panic!("unexpected status {status}: {}", reply.text),
+        };
+        assert_eq!(reply.outcome(), expected, "{}", reply.text);
+    }
+    site.entry.drain().await;
+    let load = site
+        .entry
+        .state()
+        .admission
+        .load(&"text".try_into().unwrap());
+    assert_eq!(load, (0, 0));
+}
+
 #[tokio::test]
 async fn the_models_are_those_that_the_caller_may_use() {
     let site = Site::start(&["t1"], None).await;
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -413,33 +413,27 @@
     }
 
     pub(crate) async fn post_raw(&self, path: &str, headers: &[(&str, &str)], body: &str) -> Reply {
-        let response = self.open(path, headers, body).await;
-        let (head, body) = response.into_parts();
-        let collected = body.collect().await;
-        Reply {
-            status: head.status,
-            headers: head.headers,
-            text: collected.map_or_else(
-                |error| format!("broken off: {error}"),
-                |body| String::from_utf8(body.to_bytes().to_vec()).unwrap(),
-            ),
-        }
+        Reply::read(self.open(path, headers, body).await).await
+    }
+
+    pub(crate) async fn post_bytes(&self, path: &str, body: Vec<u8>) -> Reply {
+        let key = format!("Bearer {CALLER_KEY}");
+        let response = self.open(path, &[("authorization", &key)], body).await;
+        Reply::read(response).await
     }
 
     pub(crate) async fn open(
         &self,
         path: &str,
         headers: &[(&str, &str)],
-        body: &str,
+        body: impl Into<Vec<u8>>,
     ) -> Response<Incoming> {
         let address = self.entry.address();
         let mut request = Request::post(format!("http://{address}{path}"));
         for (name, value) in headers {
             request = request.header(*name, *value);
         }
-        let request = request
-            .body(Full::new(Bytes::from(body.to_owned())))
-            .unwrap();
+        let request = request.body(Full::new(Bytes::from(body.into()))).unwrap();
         self.client.send("post", address, request).await.unwrap()
     }
 }
@@ -453,6 +447,19 @@
 }
 
 impl Reply {
+    async fn read(response: Response<Incoming>) -> Self {
+        let (head, body) = response.into_parts();
+        let collected = body.collect().await;
+        Self {
+            status: head.status,
+            headers: head.headers,
+            text: collected.map_or_else(
+                |error| format!("broken off: {error}"),
+                |body| String::from_utf8(body.to_bytes().to_vec()).unwrap(),
+            ),
+        }
+    }
+
     pub(crate) fn outcome(&self) -> &str {
         let header = self.headers.get("kumquatkeel-outcome");
         header.map_or("", |value| value.to_str().unwrap())
