--- a/crates/core/benches/placement.rs
+++ b/crates/core/benches/placement.rs
@@ -8,7 +8,7 @@
 use kumquatkeel_core::placement::{
     Demand, PlacedReplica, PlacementPlugin, PlacementPolicy, PlanInput,
 };
-use kumquatkeel_types::document::{Document, RawDocument};
+use kumquatkeel_types::document::{Document, Model, RawDocument};
 use kumquatkeel_types::message::{LoadSummary, ReplicaState};
 use kumquatkeel_types::{ModelId, TargetName, Timestamp};
 use serde_json::json;
@@ -30,7 +30,7 @@
 impl Fleet {
     fn new(targets: usize, models: usize) -> Self {
         let document = document(targets, models);
-        let ids: Vec<ModelId> = document.models.iter().map(|m| m.id()).collect();
+        let ids: Vec<ModelId> = document.models.iter().map(Model::id).collect();
         let names: Vec<TargetName> = document.targets.iter().map(|t| t.name.clone()).collect();
         let mut replicas = Vec::new();
         for slot in 0..targets * ACCELERATORS * COPIES {
