--- a/crates/core/src/routing/router.rs
+++ b/crates/core/src/routing/router.rs
@@ -1,23 +1,17 @@
 //! A routing policy joined with all that an entry knows.
 
-use std::time::Duration;
-
-use kumquatkeel_types::message::{MemberState, ProbeReply};
+use kumquatkeel_types::message::ProbeReply;
 use kumquatkeel_types::{TargetName, Timestamp};
 use rand::Rng;
 
 use super::link::{LinkBudget, LinkStep};
 use super::prefix::PrefixIndex;
-use super::sample::{Sample, ShownAs};
 use super::{
-    AgentView, Candidate, Distance, FleetView, InFlight, ReplicaView, RouteRequest, RouteStep,
-    RoutingPlugin, RoutingPolicy,
+    Candidate, Distance, FleetView, InFlight, RouteRequest, RouteStep, RoutingPlugin, RoutingPolicy,
 };
 use crate::kernel::{UnknownPlugin, find_plugin};
-use crate::retry::{Ejector, slow_start};
+use crate::retry::Ejector;
 
-/// A load heard within this time was probably probed for the same request.
-const JUST_HEARD: Duration = Duration::from_millis(100);
 /// Rounds of probes for one attempt.
 const MAX_PROBE_ROUNDS: u32 = 2;
 
@@ -34,13 +28,13 @@
 
 /// Chooses targets for attempts.
 pub struct Router {
-    view: FleetView,
-    policy: Box<dyn RoutingPolicy>,
-    name: String,
-    in_flight: InFlight,
-    prefixes: PrefixIndex,
-    ejector: Ejector,
-    link: LinkBudget,
+    pub(super) view: FleetView,
+    pub(super) policy: Box<dyn RoutingPolicy>,
+    pub(super) name: String,
+    pub(super) in_flight: InFlight,
+    pub(super) prefixes: PrefixIndex,
+    pub(super) ejector: Ejector,
+    pub(super) link: LinkBudget,
 }
 
 impl Router {
@@ -132,35 +126,6 @@
         }
     }
 
-    /// Returns the targets that could take an attempt of `request`, in the document's order.
-    ///
-    /// Of many replicas, a random part is returned, in which those just heard of come first.
-    pub fn candidates(
-        &self,
-        request: &RouteRequest,
-        round: &RouteRound,
-        now: Timestamp,
-        rng: &mut dyn Rng,
-    ) -> Vec<Candidate> {
-        let replicas = self.view.replicas(&request.service, request.model.as_ref());
-        let mut sample = Sample::default();
-        for replica in replicas.iter().filter(|r| self.is_open(r, round)) {
-            sample.add(replica, self.shown_as(replica, now));
-        }
-        let mut shown = sample.draw(rng);
-        let panic = self
-            .ejector
-            .panics(shown.iter().map(|r| &self.agent(r).target), now);
-        if !panic {
-            shown.retain(|r| !self.ejector.is_ejected(&self.agent(r).target, now));
-        }
-        shown.sort_by_key(|r| r.slot);
-        shown
-            .into_iter()
-            .map(|r| self.candidate(r, request, now))
-            .collect()
-    }
-
     /// Takes in an agent's answer to a probe.
     pub fn probed(
         &mut self,
@@ -207,52 +172,6 @@
         }
     }
 
-    fn is_open(&self, replica: &ReplicaView, round: &RouteRound) -> bool {
-        let agent = self.agent(replica);
-        agent.state == MemberState::Serving && !round.tried.contains(&agent.target)
-    }
-
-    fn shown_as(&self, replica: &ReplicaView, now: Timestamp) -> ShownAs {
-        if now.since(replica.heard) <= JUST_HEARD {
-            ShownAs::JustHeard
-        } else if self.agent(replica).distance == Distance::OtherRegion {
-            ShownAs::Far
-        } else {
-            ShownAs::Near
-        }
-    }
-
-    fn agent(&self, replica: &ReplicaView) -> &AgentView {
-        &self.view.agents()[replica.slot]
-    }
-
-    fn candidate(
-        &self,
-        replica: &ReplicaView,
-        request: &RouteRequest,
-        now: Timestamp,
-    ) -> Candidate {
-        let agent = self.agent(replica);
-        let ready = |name| replica.adapters.contains(name);
-        Candidate {
-            target: agent.target.clone(),
-            distance: agent.distance,
-            incarnation: agent.version.incarnation,
-            adapter_ready: request.adapter.as_ref().is_none_or(ready),
-            load: replica.load,
-            load_age: now.since(replica.heard),
-            in_flight: self.in_flight.on(&agent.target),
-            prefix_hits: self.prefixes.hits(&agent.target, &request.prefix),
-            weight: self.weight(replica, now),
-        }
-    }
-
-    fn weight(&self, replica: &ReplicaView, now: Timestamp) -> f64 {
-        let ejection = self.ejector.weight(&self.agent(replica).target, now);
-        let load = replica.loaded.map_or(1.0, |at| slow_start(at, now));
-        ejection.min(load)
-    }
-
     fn link_refuses(
         &mut self,
         candidates: &[Candidate],
--- a/crates/daemon/tests/spread.rs
+++ b/crates/daemon/tests/spread.rs
@@ -35,6 +35,8 @@
 struct Network {
     hubs: Mutex<BTreeMap<SocketAddr, Arc<Hub>>>,
     cut: Mutex<BTreeSet<SocketAddr>>,
+    /// A data centre that is cut off from the others.
+    island: Mutex<Option<DataCentreName>>,
 }
 
 #[async_trait]
@@ -45,8 +47,10 @@
             reason: reason.into(),
         };
         sleep(Duration::from_millis(1)).await;
-        let is_cut = |a: &SocketAddr| self.cut.lock().unwrap().contains(a);
         let from = request.member.address;
+        let island = |a: &SocketAddr| Some(centre(a.port())) == *self.island.lock().unwrap();
+        let is_cut =
+            |a: &SocketAddr| self.cut.lock().unwrap().contains(a) || island(&peer) != island(&from);
         let hub = self.hubs.lock().unwrap().get(&peer).cloned();
         let hub = hub.filter(|_| !is_cut(&peer) && !is_cut(&from));
         let hub = hub.ok_or_else(|| lost("no connection"))?;
@@ -225,9 +229,9 @@
 #[tokio::test(start_paused = true)]
 async fn a_daemon_that_starts_in_an_outage_takes_the_newest_of_its_neighbours() {
     let mut site = Site::start(6, 3).await;
-    // Daemon 3 is cut off and stays behind.
-    site.network.cut.lock().unwrap().insert(address(3));
-    let stale = site.daemons.remove(&address(3)).unwrap();
+    // Daemon 1, the first source of everyone, is cut off and stays behind.
+    site.network.cut.lock().unwrap().insert(address(1));
+    let stale = site.daemons.remove(&address(1)).unwrap();
     stale.client.stop().await;
     let revision = site.commit(2, Some(Revision(1))).await;
     site.settle(revision).await;
@@ -265,6 +269,20 @@
     assert!(site.know(&role, MemberState::Draining).await < Duration::from_secs(3));
 }
 
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_hears_nobody_watches_the_store_itself() {
+    let mut site = Site::start(9, 0).await;
+    let is_seed = |port: u16| port <= 3;
+    let below = site.daemons.values().filter(|d| !d.hub.plan().store);
+    let mut below = below.map(|d| d.hub.own().address.port());
+    let alone = below.find(|port| !is_seed(*port)).unwrap();
+    for number in (1..=9).filter(|number| *number != alone) {
+        site.kill(number).await;
+    }
+    let revision = site.commit(2, Some(Revision(1))).await;
+    assert!(site.settle(revision).await < Duration::from_secs(20));
+}
+
 #[tokio::test(start_paused = true)]
 async fn every_relay_lost_at_once_is_replaced() {
     let mut site = Site::start(12, 6).await;
@@ -283,6 +301,37 @@
     assert!(site.settle(revision).await < Duration::from_secs(20));
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_data_centre_that_is_cut_off_is_unreachable_but_not_gone() {
+    let site = Site::start(12, 12).await;
+    for _ in 0..300 {
+        let mut views = site.daemons.values().map(|d| d.hub.view());
+        assert!(views.all(|view| view.borrow().unreachable.is_empty()));
+        sleep(Duration::from_millis(100)).await;
+    }
+    *site.network.island.lock().unwrap() = Some(centre(1));
+    let own_side = |hub: &Hub, other: &DataCentreName| {
+        let outside = hub.own().data_centre != centre(1);
+        outside == (*other == centre(1))
+    };
+    let cut = |hub: &Hub| {
+        let view = hub.view().borrow().clone();
+        view.unreachable.iter().all(|c| own_side(hub, c)) && !view.unreachable.is_empty()
+    };
+    site.until("unreachable", cut).await;
+    sleep(Duration::from_mins(2)).await;
+    let alive = |hub: &Hub| {
+        let view = hub.view().borrow().clone();
+        view.members
+            .values()
+            .all(|m| m.state == MemberState::Serving)
+    };
+    assert!(site.daemons.values().all(|d| alive(&d.hub) && cut(&d.hub)));
+    *site.network.island.lock().unwrap() = None;
+    let whole = |hub: &Hub| alive(hub) && hub.view().borrow().unreachable.is_empty();
+    assert!(site.until("reachable", whole).await < Duration::from_secs(15));
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_process_that_was_cut_off_refutes_that_it_is_gone() {
     let site = Site::start(9, 9).await;
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -327,7 +327,7 @@
         });
         let plain = json!({
             "name": name, "data_centre": "dc", "kind": "plain",
-            "agent": agent.server.address(), "services": ["book"],
+            "agent": agent.server.address(), "services": ["book", "limited"],
         });
         if name.as_str().starts_with("plain") {
             plain
@@ -349,11 +349,12 @@
         "services": [
             {"name": "text", "kind": "completions", "first_token_ms": 30000},
             {"name": "book", "kind": "plain", "idempotent": false},
+            {"name": "limited", "kind": "plain", "rate": 1},
         ],
         "deployments": if engines { deployments } else { json!([]) },
         "targets": targets,
         "callers": [
-            {"name": "c", "key_sha256": digest(CALLER_KEY), "services": ["text", "book"]},
+            {"name": "c", "key_sha256": digest(CALLER_KEY), "services": ["text", "book", "limited"]},
             {"name": "n", "key_sha256": digest(OTHER_KEY), "services": []},
         ],
     }))
@@ -412,33 +413,27 @@
     }
 
     pub(crate) async fn post_raw(&self, path: &str, headers: &[(&str, &str)], body: &str) -> Reply {
-        let response = self.open(path, headers, body).await;
-        let (head, body) = response.into_parts();
-        let collected = body.collect().await;
-        Reply {
-            status: head.status,
-            headers: head.headers,
-            text: collected.map_or_else(
-                |error| format!("broken off: {error}"),
-                |body| String::from_utf8(body.to_bytes().to_vec()).unwrap(),
-            ),
-        }
+        Reply::read(self.open(path, headers, body).await).await
+    }
+
+    pub(crate) async fn post_bytes(&self, path: &str, body: Vec<u8>) -> Reply {
+        let key = format!("Bearer {CALLER_KEY}");
+        let response = self.open(path, &[("authorization", &key)], body).await;
+        Reply::read(response).await
     }
 
     pub(crate) async fn open(
         &self,
         path: &str,
         headers: &[(&str, &str)],
-        body: &str,
+        body: impl Into<Vec<u8>>,
     ) -> Response<Incoming> {
         let address = self.entry.address();
         let mut request = Request::post(format!("http://{address}{path}"));
         for (name, value) in headers {
             request = request.header(*name, *value);
         }
-        let request = request
-            .body(Full::new(Bytes::from(body.to_owned())))
-            .unwrap();
+        let request = request.body(Full::new(Bytes::from(body.into()))).unwrap();
         self.client.send("post", address, request).await.unwrap()
     }
 }
@@ -452,6 +447,19 @@
 }
 
 impl Reply {
+    async fn read(response: Response<Incoming>) -> Self {
+        let (head, body) = response.into_parts();
+        let collected = body.collect().await;
+        Self {
+            status: head.status,
+            headers: head.headers,
+            text: collected.map_or_else(
+                |error| format!("broken off: {error}"),
+                |body| String::from_utf8(body.to_bytes().to_vec()).unwrap(),
+            ),
+        }
+    }
+
     pub(crate) fn outcome(&self) -> &str {
         let header = self.headers.get("kumquatkeel-outcome");
         header.map_or("", |value| value.to_str().unwrap())
@@ -466,7 +474,7 @@
     let raw: RawEntrySettings = serde_json::from_value(json!({
         "name": "e", "data_centre": "dc", "listen": "127.0.0.1:0", "internal": "127.0.0.1:0",
         "platform": "127.0.0.1:1", "peer_key": PEER_KEY,
-        "body_bytes": 4096, "body_ms": 500, "drain_ms": 0,
+        "body_bytes": 4096, "body_ms": 500, "requests": 3, "drain_ms": 0,
     }))
     .unwrap();
     EntrySettings::try_from(raw).unwrap()
