--- a/crates/standin/src/measure/policy/agent.rs
+++ b/crates/standin/src/measure/policy/agent.rs
@@ -5,7 +5,7 @@
 
 use kumquatkeel_core::gate::{Gate, GateLimits, GateStep, LaneId, LaneOffer};
 use kumquatkeel_core::memory::{Account, AccountSettings, OrderDesk};
-use kumquatkeel_types::document::{Document, Target, TargetKind};
+use kumquatkeel_types::document::{Document, Model, Target, TargetKind};
 use kumquatkeel_types::engine::{EngineLoad, EngineReplica};
 use kumquatkeel_types::message::{
     LoadSummary, Member, MemberState, MemberVersion, ProbeReply, ReplicaState, Role, TargetStatus,
@@ -107,7 +107,7 @@
         self.account
             .observe(&load, now, |unit| match &unit.adapter {
                 Some(name) => document.adapter(name).map(|a| a.memory_mb),
-                None => document.model(&unit.model).map(|m| m.replica_mb()),
+                None => document.model(&unit.model).map(Model::replica_mb),
             });
     }
 
--- a/crates/standin/src/measure/policy/agents.rs
+++ b/crates/standin/src/measure/policy/agents.rs
@@ -30,9 +30,9 @@
                 self.after(wait, Event::Gate(agent));
             }
             Admission::Joined | Admission::Repeated => {}
-            Admission::Stored(answer) => self.answer(agent, request, attempt, &answer),
-            Admission::Unknown | Admission::KeyReused => self.fail(agent, request, attempt),
-            Admission::NotRun { reason, .. } => self.refuse(agent, request, attempt, reason),
+            Admission::Stored(answer) => self.answer(agent, request, &attempt, &answer),
+            Admission::Unknown | Admission::KeyReused => self.fail(agent, request, &attempt),
+            Admission::NotRun { reason, .. } => self.refuse(agent, request, &attempt, reason),
         }
     }
 
@@ -167,16 +167,16 @@
                 }
                 GateStep::NotRun { attempt, reason } => {
                     if let Some((request, _)) = self.queued.remove(&attempt) {
-                        self.refuse(agent, request, attempt, reason);
+                        self.refuse(agent, request, &attempt, reason);
                     }
                 }
                 GateStep::Answer { attempt, answer } => {
                     let request = attempt.request.number as usize;
-                    self.answer(agent, request, attempt, &answer);
+                    self.answer(agent, request, &attempt, &answer);
                 }
                 GateStep::Unknown(attempt) => {
                     let request = attempt.request.number as usize;
-                    self.fail(agent, request, attempt);
+                    self.fail(agent, request, &attempt);
                 }
             }
         }
@@ -213,23 +213,23 @@
         self.tell_event(agent, request, attempt, accepted);
     }
 
-    fn answer(&mut self, agent: usize, request: usize, attempt: AttemptId, answer: &PlainAnswer) {
-        self.accept(agent, request, &attempt);
+    fn answer(&mut self, agent: usize, request: usize, attempt: &AttemptId, answer: &PlainAnswer) {
+        self.accept(agent, request, attempt);
         let event = answered(attempt.clone(), answer);
-        self.tell_event(agent, request, &attempt, event);
+        self.tell_event(agent, request, attempt, event);
     }
 
-    fn fail(&mut self, agent: usize, request: usize, attempt: AttemptId) {
-        self.accept(agent, request, &attempt);
+    fn fail(&mut self, agent: usize, request: usize, attempt: &AttemptId) {
+        self.accept(agent, request, attempt);
         let failed = AttemptEvent::Failed {
             attempt: attempt.clone(),
             code: ErrorCode::Interrupted,
             message: String::new(),
         };
-        self.tell_event(agent, request, &attempt, failed);
+        self.tell_event(agent, request, attempt, failed);
     }
 
-    fn refuse(&mut self, agent: usize, request: usize, attempt: AttemptId, reason: NotRunReason) {
+    fn refuse(&mut self, agent: usize, request: usize, attempt: &AttemptId, reason: NotRunReason) {
         let refused = AttemptEvent::NotRun {
             attempt: attempt.clone(),
             incarnation: self.agents[agent].life,
@@ -237,7 +237,7 @@
             hint: None,
             retry_after_ms: None,
         };
-        self.tell_event(agent, request, &attempt, refused);
+        self.tell_event(agent, request, attempt, refused);
     }
 
     fn tell_event(
--- a/crates/standin/src/measure/policy/control.rs
+++ b/crates/standin/src/measure/policy/control.rs
@@ -17,7 +17,7 @@
 use super::agent::Agent;
 use super::engine::Replica;
 use super::event::{Event, Execution};
-use super::fault::{Fault, Passage};
+use super::fault::{Condition, Fault, Passage};
 use super::plan::Traffic;
 use super::schedule::service_of;
 use super::world::World;
@@ -85,7 +85,7 @@
                 if let Some(known) = document.model(model) {
                     let replica = Replica {
                         weights_mb: known.memory_mb,
-                        replica_mb: known.replica_mb(),
+                        memory_mb: known.replica_mb(),
                         ready,
                         adapters: BTreeMap::new(),
                     };
@@ -138,7 +138,7 @@
     }
 
     fn send_report(&mut self, agent: usize) {
-        let lag = if self.faults.reports {
+        let lag = if self.faults.holds(Condition::Reports) {
             LATE_REPORT
         } else {
             REPORT_LAG
@@ -234,7 +234,7 @@
         }
         self.planner.count(traffic);
         let document = self.site.document.clone();
-        let in_doubt = self.faults.store;
+        let in_doubt = self.faults.holds(Condition::Store);
         for planned in self.planner.plan(&document, in_doubt, self.now) {
             if let Some(order) = self.planner.order(planned) {
                 self.send_order(planner, order);
@@ -350,10 +350,7 @@
             Fault::Replace(agent) => self.agents[agent].restart(self.now),
             Fault::Centre(centre, cut) => self.network.cut_centre(centre, cut),
             Fault::Link(cut) => self.network.cut_link(cut),
-            Fault::Orders(fail) => self.faults.orders = fail,
-            Fault::Answers(fail) => self.faults.answers = fail,
-            Fault::Store(out) => self.faults.store = out,
-            Fault::Reports(lag) => self.faults.reports = lag,
+            Fault::Condition(condition, holds) => self.faults.set(condition, holds),
         }
     }
 
--- a/crates/standin/src/measure/policy/engine.rs
+++ b/crates/standin/src/measure/policy/engine.rs
@@ -48,7 +48,7 @@
     /// Memory of the weights, in megabytes.
     pub(super) weights_mb: u32,
     /// Memory of the replica without its adapters, in megabytes.
-    pub(super) replica_mb: u32,
+    pub(super) memory_mb: u32,
     /// Whether it serves.
     pub(super) ready: bool,
     /// The adapters, with their memory in megabytes.
@@ -68,7 +68,7 @@
 impl Engine {
     /// Returns the memory in use, in megabytes.
     pub(super) fn used_mb(&self) -> u32 {
-        let size = |r: &Replica| r.replica_mb + r.adapters.values().sum::<u32>();
+        let size = |r: &Replica| r.memory_mb + r.adapters.values().sum::<u32>();
         self.replicas.values().map(size).sum()
     }
 
--- a/crates/standin/src/measure/policy/fault.rs
+++ b/crates/standin/src/measure/policy/fault.rs
@@ -1,5 +1,7 @@
 //! The faults of an evening, drawn before it begins.
 
+use std::collections::BTreeSet;
+
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -25,27 +27,27 @@
     Centre(usize, bool),
     /// The regional link is cut, or joined again.
     Link(bool),
-    /// Orders are lost and late, or not.
-    Orders(bool),
-    /// Plain answers are lost after their effect, or not.
-    Answers(bool),
-    /// The platform's store is out, or back.
-    Store(bool),
-    /// Agents' reports lag by several seconds, or not.
-    Reports(bool),
+    /// A condition begins, or ends.
+    Condition(Condition, bool),
 }
 
-/// The faults that hold now.
-#[derive(Debug, Clone, Copy, Default)]
-pub(super) struct Faults {
+/// A fault of messages or of the platform that holds for some time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Condition {
     /// Orders are lost and late.
-    pub(super) orders: bool,
+    Orders,
     /// Plain answers are lost after their effect.
-    pub(super) answers: bool,
+    Answers,
     /// The platform's store is out.
-    pub(super) store: bool,
-    /// Agents' reports lag.
-    pub(super) reports: bool,
+    Store,
+    /// Agents' reports lag by several seconds.
+    Reports,
+}
+
+/// The faults that hold now.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Faults {
+    active: BTreeSet<Condition>,
 }
 
 /// What becomes of an order on its way.
@@ -58,9 +60,23 @@
 }
 
 impl Faults {
+    /// Begins or ends a condition.
+    pub(super) fn set(&mut self, condition: Condition, holds: bool) {
+        if holds {
+            self.active.insert(condition);
+        } else {
+            self.active.remove(&condition);
+        }
+    }
+
+    /// Says whether a condition holds.
+    pub(super) fn holds(&self, condition: Condition) -> bool {
+        self.active.contains(&condition)
+    }
+
     /// Draws what becomes of an order.
     pub(super) fn order(&self, rng: &mut Pcg64) -> Passage {
-        if !self.orders {
+        if !self.holds(Condition::Orders) {
             return Passage::Arrives(0);
         }
         if rng.random_bool(ORDER_SHARE) {
@@ -74,7 +90,7 @@
 
     /// Draws whether a plain answer is lost.
     pub(super) fn loses_answer(&self, rng: &mut Pcg64) -> bool {
-        self.answers && rng.random_bool(ANSWER_SHARE)
+        self.holds(Condition::Answers) && rng.random_bool(ANSWER_SHARE)
     }
 }
 
@@ -89,10 +105,10 @@
         (Fault::Die(dying), Fault::Replace(dying)),
         (Fault::Centre(centre, true), Fault::Centre(centre, false)),
         (Fault::Link(true), Fault::Link(false)),
-        (Fault::Orders(true), Fault::Orders(false)),
-        (Fault::Answers(true), Fault::Answers(false)),
-        (Fault::Store(true), Fault::Store(false)),
-        (Fault::Reports(true), Fault::Reports(false)),
+        condition(Condition::Orders),
+        condition(Condition::Answers),
+        condition(Condition::Store),
+        condition(Condition::Reports),
     ];
     let mut faults = Vec::new();
     for (begin, end) in kinds {
@@ -103,3 +119,11 @@
     }
     faults
 }
+
+/// Returns the begin and the end of a condition.
+const fn condition(condition: Condition) -> (Fault, Fault) {
+    (
+        Fault::Condition(condition, true),
+        Fault::Condition(condition, false),
+    )
+}
--- a/crates/standin/src/measure/policy/requests.rs
+++ b/crates/standin/src/measure/policy/requests.rs
@@ -75,7 +75,7 @@
                     .plan(arrival.start_by.max(self.now), Event::Admission(entry));
             }
             Some(AdmitStep::Displaced { ticket, .. }) => {
-                self.end(ticket.0 as usize, Outcome::NotRun)
+                self.end(ticket.0 as usize, Outcome::NotRun);
             }
             Some(AdmitStep::Refuse(_)) | None => self.end(request, Outcome::NotRun),
         }
@@ -109,7 +109,8 @@
             adapter,
             prefix: Vec::new(),
             priority: draw.priority,
-            first_token: Duration::from_millis(limit_ms.into()) - self.site.client * 2,
+            first_token: Duration::from_millis(limit_ms.into())
+                .saturating_sub(self.site.client * 2),
             bytes: bytes + MESSAGE_BYTES,
         }
     }
@@ -189,7 +190,7 @@
                     let event = self.route(request, &round);
                     self.feed(request, event)
                 }
-                FlowStep::Probe(targets) => return self.probe(request, targets),
+                FlowStep::Probe(targets) => return self.probe(request, &targets),
                 FlowStep::Dispatch { target, dispatch } => {
                     return self.send(request, &target, dispatch);
                 }
@@ -234,19 +235,19 @@
         }
     }
 
-    fn probe(&mut self, request: usize, targets: Vec<TargetName>) {
+    fn probe(&mut self, request: usize, targets: &[TargetName]) {
         let Some(open) = self.open.get(&request) else {
             return;
         };
         let mut replies = Vec::new();
         let mut slowest = Duration::ZERO;
         for target in targets {
-            let agent = self.agent_of(&target);
+            let agent = self.agent_of(target);
             let way = agent.and_then(|agent| Some((agent, self.way(open.entry, agent)?)));
             match way.filter(|(agent, _)| self.agents[*agent].alive) {
                 Some((agent, way)) => {
                     let reply = self.agents[agent].probe(open.route.model.as_ref());
-                    replies.push((target, reply));
+                    replies.push((target.clone(), reply));
                     slowest = slowest.max(way * 2);
                 }
                 None => slowest = PROBE_TIMEOUT,
@@ -255,12 +256,12 @@
         self.after(slowest, Event::Probed(request, replies));
     }
 
-    pub(super) fn on_probed(&mut self, request: usize, replies: Vec<(TargetName, ProbeReply)>) {
+    pub(super) fn on_probed(&mut self, request: usize, replies: &[(TargetName, ProbeReply)]) {
         let Some(open) = self.open.get(&request) else {
             return;
         };
         let router = &mut self.entries[open.entry].router;
-        for (target, reply) in &replies {
+        for (target, reply) in replies {
             router.probed(&open.route, target, reply, self.now);
         }
         self.on_flow(request, FlowEvent::Probed);
--- a/crates/standin/src/measure/policy/world.rs
+++ b/crates/standin/src/measure/policy/world.rs
@@ -159,7 +159,7 @@
         match event {
             Event::Arrive(request) => self.arrive(request),
             Event::Flow(request, event) => self.on_flow(request, event),
-            Event::Probed(request, replies) => self.on_probed(request, replies),
+            Event::Probed(request, replies) => self.on_probed(request, &replies),
             Event::Due(request) => self.on_due(request),
             Event::Admission(entry) => self.pump(entry),
             Event::Dispatch(agent, request, dispatch) => {
