--- a/crates/standin/tests/histories/calls.rs
+++ b/crates/standin/tests/histories/calls.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use kumquatkeel_standin::demo::{CALLER_KEY, Caller, sample_plan};
-use kumquatkeel_standin::fleet::{EntrySlot, Fleet, pace_clock};
+use kumquatkeel_standin::fleet::{EntrySlot, Fleet, FleetPlan, pace_clock};
 use kumquatkeel_standin::plain::PlainFault;
 use kumquatkeel_types::Outcome;
 use rand::{RngExt, SeedableRng};
@@ -85,18 +85,32 @@
     }
 }
 
+/// Returns the demo's fleet with a second plain target, so that no single agent knows every call.
+fn plan() -> FleetPlan {
+    let mut plan = sample_plan().expect("plan");
+    let plain = plan
+        .document
+        .targets
+        .iter()
+        .find(|t| !t.services.is_empty());
+    let mut second = plain.expect("a plain target").clone();
+    second.name = "swaps-irbid-a".try_into().expect("name");
+    second.data_centre = "irbid-a".try_into().expect("name");
+    second.agent = "127.0.0.1:5".parse().expect("address");
+    plan.document.targets.push(second);
+    plan
+}
+
 /// Runs all callers of all keys and returns each key's history with the service's executions.
 async fn run(seed: u64) -> Vec<(Actions<KeyCall>, usize)> {
-    let mut fleet = Fleet::start(sample_plan().expect("plan"))
-        .await
-        .expect("starts");
+    let mut fleet = Fleet::start(plan()).await.expect("starts");
     sleep(Duration::from_secs(3)).await;
     let mut rng = Pcg64::seed_from_u64(seed);
     let target = "swaps-amman-a".try_into().expect("name");
-    let service = fleet.plains[&target].clone();
-    service
-        .faults()
-        .script(rng.random_range(1..4), PlainFault::LostAfter);
+    for service in fleet.plains.values() {
+        let nth = rng.random_range(1..4);
+        service.faults().script(nth, PlainFault::LostAfter);
+    }
     fleet.store.faults().set_losses(LOST_SHARE, seed);
     let entries: Vec<_> = fleet.entries.iter().map(EntrySlot::address).collect();
     let recorders: Vec<_> = (0..KEYS).map(|_| Recorder::new()).collect();
@@ -122,7 +136,7 @@
     sleep(Duration::from_secs(5)).await;
     let history = |(number, recorder): (usize, &Recorder<KeyCall>)| {
         let key = format!("key-{number}");
-        (recorder.actions(), service.executions(&key))
+        (recorder.actions(), fleet.executions(&key))
     };
     recorders.iter().enumerate().map(history).collect()
 }
