--- a/crates/standin/src/measure/policy/agent.rs
+++ b/crates/standin/src/measure/policy/agent.rs
@@ -14,8 +14,9 @@
 
 use super::engine::Engine;
 
-/// Attempts that an agent lets run on an accelerator.
-const ACCELERATOR_SLOTS: u32 = 44;
+/// Attempts that an agent lets run on an accelerator: the most for which co-resident models that
+/// fill the memory keep the limit between tokens.
+pub(super) const ACCELERATOR_SLOTS: u32 = 24;
 
 /// An agent and its target.
 #[derive(Debug)]
@@ -155,7 +156,20 @@
             incarnation: self.life,
             draining: false,
             resident: model.is_none_or(|m| self.account.ready_replicas(m) > 0),
-            load: self.load_of(model),
+            load: self.room_for(model),
+        }
+    }
+
+    /// Returns the whole target's load, with the slots that are left to a lane.
+    ///
+    /// Models on one accelerator share its time, so that a lane's own load tells too little.
+    fn room_for(&self, model: Option<&ModelId>) -> LoadSummary {
+        let lane = self.load_of(model);
+        let running = self.gate.load().running;
+        LoadSummary {
+            running,
+            waiting: lane.waiting,
+            slots: running + lane.slots.saturating_sub(lane.running),
         }
     }
 
