fix(measure): measure the spread on a clock that stands still

Cause: polls of the slopes waited for real timers outside of their runtime and did not end. Change: a runtime of one thread with a paused clock.

--- a/crates/kumquatkeel/src/commands/mod.rs
+++ b/crates/kumquatkeel/src/commands/mod.rs
@@ -22,8 +22,9 @@
         Command::StandIn(which) => stand_in::run(which).await,
         Command::Measure(Measure::Policy(args)) => measure::policy(&args),
         Command::Measure(Measure::Slopes { json }) => {
-            measure::slopes(json);
-            Ok(())
+            tokio::task::spawn_blocking(move || measure::slopes(json))
+                .await
+                .map_err(|e| CommandError::Run { step: "measure slopes", reason: e.to_string() })
         }
     }
 }
--- a/crates/standin/src/measure/slopes/mod.rs
+++ b/crates/standin/src/measure/slopes/mod.rs
@@ -62,7 +62,7 @@
     }
 }
 
-/// Measures all roles, one line each.
+/// Measures all roles, one line each; blocks, and starts a runtime of its own.
 pub fn run() -> Vec<SlopeLine> {
     vec![
         entry::probe(),
--- a/crates/standin/src/measure/slopes/process.rs
+++ b/crates/standin/src/measure/slopes/process.rs
@@ -2,6 +2,7 @@
 
 use std::hint::black_box;
 
+use tokio::runtime::{Builder, Runtime};
 use tokio::time::Instant;
 
 /// Size of a page of memory, in bytes.
@@ -37,3 +38,20 @@
         .and_then(|pages| pages.parse::<f64>().ok());
     pages.unwrap_or(0.0) * PAGE_BYTES
 }
+
+/// A runtime of its own whose clock stands still, so that waits take no time.
+#[derive(Debug)]
+pub(super) struct PausedRuntime {
+    runtime: Runtime,
+}
+
+impl PausedRuntime {
+    pub(super) fn new() -> Self {
+        let runtime = Builder::new_current_thread().enable_time().start_paused(true).build();
+        Self { runtime: runtime.expect("a runtime of one thread starts") }
+    }
+
+    pub(super) fn block_on<T>(&self, future: impl Future<Output = T>) -> T {
+        self.runtime.block_on(future)
+    }
+}
--- a/crates/standin/src/measure/slopes/relay.rs
+++ b/crates/standin/src/measure/slopes/relay.rs
@@ -1,13 +1,12 @@
 //! A daemon's part in the spread: its own poll, those that poll it, and the table of members.
 
-use futures::executor::block_on;
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_daemon::spread::Hub;
 use kumquatkeel_types::message::{ConfigUpdate, Member, PollRequest, Snapshot};
 use kumquatkeel_types::{Revision, TargetName};
 
 use super::fleet::FleetSize;
-use super::process::{memory_of, millis_of};
+use super::process::{PausedRuntime, memory_of, millis_of};
 use super::{HEAD_BYTES, Sample, SlopeLine};
 
 /// Polls of each child a second.
@@ -22,13 +21,14 @@
 /// Measures a relay at several numbers of children.
 pub(super) fn probe() -> SlopeLine {
     let size = FleetSize::of_targets(TARGETS);
-    let hub = hub(&size);
-    let memory = memory_of(|| self::hub(&size));
-    let samples = [2_u32, 4, 8, 16].map(|children| sample(&hub, children, memory));
+    let runtime = PausedRuntime::new();
+    let hub = hub(&runtime, &size);
+    let memory = memory_of(|| self::hub(&runtime, &size));
+    let samples = [2_u32, 4, 8, 16].map(|children| sample(&runtime, &hub, children, memory));
     SlopeLine::of("relay", "children", samples.into())
 }
 
-fn hub(size: &FleetSize) -> Hub {
+fn hub(runtime: &PausedRuntime, size: &FleetSize) -> Hub {
     let hub = Hub::new(FleetSize::entry(0), 1, Clock::start());
     let document = size.document();
     let raw = document.raw().clone();
@@ -39,7 +39,7 @@
     }));
     let reports = (0..size.targets).map(|target| size.agent(target, 1));
     let reports = reports.chain((1..ENTRIES).map(FleetSize::entry)).collect();
-    block_on(hub.answer(poll(FleetSize::entry(1), reports, 0)));
+    runtime.block_on(hub.answer(poll(FleetSize::entry(1), reports, 0)));
     hub
 }
 
@@ -56,7 +56,7 @@
     }
 }
 
-fn sample(hub: &Hub, children: u32, memory: f64) -> Sample {
+fn sample(runtime: &PausedRuntime, hub: &Hub, children: u32, memory: f64) -> Sample {
     let child = |number: u32| {
         let mut member = FleetSize::entry(1);
         let name = TargetName::try_from(format!("child-{number}")).expect("a valid name");
@@ -71,7 +71,7 @@
     };
     let mut positions = vec![0; children as usize];
     for number in 0..children {
-        positions[number as usize] = block_on(hub.answer(idle(number, 0))).position;
+        positions[number as usize] = runtime.block_on(hub.answer(idle(number, 0))).position;
     }
     let mut bytes = 0;
     let mut calls = 0;
@@ -80,7 +80,7 @@
         let request = idle(number, positions[number as usize]);
         let text = serde_json::to_vec(&request).unwrap_or_default();
         let read: PollRequest = serde_json::from_slice(&text).unwrap_or(request);
-        let reply = block_on(hub.answer(read));
+        let reply = runtime.block_on(hub.answer(read));
         positions[number as usize] = reply.position;
         bytes += text.len() + serde_json::to_vec(&reply).map_or(0, |text| text.len());
         calls += 1;
