fix(agent,entry): scope idempotency keys by caller, store outcomes before an entry stops

Cause: the agent's table of keys and the plain target knew a key without its caller, so that two callers with one key could get each other's answer; and an entry that stopped left outcomes of calls to be settled by others. Change: the work carries the caller, the gate's scope and the target's header hold it; the entry flushes its ledger for at most five seconds. Before: the new gate and agent tests are red by construction. After: both pass. Conclusion: each caller gets the answer to its own request.

--- a/crates/agent/src/plain.rs
+++ b/crates/agent/src/plain.rs
@@ -43,8 +43,8 @@
         let mut request = Request::post(format!("http://{}{}", self.address, work.path))
             .header(CONTENT_TYPE, &work.content_type)
             .header(CONNECTION, "close");
-        if let Some(key) = &work.key {
-            request = request.header(KEY_HEADER, key.as_str());
+        if let Some(key) = scoped_key(work) {
+            request = request.header(KEY_HEADER, key);
         }
         let request = request
             .body(Full::from(work.body.clone()))
@@ -81,3 +81,12 @@
         }
     }
 }
+
+/// Returns the key for the target, which knows no callers: the caller's name goes before it.
+fn scoped_key(work: &PlainWork) -> Option<String> {
+    let key = work.key.as_ref()?;
+    Some(match &work.caller {
+        Some(caller) => format!("{caller}:{key}"),
+        None => key.to_string(),
+    })
+}
--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -244,6 +244,7 @@
 
     pub(crate) fn call(&self, key: &str) -> Dispatch {
         self.dispatch(Work::Plain(PlainWork {
+            caller: None,
             path: "/swaps".into(),
             content_type: "application/json".into(),
             body: "{}".into(),
--- a/crates/agent/tests/plain.rs
+++ b/crates/agent/tests/plain.rs
@@ -7,7 +7,7 @@
 use common::{Site, running};
 use kumquatkeel_standin::plain::{PlainFault, PlainServer, PlainService};
 use kumquatkeel_types::ErrorCode;
-use kumquatkeel_types::message::{AttemptEvent, FenceReply, NotRunReason};
+use kumquatkeel_types::message::{AttemptEvent, FenceReply, NotRunReason, Work};
 use rstest::rstest;
 
 async fn site(work_time: Duration) -> (Site, PlainService, PlainServer) {
@@ -42,6 +42,30 @@
     assert_eq!(service.executions("k1"), 1);
 }
 
+#[tokio::test]
+async fn two_callers_with_one_key_each_get_their_own_answer() {
+    let (site, service, _server) = site(Duration::ZERO).await;
+    let mut answers = Vec::new();
+    for caller in ["a", "b", "a"] {
+        let mut dispatch = site.call("k1");
+        if let Work::Plain(work) = &mut dispatch.work {
+            work.caller = Some(caller.try_into().unwrap());
+        }
+        let events = site.run(&dispatch).await;
+        answers.push(answer(&events).unwrap_or_default().to_owned());
+    }
+    assert_eq!(
+        answers,
+        [r#"{"number":1}"#, r#"{"number":2}"#, r#"{"number":1}"#]
+    );
+    let keys: Vec<_> = service
+        .executed()
+        .into_iter()
+        .filter_map(|call| call.key)
+        .collect();
+    assert_eq!(keys, ["a:k1", "b:k1"]);
+}
+
 #[rstest]
 #[case::before(PlainFault::LostBefore, 0)]
 #[case::after(PlainFault::LostAfter, 1)]
--- a/crates/core/src/gate/record.rs
+++ b/crates/core/src/gate/record.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use kumquatkeel_types::message::{CompletionWork, Dispatch, NotRunReason, Work};
-use kumquatkeel_types::{AdapterName, IdempotencyKey, ServiceName, Timestamp, digest::hash_parts};
+use kumquatkeel_types::{
+    AdapterName, CallerName, IdempotencyKey, ServiceName, Timestamp, digest::hash_parts,
+};
 
 use super::LaneId;
 use super::lane::Turn;
@@ -14,6 +16,7 @@
 /// The scope within which an idempotency key runs once.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct KeyScope {
+    pub(super) caller: Option<CallerName>,
     pub(super) service: ServiceName,
     pub(super) key: IdempotencyKey,
 }
@@ -48,6 +51,7 @@
                 lane: LaneId::Plain,
                 adapter: None,
                 key: work.key.clone().map(|key| KeyScope {
+                    caller: work.caller.clone(),
                     service: dispatch.service.clone(),
                     key,
                 }),
--- a/crates/core/tests/gate.rs
+++ b/crates/core/tests/gate.rs
@@ -55,6 +55,7 @@
 fn call(number: u64, key: &str, body: &str) -> Dispatch {
     Dispatch {
         work: Work::Plain(PlainWork {
+            caller: None,
             path: "/swaps".into(),
             content_type: "text/plain".into(),
             body: body.into(),
@@ -206,6 +207,21 @@
     assert_eq!(gate.offer(&call(4, "k", "x"), START), expected);
 }
 
+#[test]
+fn two_callers_with_one_key_do_not_meet() {
+    let of_caller = |number: u64, caller: &str| {
+        let mut dispatch = call(number, "k", "x");
+        if let Work::Plain(work) = &mut dispatch.work {
+            work.caller = Some(caller.try_into().unwrap());
+        }
+        dispatch
+    };
+    let mut gate = gate(2, 8);
+    assert_eq!(gate.offer(&of_caller(1, "a"), START), Admission::Start);
+    assert_eq!(gate.offer(&of_caller(2, "b"), START), Admission::Start);
+    assert_eq!(gate.offer(&of_caller(3, "b"), START), Admission::Joined);
+}
+
 #[test]
 fn a_full_table_of_keys_refuses_new_ones() {
     let limits = GateLimits {
--- a/crates/core/tests/gate_runs.rs
+++ b/crates/core/tests/gate_runs.rs
@@ -68,6 +68,7 @@
         deadline_ms: 1_000,
         first_token_ms: 1_000,
         work: Work::Plain(PlainWork {
+            caller: None,
             path: "/".into(),
             content_type: String::new(),
             body: String::new(),
--- a/crates/core/tests/request.rs
+++ b/crates/core/tests/request.rs
@@ -62,6 +62,7 @@
 
 fn plain() -> Work {
     Work::Plain(PlainWork {
+        caller: None,
         path: "/book".into(),
         content_type: "application/json".into(),
         body: "{}".into(),
--- a/crates/entry/src/api/plain.rs
+++ b/crates/entry/src/api/plain.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use dropshot::Body;
 use http::header::CONTENT_TYPE;
-use http::{HeaderMap, HeaderValue, Response, StatusCode};
+use http::{HeaderValue, Response, StatusCode};
 use kumquatkeel_core::admission::Arrival;
 use kumquatkeel_core::request::{FlowAnswer, FlowSpec};
 use kumquatkeel_core::routing::RouteRequest;
@@ -53,7 +53,7 @@
         let reason = "idempotency-key: is needed, for the service's calls must not be repeated";
         return Err(refused(ErrorCode::InvalidRequest, reason));
     }
-    let work = work_of(&at.path, sender.headers, body, key)?;
+    let work = work_of(&at.path, &sender, body, key)?;
     let id = state.next_request();
     let answer = run(state, &sender, service, work, id.clone()).await;
     answer
@@ -79,7 +79,7 @@
 
 fn work_of(
     path: &str,
-    headers: &HeaderMap,
+    sender: &Sender<'_>,
     body: Bytes,
     key: Option<IdempotencyKey>,
 ) -> Result<PlainWork, ErrorBody> {
@@ -87,13 +87,14 @@
     if path.len() > MOST_PATH_BYTES {
         return Err(invalid("path: is too long"));
     }
-    let content_type = match headers.get(CONTENT_TYPE).map(HeaderValue::to_str) {
+    let content_type = match sender.headers.get(CONTENT_TYPE).map(HeaderValue::to_str) {
         None => DEFAULT_TYPE,
         Some(Ok(text)) => text,
         Some(Err(_)) => return Err(invalid("content-type: must be visible ASCII")),
     };
     let body = String::from_utf8(body.into()).map_err(|_| invalid("body: is not UTF-8"))?;
     Ok(PlainWork {
+        caller: Some(sender.caller.name.clone()),
         path: format!("/{path}"),
         content_type: content_type.into(),
         body,
--- a/crates/entry/src/daemon/mod.rs
+++ b/crates/entry/src/daemon/mod.rs
@@ -3,7 +3,9 @@
 mod life;
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use derive_more::Debug;
 use jsonrpsee::Methods;
 use kumquatkeel_core::lease::LeaseOptions;
 use kumquatkeel_daemon::metrics::Metrics;
@@ -13,8 +15,10 @@
     CallCounts, HttpInstanceList, HttpObjectStore, HttpOptions, ObjectStore, WriteIds,
 };
 use kumquatkeel_types::message::MemberState;
+use log::warn;
 use rand::Rng;
 use tokio::net::TcpListener;
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 use self::life::{announce, first_report, start_life};
@@ -24,6 +28,8 @@
 use crate::relay::{RelayService, SpreadFleet};
 use crate::{Entry, EntryError, EntryHandle, EntryParts, EntrySettings};
 
+/// Longest wait for outcomes of calls to reach the store when the daemon stops.
+const FLUSH_LIMIT: Duration = Duration::from_secs(5);
 /// The name of the lease on placement.
 const PLACEMENT_LEASE: &str = "placement";
 
@@ -34,6 +40,8 @@
     hub: Arc<Hub>,
     spread: SpreadClient,
     keeper: Arc<LeaseKeeper>,
+    #[debug(skip)]
+    ledger: StoreLedger,
     stop: CancellationToken,
 }
 
@@ -59,7 +67,7 @@
         parts.listener = Some(listener);
         let ledger = platform.ledger(&settings, &hub, &stop);
         parts.methods = methods(&hub, &ledger, &parts);
-        parts.ledger = Arc::new(PathLedger::new(ledger));
+        parts.ledger = Arc::new(PathLedger::new(ledger.clone()));
         let options = LeaseKeeperOptions {
             name: PLACEMENT_LEASE.into(),
             holder: settings.name.clone(),
@@ -86,6 +94,7 @@
             hub,
             spread,
             keeper,
+            ledger,
             stop,
         })
     }
@@ -99,6 +108,10 @@
     pub async fn shutdown(self) {
         self.hub.set_state(MemberState::Draining);
         self.entry.shutdown().await;
+        if timeout(FLUSH_LIMIT, self.ledger.flush()).await.is_err() {
+            let pending = self.ledger.pending();
+            warn!(target: "ledger", "ledger: {pending} outcomes are left to be settled by others");
+        }
         self.hub.set_state(MemberState::Gone);
         self.keeper.stop().await;
         self.stop.cancel();
--- a/crates/kumquatkeel/src/commands/mod.rs
+++ b/crates/kumquatkeel/src/commands/mod.rs
@@ -24,7 +24,10 @@
         Command::Measure(Measure::Slopes { json }) => {
             tokio::task::spawn_blocking(move || measure::slopes(json))
                 .await
-                .map_err(|e| CommandError::Run { step: "measure slopes", reason: e.to_string() })
+                .map_err(|e| CommandError::Run {
+                    step: "measure slopes",
+                    reason: e.to_string(),
+                })
         }
     }
 }
--- a/crates/standin/src/measure/policy/requests.rs
+++ b/crates/standin/src/measure/policy/requests.rs
@@ -448,6 +448,7 @@
             resume: Vec::new(),
         }),
         _ => Work::Plain(PlainWork {
+            caller: None,
             path: "/book".into(),
             content_type: "application/json".into(),
             body: String::new(),
--- a/crates/standin/src/measure/slopes/agent.rs
+++ b/crates/standin/src/measure/slopes/agent.rs
@@ -77,6 +77,7 @@
         deadline_ms: 60_000,
         first_token_ms: 60_000,
         work: Work::Plain(PlainWork {
+            caller: None,
             path: "/".into(),
             content_type: "application/json".into(),
             body: String::new(),
--- a/crates/standin/src/measure/slopes/relay.rs
+++ b/crates/standin/src/measure/slopes/relay.rs
@@ -6,7 +6,7 @@
 use kumquatkeel_types::{Revision, TargetName};
 
 use super::fleet::FleetSize;
-use super::process::{PausedRuntime, memory_of, millis_of};
+use super::process::{LocalRuntime, memory_of, millis_of};
 use super::{HEAD_BYTES, Sample, SlopeLine};
 
 /// Polls of each child a second.
@@ -21,14 +21,14 @@
 /// Measures a relay at several numbers of children.
 pub(super) fn probe() -> SlopeLine {
     let size = FleetSize::of_targets(TARGETS);
-    let runtime = PausedRuntime::new();
+    let runtime = LocalRuntime::new();
     let hub = hub(&runtime, &size);
     let memory = memory_of(|| self::hub(&runtime, &size));
     let samples = [2_u32, 4, 8, 16].map(|children| sample(&runtime, &hub, children, memory));
     SlopeLine::of("relay", "children", samples.into())
 }
 
-fn hub(runtime: &PausedRuntime, size: &FleetSize) -> Hub {
+fn hub(runtime: &LocalRuntime, size: &FleetSize) -> Hub {
     let hub = Hub::new(FleetSize::entry(0), 1, Clock::start());
     let document = size.document();
     let raw = document.raw().clone();
@@ -56,7 +56,7 @@
     }
 }
 
-fn sample(runtime: &PausedRuntime, hub: &Hub, children: u32, memory: f64) -> Sample {
+fn sample(runtime: &LocalRuntime, hub: &Hub, children: u32, memory: f64) -> Sample {
     let child = |number: u32| {
         let mut member = FleetSize::entry(1);
         let name = TargetName::try_from(format!("child-{number}")).expect("a valid name");
--- a/crates/types/src/message/dispatch.rs
+++ b/crates/types/src/message/dispatch.rs
@@ -4,8 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    AdapterName, AttemptId, ErrorCode, IdempotencyKey, Incarnation, ModelId, ServiceName,
-    TargetName,
+    AdapterName, AttemptId, CallerName, ErrorCode, IdempotencyKey, Incarnation, ModelId,
+    ServiceName, TargetName,
 };
 
 /// One attempt to run a request on the target behind an agent.
@@ -67,6 +67,9 @@
     pub content_type: String,
     /// The body, UTF-8.
     pub body: String,
+    /// The caller; keys of different callers never meet.
+    #[serde(default)]
+    pub caller: Option<CallerName>,
     /// The key under which the call runs at most once.
     pub key: Option<IdempotencyKey>,
 }
