--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -18,6 +18,7 @@
 mod faults;
 mod options;
 mod record;
+mod run;
 mod runner;
 mod server;
 mod tokens;
--- a/crates/standin/src/engine/runner.rs
+++ b/crates/standin/src/engine/runner.rs
@@ -14,9 +14,10 @@
 use tokio_util::sync::CancellationToken;
 
 use super::accelerators::Place;
+use super::run::Run;
 use super::{
     Accelerators, Batch, EngineCall, EngineFault, EngineFaults, EngineOptions, EngineRecord,
-    Entered, OrderRecord, PrefixCache, Prompt, RunEnd, RunRecord, Start,
+    Entered, OrderRecord, PrefixCache, RunEnd, RunRecord, Start,
 };
 
 /// Chunks that wait for a slow reader.
@@ -36,27 +37,27 @@
 }
 
 #[derive(Debug)]
-struct State {
+pub(super) struct State {
     accelerators: Accelerators,
-    batch: Batch,
-    cache: PrefixCache,
-    wakers: BTreeMap<u64, oneshot::Sender<()>>,
-    cancels: BTreeMap<String, CancellationToken>,
+    pub(super) batch: Batch,
+    pub(super) cache: PrefixCache,
+    pub(super) wakers: BTreeMap<u64, oneshot::Sender<()>>,
+    pub(super) cancels: BTreeMap<String, CancellationToken>,
     reports: VecDeque<(Instant, EngineLoad)>,
-    record: EngineRecord,
+    pub(super) record: EngineRecord,
 }
 
 #[derive(Debug)]
-struct Shared {
-    options: EngineOptions,
-    faults: EngineFaults,
+pub(super) struct Shared {
+    pub(super) options: EngineOptions,
+    pub(super) faults: EngineFaults,
     state: Mutex<State>,
 }
 
 /// An engine's stand-in; clones share it.
 #[derive(Debug, Clone)]
 pub struct Engine {
-    shared: Arc<Shared>,
+    pub(super) shared: Arc<Shared>,
 }
 
 impl Engine {
@@ -338,14 +339,14 @@
         })
     }
 
-    fn slots(&self, place: &Place) -> u16 {
+    pub(super) fn slots(&self, place: &Place) -> u16 {
         self.shared
             .options
             .model(&place.1)
             .map_or(1, |model| model.slots)
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
         self.shared
             .state
             .lock()
@@ -362,7 +363,7 @@
             .min_by_key(|place| self.batch.users(place, None))
     }
 
-    fn publish_report(&mut self) {
+    pub(super) fn publish_report(&mut self) {
         if self.reports.len() == KEPT_REPORTS {
             self.reports.pop_front();
         }
@@ -392,108 +393,3 @@
         }
     }
 }
-
-/// One run; its slot is given back when it is dropped.
-struct Run {
-    engine: Engine,
-    number: u64,
-    place: Place,
-    request: EngineCompletion,
-    /// The request whose answer is sent; another one when answers are crossed.
-    answered: EngineCompletion,
-    fault: Option<EngineFault>,
-    turn: Option<oneshot::Receiver<()>>,
-    cancel: CancellationToken,
-    chunks: mpsc::Sender<EngineChunk>,
-}
-
-impl Run {
-    async fn drive(mut self) {
-        let cancel = self.cancel.clone();
-        let chunks = self.chunks.clone();
-        let end = tokio::select! {
-            end = self.generate() => end,
-            () = cancel.cancelled() => RunEnd::Cancelled,
-            () = chunks.closed() => RunEnd::Cancelled,
-        };
-        self.engine.lock().record.runs[self.number as usize].end = end;
-    }
-
-    async fn generate(&mut self) -> RunEnd {
-        if let Some(turn) = self.turn.take() {
-            let _ = turn.await;
-        }
-        sleep(self.prefill_time()).await;
-        let prompt = Prompt::from(&self.answered);
-        let (count, reason) = prompt.length(self.answered.max_tokens);
-        let start = self.answered.resume.len() as u32;
-        for index in start..count {
-            sleep(self.token_time()).await;
-            if self.is_cut(index - start) {
-                return RunEnd::Cut;
-            }
-            if !self.send(index, prompt.token(index), None).await {
-                return RunEnd::Cancelled;
-            }
-            self.engine.lock().record.runs[self.number as usize].sent += 1;
-        }
-        if self.is_cut(count.saturating_sub(start)) {
-            return RunEnd::Cut;
-        }
-        if self.send(count, String::new(), Some(reason)).await {
-            RunEnd::Finished(reason)
-        } else {
-            RunEnd::Cancelled
-        }
-    }
-
-    fn prefill_time(&self) -> Duration {
-        let options = &self.engine.shared.options;
-        let model = self.request.model.to_string();
-        let missing = self.engine.lock().cache.store(&model, &self.request.prompt);
-        let span = options.block_time * missing;
-        self.engine.shared.faults.stretch(span)
-    }
-
-    fn token_time(&self) -> Duration {
-        let options = &self.engine.shared.options;
-        let running = self.engine.lock().batch.running(&self.place);
-        let span = options.token_gap + options.batch_gap * running.saturating_sub(1);
-        self.engine.shared.faults.stretch(span)
-    }
-
-    fn is_cut(&self, sent: u32) -> bool {
-        let scripted = matches!(self.fault, Some(EngineFault::CutAfter(limit)) if sent >= limit);
-        scripted || self.engine.shared.faults.is_dead()
-    }
-
-    async fn send(
-        &self,
-        index: u32,
-        text: String,
-        finish_reason: Option<kumquatkeel_types::message::FinishReason>,
-    ) -> bool {
-        let chunk = EngineChunk {
-            request_id: self.answered.request_id.clone(),
-            index,
-            text,
-            finish_reason,
-        };
-        self.chunks.send(chunk).await.is_ok()
-    }
-}
-
-impl Drop for Run {
-    fn drop(&mut self) {
-        let slots = self.engine.slots(&self.place);
-        let mut state = self.engine.lock();
-        state.wakers.remove(&self.number);
-        state.cancels.remove(&self.request.request_id);
-        if let Some(next) = state.batch.leave(&self.place, self.number, slots)
-            && let Some(waker) = state.wakers.remove(&next)
-        {
-            let _ = waker.send(());
-        }
-        state.publish_report();
-    }
-}
