--- a/crates/standin/src/measure/policy/agent.rs
+++ b/crates/standin/src/measure/policy/agent.rs
@@ -5,7 +5,7 @@
 
 use kumquatkeel_core::gate::{Gate, GateLimits, GateStep, LaneId, LaneOffer};
 use kumquatkeel_core::memory::{Account, AccountSettings, OrderDesk};
-use kumquatkeel_types::document::{Document, Target, TargetKind};
+use kumquatkeel_types::document::{Document, Model, Target, TargetKind};
 use kumquatkeel_types::engine::{EngineLoad, EngineReplica};
 use kumquatkeel_types::message::{
     LoadSummary, Member, MemberState, MemberVersion, ProbeReply, ReplicaState, Role, TargetStatus,
@@ -107,7 +107,7 @@
         self.account
             .observe(&load, now, |unit| match &unit.adapter {
                 Some(name) => document.adapter(name).map(|a| a.memory_mb),
-                None => document.model(&unit.model).map(|m| m.replica_mb()),
+                None => document.model(&unit.model).map(Model::replica_mb),
             });
     }
 
@@ -156,20 +156,7 @@
             incarnation: self.life,
             draining: false,
             resident: model.is_none_or(|m| self.account.ready_replicas(m) > 0),
-            load: self.room_for(model),
-        }
-    }
-
-    /// Returns the whole target's load, with the slots that are left to a lane.
-    ///
-    /// Models on one accelerator share its time, so that a lane's own load tells too little.
-    fn room_for(&self, model: Option<&ModelId>) -> LoadSummary {
-        let lane = self.load_of(model);
-        let running = self.gate.load().running;
-        LoadSummary {
-            running,
-            waiting: lane.waiting,
-            slots: running + lane.slots.saturating_sub(lane.running),
+            load: self.load_of(model),
         }
     }
 
