fix(measure): count the memory of slopes at the allocator

Cause: resident pages do not grow while the allocator has freed ones, so most memory read as zero. Change: the operator's program counts allocations by a library; more calls for processor time.

--- a/crates/kumquatkeel/src/commands/stand_in.rs
+++ b/crates/kumquatkeel/src/commands/stand_in.rs
@@ -32,7 +32,8 @@
 }
 
 async fn run_platform(listen: SocketAddr) -> Result<(), CommandError> {
-    let server = PlatformServer::start(listen, MemoryStore::new()).map_err(failed)?;
+    let server =
+        PlatformServer::start(listen, MemoryStore::new()).map_err(|error| failed(&error))?;
     println!("platform stand-in listens on {}", server.address());
     wait().await?;
     server.stop().await;
@@ -52,14 +53,14 @@
     match target.kind {
         TargetKind::Engine => {
             let engine = Engine::new(EngineOptions::of_target(document.raw(), target));
-            let server = EngineServer::start(listen, engine).map_err(failed)?;
+            let server = EngineServer::start(listen, engine).map_err(|error| failed(&error))?;
             println!("stand-in of {name} listens on {}", server.address());
             wait().await?;
             server.stop().await;
         }
         TargetKind::Plain => {
             let service = PlainService::new(CALL_TIME);
-            let server = PlainServer::start(listen, service).map_err(failed)?;
+            let server = PlainServer::start(listen, service).map_err(|error| failed(&error))?;
             println!("stand-in of {name} listens on {}", server.address());
             wait().await?;
             server.stop().await;
@@ -75,7 +76,7 @@
     })
 }
 
-fn failed(error: StandInError) -> CommandError {
+fn failed(error: &StandInError) -> CommandError {
     CommandError::Run {
         step: "start the stand-in",
         reason: error.to_string(),
--- a/crates/kumquatkeel/src/main.rs
+++ b/crates/kumquatkeel/src/main.rs
@@ -1,8 +1,10 @@
 //! The operator's program: check and apply documents, read status and burn, run the demo.
 
+use std::alloc::System;
 use std::process::ExitCode;
 
 use clap::Parser;
+use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
 
 mod cli;
 mod client;
@@ -11,6 +13,10 @@
 
 use cli::Cli;
 
+/// Counts allocations, for `measure slopes`.
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
 /// The exit code of a document or request that is wrong.
 const EXIT_INVALID: u8 = 2;
 
--- a/crates/standin/src/measure/slopes/agent.rs
+++ b/crates/standin/src/measure/slopes/agent.rs
@@ -9,6 +9,8 @@
 use super::process::{memory_of, millis_of};
 use super::{HEAD_BYTES, Sample, SlopeLine};
 
+/// Attempts over which time is measured.
+const CALLS: u32 = 50_000;
 /// Requests a second at one agent: 2,400 over 840.
 const REQUESTS: f64 = 2.9;
 /// Bytes of an idle poll and its answer, heads aside.
@@ -29,7 +31,7 @@
 fn sample(attempts: u32) -> Sample {
     let mut gate = filled(attempts);
     let mut number = u64::from(attempts);
-    let millis = millis_of(2_000, || {
+    let millis = millis_of(CALLS, || {
         number += 1;
         run(&mut gate, number);
     });
--- a/crates/standin/src/measure/slopes/entry.rs
+++ b/crates/standin/src/measure/slopes/entry.rs
@@ -16,7 +16,7 @@
 /// them changes a few times, beside one model load a second at the weight store's limit.
 const REPORTS: f64 = 2.0;
 /// Decisions and reports over which time is measured.
-const CALLS: u32 = 2_000;
+const CALLS: u32 = 50_000;
 
 /// Measures an entry at several numbers of targets.
 pub(super) fn probe() -> SlopeLine {
--- a/crates/standin/src/measure/slopes/mod.rs
+++ b/crates/standin/src/measure/slopes/mod.rs
@@ -1,8 +1,8 @@
 //! The cost of each role at several sizes, and the slope that follows.
 //!
 //! Each probe drives the product's own structures at growing sizes. Bytes are those of the
-//! serialised messages and of HTTP heads; processor time is measured on this machine; memory is
-//! what the process grew by while the structures were kept. Rates that a probe assumes are those
+//! serialised messages and of HTTP heads; processor time is that of the measuring thread; memory is
+//! what the structures hold of the allocator. Rates that a probe assumes are those
 //! of the design size and are named beside it.
 
 mod agent;
--- a/crates/standin/src/measure/slopes/planner.rs
+++ b/crates/standin/src/measure/slopes/planner.rs
@@ -18,7 +18,7 @@
 /// Models that one entry sees within its window of ten seconds.
 const MODELS_SEEN: usize = 70;
 /// Rounds over which time is measured.
-const ROUNDS: u32 = 5;
+const ROUNDS: u32 = 50;
 
 /// What a round looks at.
 struct Inputs {
--- a/crates/standin/src/measure/slopes/process.rs
+++ b/crates/standin/src/measure/slopes/process.rs
@@ -2,21 +2,18 @@
 
 use std::hint::black_box;
 
+use stats_alloc::{INSTRUMENTED_SYSTEM, Region};
 use tokio::runtime::{Builder, Runtime};
 
-/// Size of a page of memory, in bytes.
-const PAGE_BYTES: f64 = 4_096.0;
-/// Copies that are kept while memory is read, so that small structures show.
-const COPIES: usize = 8;
-
 /// Returns the memory that one structure takes, in bytes.
+///
+/// Counts only in a program whose global allocator is this one; elsewhere zero.
 pub(super) fn memory_of<T>(make: impl Fn() -> T) -> f64 {
-    let first = make();
-    let before = resident_bytes();
-    let kept: Vec<T> = (0..COPIES).map(|_| make()).collect();
-    let after = resident_bytes();
-    black_box((&first, &kept));
-    ((after - before) / COPIES as f64).max(0.0)
+    let region = Region::new(&INSTRUMENTED_SYSTEM);
+    let kept = black_box(make());
+    let change = region.change();
+    drop(kept);
+    change.bytes_allocated as f64 - change.bytes_deallocated as f64
 }
 
 /// Returns the milliseconds of processor time that one call takes, over `calls` of them.
@@ -38,16 +35,6 @@
     nanos.unwrap_or(0.0) / 1e6
 }
 
-/// Returns the resident memory of this process, in bytes; zero where it can't be read.
-fn resident_bytes() -> f64 {
-    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    let pages = text
-        .split_whitespace()
-        .nth(1)
-        .and_then(|pages| pages.parse::<f64>().ok());
-    pages.unwrap_or(0.0) * PAGE_BYTES
-}
-
 /// A runtime on this thread, so that its processor time counts.
 #[derive(Debug)]
 pub(super) struct LocalRuntime {
--- a/crates/standin/src/measure/slopes/relay.rs
+++ b/crates/standin/src/measure/slopes/relay.rs
@@ -16,7 +16,7 @@
 /// Entries of the design size.
 const ENTRIES: usize = 330;
 /// Polls over which time is measured.
-const CALLS: u32 = 200;
+const CALLS: u32 = 1_000;
 
 /// Measures a relay at several numbers of children.
 pub(super) fn probe() -> SlopeLine {
--- a/crates/standin/tests/histories/calls.rs
+++ b/crates/standin/tests/histories/calls.rs
@@ -88,12 +88,12 @@
 /// Returns the demo's fleet with a second plain target, so that no single agent knows every call.
 fn plan() -> FleetPlan {
     let mut plan = sample_plan().expect("plan");
-    let plain = plan
+    let first = plan
         .document
         .targets
         .iter()
         .find(|t| !t.services.is_empty());
-    let mut second = plain.expect("a plain target").clone();
+    let mut second = first.expect("a plain target").clone();
     second.name = "swaps-irbid-a".try_into().expect("name");
     second.data_centre = "irbid-a".try_into().expect("name");
     second.agent = "127.0.0.1:5".parse().expect("address");
