fix(entry,agent): let the last report go out before the spread stops

Cause: a daemon that had stopped cancelled its polls before others heard that it is gone. Change: both linger for 300 ms after the last report. Two links of the docs are mended. Conclusion: others need not wait for missed heartbeats at a graceful stop.

--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -76,6 +76,9 @@
         self.hub.set_state(MemberState::Draining);
         self.agent.shutdown().await;
         self.hub.set_state(MemberState::Gone);
+        if let Some(spread) = &self.spread {
+            spread.linger().await;
+        }
         self.stop.cancel();
         if let Some(spread) = &self.spread {
             spread.stop().await;
--- a/crates/core/src/lease/step.rs
+++ b/crates/core/src/lease/step.rs
@@ -60,9 +60,9 @@
 /// What to do next for a lease; `V` is the store's version of an object.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum LeaseStep<V> {
-    /// Read the lease's object, then call [`Lease::on_read`].
+    /// Read the lease's object, then call [`Lease::on_read`](super::Lease::on_read).
     Read,
-    /// Write the record if the object is still at the version, then call [`Lease::on_write`].
+    /// Write the record if the object is still at the version, then call [`Lease::on_write`](super::Lease::on_write).
     Write {
         /// The version; none when there is no object yet.
         version: Option<V>,
--- a/crates/daemon/src/spread/client.rs
+++ b/crates/daemon/src/spread/client.rs
@@ -24,6 +24,9 @@
 /// Time for which the daemon's own news is gathered before it is sent up.
 const PUSH_GATHER: Duration = Duration::from_millis(100);
 
+/// Time for the last news to go out: that for which it is gathered, and a poll.
+const LAST_NEWS: Duration = Duration::from_millis(300);
+
 /// Pause before the next source when one fails.
 const SWITCH_PAUSE: Duration = Duration::from_millis(100);
 
@@ -71,6 +74,11 @@
         Self { tasks, stop }
     }
 
+    /// Waits until the daemon's last report of itself has had time to go out.
+    pub async fn linger(&self) {
+        sleep(LAST_NEWS).await;
+    }
+
     /// Stops the tasks and returns when they have ended.
     pub async fn stop(&self) {
         self.stop.cancel();
--- a/crates/entry/src/daemon/mod.rs
+++ b/crates/entry/src/daemon/mod.rs
@@ -113,6 +113,7 @@
             warn!(target: "ledger", "ledger: {pending} outcomes are left to be settled by others");
         }
         self.hub.set_state(MemberState::Gone);
+        self.spread.linger().await;
         self.keeper.stop().await;
         self.stop.cancel();
         self.spread.stop().await;
