test(processes): reach each entry before a single call, on addresses of their own

Cause: a run on a busy machine waited in vain: after the agent's restart any entry's answer was enough, then one call went through an entry that had not heard of it; free ports could be taken. Change: a call through each entry must be done first; daemons listen on a loopback address of their own. The checks are stricter than before. Conclusion: the wait is for an event that must come.

--- a/crates/standin/tests/processes.rs
+++ b/crates/standin/tests/processes.rs
@@ -9,6 +9,7 @@
 #[path = "processes/site.rs"]
 mod site;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use kumquatkeel_standin::engine::Prompt;
@@ -39,8 +40,21 @@
 
 /// Sends a keyed call until one of the entries answers as wanted.
 async fn call_until(site: &SiteHandle, key: &str, wanted: Outcome) {
+    call_until_at(site, &site.callers, key, wanted).await;
+}
+
+/// Sends a keyed call through each entry until it is done there, so that each knows the service.
+async fn call_through_each(site: &SiteHandle, key: &str) {
+    for (number, entry) in site.callers.iter().enumerate() {
+        let key = format!("{key}-{number}");
+        call_until_at(site, std::slice::from_ref(entry), &key, Outcome::Done).await;
+        assert_eq!(site.plain.executions(&key), 1, "{key}");
+    }
+}
+
+async fn call_until_at(site: &SiteHandle, entries: &[SocketAddr], key: &str, wanted: Outcome) {
     let end = tokio::time::Instant::now() + EVENT_LIMIT;
-    for entry in site.callers.iter().cycle() {
+    for entry in entries.iter().cycle() {
         let path = "/v1/services/swaps/swap";
         let body = json!({ "key": key });
         let reply = site.caller.call(*entry, path, key, &body).await;
@@ -70,7 +84,7 @@
     for entry in 0..site.callers.len() {
         complete_until(&site, entry).await;
     }
-    call_until(&site, "before", Outcome::Done).await;
+    call_through_each(&site, "before").await;
 
     // A graceful stop cuts no stream: the agent ends only after it.
     let long = tokio::spawn({
@@ -88,6 +102,7 @@
 
     // A killed agent loses no call and doubles none.
     let key = "killed";
+    let before = site.plain.faults().calls();
     let calls = tokio::spawn({
         let site = site.handle();
         async move {
@@ -96,7 +111,7 @@
             call.await.ok().and_then(|reply| reply.outcome)
         }
     });
-    site.wait_calls(2).await;
+    site.wait_calls(before + 1).await;
     site.take_agent("swaps-a").kill().await;
     let told = calls.await.expect("joins");
     assert_ne!(
@@ -105,7 +120,7 @@
         "the call had reached the service"
     );
     site.start_agent("swaps-a").await;
-    call_until(&site, "after-kill", Outcome::Done).await;
+    call_through_each(&site, "after-kill").await;
 
     // A killed entry's call is settled through the other one, and never doubled.
     let key = "entry-killed";
@@ -135,7 +150,7 @@
     site.store.set_outage(false);
     call_until(&site, "outage", Outcome::Done).await;
 
-    for key in ["before", "killed", "after-kill", "outage"] {
+    for key in ["killed", "outage"] {
         assert!(site.plain.executions(key) <= 1, "{key} ran twice");
     }
     site.stop().await;
--- a/crates/standin/tests/processes/site.rs
+++ b/crates/standin/tests/processes/site.rs
@@ -58,14 +58,19 @@
     }
 }
 
+/// An address of loopback that only the daemons of this test use; any free port.
+const RESERVED: (Ipv4Addr, u16) = (Ipv4Addr::new(127, 0, 7, 1), 0);
+
 fn loopback() -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
 
-/// Returns addresses that were free a moment ago.
+/// Returns addresses for daemons that are started later.
+///
+/// They are on a loopback address of their own, where no other socket can take the ports meanwhile.
 fn free_addresses(count: usize) -> Vec<SocketAddr> {
     let listeners: Vec<_> = (0..count)
-        .map(|_| TcpListener::bind(loopback()).expect("binds"))
+        .map(|_| TcpListener::bind(RESERVED).expect("binds"))
         .collect();
     let address = |listener: &TcpListener| listener.local_addr().expect("has an address");
     listeners.iter().map(address).collect()
