fix(spread): poll an entry again that was met before it served

Cause: an agent that asked a starting entry knew its address, so discovery left it out, while the plan leaves out entries that do not serve: the agent polled nobody for good and was taken for gone. Seen with the sample site of the README: orders-1 gone, its calls not run. Excluded: the agent's own listener (it answered), the store (the others got the revision). Change: discovery leaves out only addresses of serving entries. Before: the new test waits in vain. After: it passes, with the nine others of the spread. Conclusion: an agent may start before its entries.

--- a/crates/daemon/src/spread/discover.rs
+++ b/crates/daemon/src/spread/discover.rs
@@ -48,7 +48,7 @@
     let alive = view
         .members
         .values()
-        .filter(|m| m.state != MemberState::Gone);
+        .filter(|m| m.state == MemberState::Serving);
     let known: BTreeSet<_> = alive.map(|m| m.address).chain([own.address]).collect();
     // An agent needs only one entry.
     if own.role.is_agent() && view.serving_entries().next().is_some() {
--- a/crates/daemon/tests/spread.rs
+++ b/crates/daemon/tests/spread.rs
@@ -347,3 +347,24 @@
     let own = site.daemons[&address(12)].hub.own();
     assert!(own.version.sequence > 1);
 }
+
+#[tokio::test(start_paused = true)]
+async fn an_agent_that_met_an_entry_before_it_served_follows_it_later() {
+    let mut site = Site::start(0, 0).await;
+    let mut starting = member(1, false, 1);
+    starting.state = MemberState::Starting;
+    let entry = site.run(starting);
+    let agent = member(4, true, 1).role;
+    site.run(member(4, true, 1));
+    site.settle(Revision(1)).await;
+    entry.set_state(MemberState::Serving);
+    let revision = site.commit(2, Some(Revision(1))).await;
+    assert!(site.settle(revision).await < IN_FORCE);
+    assert!(site.know(&agent, MemberState::Serving).await < IN_FORCE);
+    sleep(Duration::from_secs(30)).await;
+    let view = entry.view().borrow().clone();
+    assert!(
+        view.serving(&agent).is_some(),
+        "the agent is taken for gone"
+    );
+}
