--- a/crates/entry/src/fleet/mod.rs
+++ b/crates/entry/src/fleet/mod.rs
@@ -1,10 +1,8 @@
 //! How news of the configuration and of the members reach an entry.
 
 mod follow;
-mod poll;
 
 pub use follow::follow_fleet;
-pub use poll::PollingFleet;
 
 use async_trait::async_trait;
 use kumquatkeel_types::message::{Member, Snapshot};
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state/mod.rs
@@ -1,5 +1,7 @@
 //! What the parts of an entry share.
 
+mod operators;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -7,7 +9,7 @@
 
 use jsonrpsee::http_client::HttpClient;
 use kumquatkeel_core::admission::{Refusal, ServiceLimits, Ticket};
-use kumquatkeel_core::burn::{Burn, BurnMeter};
+use kumquatkeel_core::burn::BurnMeter;
 use kumquatkeel_core::request::FlowTools;
 use kumquatkeel_core::retry::{Backoff, RetryBudget};
 use kumquatkeel_core::routing::{FleetView, Router, ViewStep};
@@ -15,7 +17,6 @@
 use kumquatkeel_daemon::http::{PeerClient, rpc_client};
 use kumquatkeel_types::document::{Document, Service};
 use kumquatkeel_types::message::{Member, MemberState, Role};
-use kumquatkeel_types::operator::{BurnCounts, ServiceCounts, StatusReport};
 use kumquatkeel_types::{
     EntryName, ErrorBody, ErrorCode, Incarnation, Outcome, RequestId, Revision, ServiceName,
 };
@@ -30,7 +31,7 @@
 use crate::call::CallLedger;
 use crate::demand::SharedDemand;
 use crate::measure::EntryMetrics;
-use crate::operator::{NoDesk, OperatorDesk};
+use crate::operator::OperatorDesk;
 use crate::path::AGENT_TIMEOUT;
 use crate::settings::EntrySettings;
 use crate::shares::Shares;
@@ -206,20 +207,6 @@
         }
     }
 
-    /// Returns the burn of each service's error budget, as this entry has seen it.
-    pub fn burn(&self) -> BTreeMap<ServiceName, Burn> {
-        let now = self.clock.now();
-        let Some(document) = self.document() else {
-            return BTreeMap::new();
-        };
-        let report = |service: &Service| {
-            let state = self.service(service);
-            let burn = lock(&state.burn).report(service.objective, now);
-            (service.name.clone(), burn)
-        };
-        document.services.iter().map(report).collect()
-    }
-
     /// Returns the number of live entries, this one included.
     pub fn live_entries(&self) -> usize {
         let decider = self.decider();
@@ -247,50 +234,6 @@
         self.admission.drain();
     }
 
-    /// Connects the desk at which operators commit documents; only the first one counts.
-    pub fn connect_desk(&self, desk: Arc<dyn OperatorDesk>) {
-        let _ = self.desk.set(desk);
-    }
-
-    /// Returns the desk at which operators commit documents.
-    pub(crate) fn desk(&self) -> Arc<dyn OperatorDesk> {
-        self.desk.get().cloned().unwrap_or_else(|| Arc::new(NoDesk))
-    }
-
-    /// Returns the revision in force here and the newest report of each process.
-    pub fn status(&self) -> StatusReport {
-        StatusReport {
-            revision: self.revision().unwrap_or_default(),
-            members: lock(&self.members).values().cloned().collect(),
-        }
-    }
-
-    fn keep_member(&self, member: &Member) {
-        let mut members = lock(&self.members);
-        let is_newer = members
-            .get(&member.role)
-            .is_none_or(|old| old.version <= member.version);
-        if is_newer {
-            members.insert(member.role.clone(), member.clone());
-        }
-    }
-
-    /// Returns the request counts of each service, as this entry has seen them.
-    pub fn burn_counts(&self) -> BurnCounts {
-        let now = self.clock.now();
-        let Some(document) = self.document() else {
-            return BurnCounts::default();
-        };
-        let counts = |service: &Service| ServiceCounts {
-            service: service.name.clone(),
-            objective: service.objective,
-            windows: lock(&self.service(service).burn).counts(now),
-        };
-        BurnCounts {
-            services: document.services.iter().map(counts).collect(),
-        }
-    }
-
     /// Says whether the entry takes no new work.
     pub fn is_draining(&self) -> bool {
         self.drain.is_cancelled()
