--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod request;
 pub mod retry;
 pub mod routing;
+pub mod serving;
 pub mod spread;
--- a/crates/core/src/placement/limiter.rs
+++ b/crates/core/src/placement/limiter.rs
@@ -1,11 +1,10 @@
 //! The weight store's limits, kept by the one planner for all data centres.
 
 use kumquatkeel_types::Timestamp;
-use kumquatkeel_types::document::Policy;
 
 /// Counts out model loads by rate and by number in flight.
 #[derive(Debug, Default)]
-pub(super) struct LoadLimiter {
+pub(crate) struct LoadLimiter {
     tokens: f64,
     last: Option<Timestamp>,
 }
@@ -15,12 +14,12 @@
     ///
     /// `loading` counts the loads in progress over all data centres. A new planner starts without
     /// credit, so that taking over the lease gives the weight store no second burst.
-    pub(super) fn grant(&mut self, now: Timestamp, loading: usize, policy: &Policy) -> usize {
+    pub(crate) fn grant(&mut self, now: Timestamp, loading: usize, flight: u16, rate: f64) -> usize {
         let elapsed = self.last.map_or(0.0, |last| now.since(last).as_secs_f64());
         self.last = Some(now);
-        let flight = policy.load_flight.max(1);
-        let rate = if policy.load_rate.is_finite() {
-            policy.load_rate.max(0.0)
+        let flight = flight.max(1);
+        let rate = if rate.is_finite() {
+            rate.max(0.0)
         } else {
             0.0
         };
@@ -30,7 +29,7 @@
     }
 
     /// Notes that a load starts.
-    pub(super) fn take(&mut self) {
+    pub(crate) fn take(&mut self) {
         self.tokens = (self.tokens - 1.0).max(0.0);
     }
 }
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -26,6 +26,7 @@
 mod greedy;
 mod input;
 mod limiter;
+pub(crate) use limiter::LoadLimiter;
 mod model_row;
 mod pending;
 mod policy;
--- a/crates/core/src/retry/ejector.rs
+++ b/crates/core/src/retry/ejector.rs
@@ -18,15 +18,23 @@
 /// Targets with a latency that a comparison needs.
 const MIN_PEERS: usize = 4;
 
-/// Ejects targets and brings them back slowly.
-#[derive(Debug, Clone, Default)]
-pub struct Ejector {
-    targets: BTreeMap<TargetName, Health>,
+/// Ejects targets, known by keys of type `K`, and brings them back slowly.
+#[derive(Debug, Clone)]
+pub struct Ejector<K = TargetName> {
+    targets: BTreeMap<K, Health>,
 }
 
-impl Ejector {
+impl<K> Default for Ejector<K> {
+    fn default() -> Self {
+        Self {
+            targets: BTreeMap::new(),
+        }
+    }
+}
+
+impl<K: Ord + Clone> Ejector<K> {
     /// Takes in the end of an attempt.
-    pub fn record(&mut self, target: &TargetName, result: AttemptResult, now: Timestamp) {
+    pub fn record(&mut self, target: &K, result: AttemptResult, now: Timestamp) {
         let health = self.targets.entry(target.clone()).or_default();
         let failed = health.record(result);
         if failed && self.may_eject(now) {
@@ -56,26 +64,25 @@
     }
 
     /// Starts a target's slow start, for instance after a load.
-    pub fn start_slowly(&mut self, target: &TargetName, now: Timestamp) {
+    pub fn start_slowly(&mut self, target: &K, now: Timestamp) {
         self.targets.entry(target.clone()).or_default().start(now);
     }
 
     /// Forgets targets that the document no longer names.
-    pub fn retain(&mut self, mut keep: impl FnMut(&TargetName) -> bool) {
+    pub fn retain(&mut self, mut keep: impl FnMut(&K) -> bool) {
         self.targets.retain(|target, _| keep(target));
     }
 
     /// Says whether a target is ejected.
-    pub fn is_ejected(&self, target: &TargetName, now: Timestamp) -> bool {
+    pub fn is_ejected(&self, target: &K, now: Timestamp) -> bool {
         self.targets.get(target).is_some_and(|h| h.is_ejected(now))
     }
 
     /// Says whether so many of these targets are ejected that ejections are to be ignored.
-    pub fn panics<'a>(
-        &self,
-        targets: impl Iterator<Item = &'a TargetName>,
-        now: Timestamp,
-    ) -> bool {
+    pub fn panics<'a>(&self, targets: impl Iterator<Item = &'a K>, now: Timestamp) -> bool
+    where
+        K: 'a,
+    {
         if self.targets.is_empty() {
             return false;
         }
@@ -89,11 +96,11 @@
     }
 
     /// Returns the share of normal traffic that a target may take, from above 0 to 1.
-    pub fn weight(&self, target: &TargetName, now: Timestamp) -> f64 {
+    pub fn weight(&self, target: &K, now: Timestamp) -> f64 {
         self.targets.get(target).map_or(1.0, |h| h.weight(now))
     }
 
-    fn eject(&mut self, target: &TargetName, now: Timestamp) {
+    fn eject(&mut self, target: &K, now: Timestamp) {
         if let Some(health) = self.targets.get_mut(target) {
             health.eject(now);
         }
--- /dev/null
+++ b/crates/core/src/serving/dispatch.rs
@@ -0,0 +1,204 @@
+//! Choice of a target, or the reason why a request is refused at once.
+//!
+//! Load pattern: flash crowds push the offered prefill work past what the engines read. First
+//! tokens come in time only while the work ahead at an engine is short, so a request goes where
+//! its predicted first token is earliest. A request that can no longer meet its objective is sent
+//! in a deferred band, which uses what urgent work leaves; one that would outlive its caller is
+//! refused before it waits.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::engine::EngineState;
+
+/// Part of the caller's remaining time within which a first token must be predicted.
+const PATIENCE_SHARE: f64 = 0.75;
+/// Fixed time of an engine's step before a first token, beside the prefill.
+const FIRST_STEP: Duration = Duration::from_millis(25);
+/// Penalty of an engine whose slots or KV memory are all taken: a typical generation's rest.
+const FULL_PENALTY: Duration = Duration::from_millis(1_500);
+/// Penalty of an engine that has not reported lately.
+const SILENT_PENALTY: Duration = Duration::from_millis(150);
+/// Time to load an adapter, beside the order's way there.
+const ADAPTER_LOAD: Duration = Duration::from_millis(40);
+/// The shortest time after which a refused caller should return.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// Why a request is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefusalReason {
+    /// No target of the service takes work.
+    NoTarget,
+    /// No engine holds the model and none will in time.
+    ModelAbsent,
+    /// The predicted first token comes after the caller has left.
+    Overload,
+}
+
+/// One target that could take the request.
+#[derive(Debug, Clone, Copy)]
+pub struct Candidate<'a> {
+    /// What is known of the engine.
+    pub engine: &'a EngineState,
+    /// The round trip to the target, with what a byte on that path costs.
+    pub link: Duration,
+    /// Whether failures have ejected the target for now.
+    pub ejected: bool,
+    /// Whether the report is too old to go by.
+    pub silent: bool,
+}
+
+/// What the request needs and how long it may take.
+#[derive(Debug, Clone, Copy)]
+pub struct DispatchTerms<'a> {
+    /// The model.
+    pub model: &'a str,
+    /// The adapter.
+    pub adapter: Option<&'a str>,
+    /// The predicted prefill time on an idle engine.
+    pub prefill: Duration,
+    /// KV memory that the prompt and its output take, in tokens.
+    pub tokens: u64,
+    /// What is left until the latency objective.
+    pub objective: Duration,
+    /// What is left until the caller leaves or the route's deadline.
+    pub patience: Duration,
+    /// Whether the route's objective is short.
+    pub interactive: bool,
+    /// The expected time until an engine could have loaded the model.
+    pub load_time: Duration,
+}
+
+/// What to do with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Choice {
+    /// Send it to the candidate with this index.
+    Send {
+        /// The candidate's index.
+        index: usize,
+        /// When the first token is expected.
+        predicted: Duration,
+        /// Whether it belongs to the urgent band.
+        urgent: bool,
+    },
+    /// Ask the candidate with this index to load the adapter, and decide again.
+    LoadAdapter {
+        /// The candidate's index.
+        index: usize,
+    },
+    /// Decide again when an engine's state changes; the model is expected to be loaded by then.
+    AwaitModel,
+    /// Refuse it; it has not run.
+    Refuse {
+        /// The reason.
+        reason: RefusalReason,
+        /// When the caller should return.
+        retry_after: Duration,
+    },
+}
+
+/// Chooses an engine for a generation.
+pub fn choose_engine(candidates: &[Candidate<'_>], terms: &DispatchTerms<'_>) -> Choice {
+    if candidates.is_empty() {
+        return refuse(RefusalReason::NoTarget, Duration::from_secs(1));
+    }
+    let holders: Vec<usize> = (0..candidates.len())
+        .filter(|i| candidates[*i].engine.report.holds(terms.model))
+        .collect();
+    if holders.is_empty() {
+        return absent_model(candidates, terms);
+    }
+    let any_open = holders.iter().any(|i| !candidates[*i].ejected);
+    let open = |i: &&usize| !any_open || !candidates[**i].ejected;
+    let best = |urgent: bool| {
+        let predicted = |i: usize| (predict(&candidates[i], terms, urgent), i);
+        holders.iter().filter(open).map(|i| predicted(*i)).min()
+    };
+    let urgent = best(terms.interactive).filter(|(t, _)| *t <= terms.objective);
+    let (urgent, found) = match urgent {
+        Some(found) => (terms.interactive, Some(found)),
+        None => (false, best(false)),
+    };
+    let Some((predicted, index)) = found else {
+        return refuse(RefusalReason::NoTarget, MIN_RETRY_AFTER);
+    };
+    if predicted > terms.patience.mul_f64(PATIENCE_SHARE) {
+        let wait = predicted.saturating_sub(terms.objective);
+        return refuse(RefusalReason::Overload, wait);
+    }
+    if needs_adapter(&candidates[index], terms) {
+        return Choice::LoadAdapter { index };
+    }
+    Choice::Send {
+        index,
+        predicted,
+        urgent,
+    }
+}
+
+/// Chooses a plain target by unfinished requests and path.
+///
+/// `running` and `slots` describe each candidate in the same order.
+pub fn choose_plain(candidates: &[Candidate<'_>], slots: &[u32]) -> Choice {
+    let any_open = candidates.iter().any(|c| !c.ejected);
+    let score = |i: usize| {
+        let candidate = &candidates[i];
+        let load = f64::from(candidate.engine.running) / f64::from(slots[i].max(1));
+        candidate.link.mul_f64(0.5) + Duration::from_millis(30).mul_f64(load)
+    };
+    let best = (0..candidates.len())
+        .filter(|i| !any_open || !candidates[*i].ejected)
+        .map(|i| (score(i), i))
+        .min();
+    best.map_or_else(
+        || refuse(RefusalReason::NoTarget, Duration::from_millis(500)),
+        |(predicted, index)| Choice::Send {
+            index,
+            predicted,
+            urgent: true,
+        },
+    )
+}
+
+fn predict(candidate: &Candidate<'_>, terms: &DispatchTerms<'_>, urgent: bool) -> Duration {
+    let engine = candidate.engine;
+    let report = &engine.report;
+    let mut time = candidate.link + engine.ahead(urgent) + terms.prefill + FIRST_STEP;
+    if report.kv_total > 0 && report.kv_used + terms.tokens > report.kv_total {
+        time += FULL_PENALTY;
+    }
+    if candidate.silent {
+        time += SILENT_PENALTY;
+    }
+    if needs_adapter(candidate, terms) {
+        time += ADAPTER_LOAD;
+    }
+    time
+}
+
+fn needs_adapter(candidate: &Candidate<'_>, terms: &DispatchTerms<'_>) -> bool {
+    let report = &candidate.engine.report;
+    (terms.adapter).is_some_and(|adapter| !report.holds_adapter(terms.model, adapter))
+}
+
+fn absent_model(candidates: &[Candidate<'_>], terms: &DispatchTerms<'_>) -> Choice {
+    let loading = candidates.iter().filter_map(|c| {
+        let progress = c.engine.report.loading.as_ref();
+        progress.filter(|p| &*p.model == terms.model)
+    });
+    let left = loading.map(|p| u64::from(p.left_ms)).min();
+    let wait = left.map_or(terms.load_time, Duration::from_millis);
+    if wait + terms.prefill <= terms.patience.mul_f64(PATIENCE_SHARE) {
+        return Choice::AwaitModel;
+    }
+    refuse(RefusalReason::ModelAbsent, wait)
+}
+
+fn refuse(reason: RefusalReason, wait: Duration) -> Choice {
+    Choice::Refuse {
+        reason,
+        retry_after: wait.max(MIN_RETRY_AFTER),
+    }
+}
--- /dev/null
+++ b/crates/core/src/serving/mod.rs
@@ -0,0 +1,33 @@
+//! Serving requests of an external platform: routes, targets, admission and engine placement.
+//!
+//! Everything here is a decision without IO. The daemons in `kumquatkeel-serving` feed it with
+//! configuration, reports and requests and carry out what it returns.
+
+mod config;
+mod dispatch;
+mod drain;
+mod engine;
+mod eviction;
+mod pace;
+mod planner;
+mod quota;
+mod request;
+mod routes;
+mod table;
+mod target;
+
+pub use config::{
+    CallKind, ClientLimits, ConfigError, EngineSpec, ModelSpec, Route, RouteShare, ServiceSpec,
+    ServingConfig,
+};
+pub use dispatch::{Candidate, Choice, DispatchTerms, RefusalReason, choose_engine, choose_plain};
+pub use drain::{DrainPhase, DrainPlan};
+pub use engine::{Backlog, EngineReport, EngineState, LoadProgress, ResidentModel};
+pub use eviction::{AdapterKey, AdapterStep, next_adapter_step};
+pub use pace::PaceMeter;
+pub use planner::{LoadCommand, ModelDemand, Planner, PlannerInput, PlannerSettings};
+pub use quota::RetryQuota;
+pub use request::{AttemptEnd, CallerRequest, Recovery, Usage, after_attempt};
+pub use routes::{RouteMatch, RouteTable};
+pub use table::{TableChange, TargetTable};
+pub use target::{Target, TargetId, TargetState};
--- /dev/null
+++ b/crates/core/src/serving/planner.rs
@@ -0,0 +1,331 @@
+//! Which engine loads which model next.
+//!
+//! Load pattern: demand moves between models within seconds while all must stay reachable on few
+//! engines. A round looks for the single load, with the models that make way for it, that most
+//! lowers the sum of squared engine loads; a model in demand that nobody holds weighs most.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquatkeel_types::Timestamp;
+use serde::{Deserialize, Serialize};
+
+use super::config::{EngineSpec, ModelSpec};
+use super::engine::EngineReport;
+use super::target::TargetId;
+use crate::placement::LoadLimiter;
+
+/// How long an engine may take to show a command's effect before it is considered again.
+const COMMAND_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Half-life of the smoothed demand.
+const DEMAND_HALF_LIFE: Duration = Duration::from_millis(2_500);
+/// Cost of a model that nobody holds, whatever its demand.
+const ABSENT_COST: f64 = 0.03;
+/// Cost of a model in demand that nobody holds, for each unit of demand.
+const ABSENT_DEMAND_COST: f64 = 12.0;
+/// Demand above which a model counts as asked for, in engines.
+const ASKED_FOR: f64 = 0.002;
+/// Least gain of a load from the weight store, in squared engine loads.
+const STORE_LOAD_GAIN: f64 = 0.05;
+/// Least gain of a load from the target's own copy.
+const LOCAL_LOAD_GAIN: f64 = 0.03;
+/// Models considered for a further copy in one round.
+const MAX_CANDIDATES: usize = 6;
+/// Commands in one round.
+const MAX_COMMANDS: usize = 8;
+
+/// What the planner is told of one model's requests.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct ModelDemand {
+    /// The model.
+    pub model: Arc<str>,
+    /// Prefill work asked for since the last report, in microseconds on an idle engine.
+    pub work_us: u64,
+}
+
+/// Orders one engine to load a model.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct LoadCommand {
+    /// The target.
+    pub target: TargetId,
+    /// The model.
+    pub model: Arc<str>,
+    /// The models that make way first.
+    pub evict: Vec<Arc<str>>,
+}
+
+/// What a deployment allows of loads.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PlannerSettings {
+    /// Loads from the weight store that may begin each second.
+    pub load_rate: f64,
+    /// Loads from the weight store that may be in progress.
+    pub load_flight: u16,
+}
+
+/// What one round looks at.
+#[derive(Debug)]
+pub struct PlannerInput<'a> {
+    /// The present time.
+    pub now: Timestamp,
+    /// The engines that take work and have reported lately.
+    pub engines: &'a BTreeMap<TargetId, EngineReport>,
+    /// What the engines' service offers.
+    pub spec: &'a EngineSpec,
+}
+
+#[derive(Debug, Clone)]
+struct Slot {
+    id: TargetId,
+    held: Vec<Arc<str>>,
+    free: bool,
+    cached: Vec<Arc<str>>,
+}
+
+#[derive(Debug, Clone)]
+struct Move {
+    slot: usize,
+    model: Arc<str>,
+    evict: Vec<Arc<str>>,
+    gain: f64,
+    from_store: bool,
+}
+
+/// Plans loads round by round.
+#[derive(Debug, Default)]
+pub struct Planner {
+    demand: HashMap<Arc<str>, f64>,
+    updated: Option<Timestamp>,
+    limiter: LoadLimiter,
+    sent: HashMap<TargetId, (Timestamp, Arc<str>)>,
+    /// Work reported since the last round, in microseconds.
+    gathered: HashMap<Arc<str>, u64>,
+}
+
+impl Planner {
+    /// Takes in what an entry was asked for.
+    pub fn report_demand(&mut self, demand: &[ModelDemand]) {
+        for row in demand {
+            *self.gathered.entry(row.model.clone()).or_default() += row.work_us;
+        }
+    }
+
+    /// Returns the smoothed demand of a model, in engines that it keeps busy.
+    pub fn demand(&self, model: &str) -> f64 {
+        self.demand.get(model).copied().unwrap_or(0.0)
+    }
+
+    /// Plans one round.
+    pub fn round(&mut self, input: &PlannerInput<'_>, settings: PlannerSettings) -> Vec<LoadCommand> {
+        self.smooth(input.now);
+        let now = input.now;
+        self.sent.retain(|id, (at, model)| {
+            let shown = input.engines.get(id).is_some_and(|r| r.holds(model));
+            !shown && now.since(*at) < COMMAND_TIMEOUT
+        });
+        let mut slots = self.slots(input);
+        let loading = input.engines.values().filter(|r| r.loading.is_some()).count();
+        let loading = loading + self.sent.len();
+        let (flight, rate) = (settings.load_flight, settings.load_rate);
+        let mut grant = self.limiter.grant(now, loading, flight, rate);
+        let mut commands = Vec::new();
+        while commands.len() < MAX_COMMANDS {
+            let Some(best) = self.best_move(&slots, input.spec, grant > 0) else {
+                break;
+            };
+            if best.from_store {
+                self.limiter.take();
+                grant -= 1;
+            }
+            let slot = &mut slots[best.slot];
+            slot.held.retain(|m| !best.evict.contains(m));
+            slot.held.push(best.model.clone());
+            slot.free = false;
+            self.sent.insert(slot.id.clone(), (now, best.model.clone()));
+            commands.push(LoadCommand {
+                target: slot.id.clone(),
+                model: best.model,
+                evict: best.evict,
+            });
+        }
+        commands
+    }
+
+    fn smooth(&mut self, now: Timestamp) {
+        let Some(last) = self.updated else {
+            self.updated = Some(now);
+            return;
+        };
+        let elapsed = now.since(last).as_secs_f64();
+        if elapsed <= 0.0 {
+            return;
+        }
+        self.updated = Some(now);
+        let keep = 0.5_f64.powf(elapsed / DEMAND_HALF_LIFE.as_secs_f64());
+        for demand in self.demand.values_mut() {
+            *demand *= keep;
+        }
+        for (model, work) in self.gathered.drain() {
+            let rate = work as f64 / 1e6 / elapsed;
+            *self.demand.entry(model).or_default() += rate * (1.0 - keep);
+        }
+    }
+
+    fn slots(&self, input: &PlannerInput<'_>) -> Vec<Slot> {
+        let slot = |(id, report): (&TargetId, &EngineReport)| {
+            let mut held: Vec<Arc<str>> = report.models.iter().map(|m| m.name.clone()).collect();
+            let pending = report.loading.as_ref().map(|p| p.model.clone());
+            let sent = self.sent.get(id).map(|(_, model)| model.clone());
+            let free = pending.is_none() && sent.is_none() && !report.busy;
+            for model in pending.into_iter().chain(sent) {
+                if !held.contains(&model) {
+                    held.push(model);
+                }
+            }
+            Slot {
+                id: id.clone(),
+                held,
+                free,
+                cached: report.cached.clone(),
+            }
+        };
+        input.engines.iter().map(slot).collect()
+    }
+
+    fn best_move(&self, slots: &[Slot], spec: &EngineSpec, store_allowed: bool) -> Option<Move> {
+        let copies = count_copies(slots);
+        let mut wanted: Vec<(f64, &ModelSpec)> = (spec.models.values())
+            .map(|m| (self.pressure(&m.name, &copies), m))
+            .filter(|(pressure, _)| *pressure > 0.0)
+            .collect();
+        wanted.sort_by(|a, b| b.0.total_cmp(&a.0));
+        wanted.truncate(MAX_CANDIDATES);
+        let mut best: Option<Move> = None;
+        for (_, model) in wanted {
+            for (index, slot) in slots.iter().enumerate().filter(|(_, s)| s.free) {
+                if slot.held.contains(&model.name) {
+                    continue;
+                }
+                let from_store = !slot.cached.contains(&model.name);
+                if from_store && !store_allowed {
+                    continue;
+                }
+                let least = if from_store { STORE_LOAD_GAIN } else { LOCAL_LOAD_GAIN };
+                for evict in evictions(slot, model, spec) {
+                    let gain = self.gain(slots, &copies, index, &model.name, &evict) - least;
+                    if gain > 0.0 && best.as_ref().is_none_or(|b| gain > b.gain) {
+                        best = Some(Move {
+                            slot: index,
+                            model: model.name.clone(),
+                            evict,
+                            gain,
+                            from_store,
+                        });
+                    }
+                }
+            }
+        }
+        best
+    }
+
+    /// Returns how much a further copy of a model could help.
+    fn pressure(&self, model: &Arc<str>, copies: &HashMap<Arc<str>, usize>) -> f64 {
+        let demand = self.demand(model);
+        match copies.get(model).copied().unwrap_or(0) {
+            0 => 1_000.0 * demand + ABSENT_COST,
+            count => demand / count as f64,
+        }
+    }
+
+    fn absent_cost(&self, model: &Arc<str>) -> f64 {
+        let demand = self.demand(model);
+        let asked = if demand > ASKED_FOR { 0.3 } else { 0.0 };
+        ABSENT_COST + asked + ABSENT_DEMAND_COST * demand
+    }
+
+    /// Returns by how much a move lowers the sum of squared engine loads and absent models.
+    fn gain(
+        &self,
+        slots: &[Slot],
+        copies: &HashMap<Arc<str>, usize>,
+        index: usize,
+        model: &Arc<str>,
+        evict: &[Arc<str>],
+    ) -> f64 {
+        let before = |m: &Arc<str>| copies.get(m).copied().unwrap_or(0);
+        let after = |m: &Arc<str>| {
+            before(m) + usize::from(m == model) - usize::from(evict.contains(m))
+        };
+        let share = |m: &Arc<str>, count: usize| {
+            if count == 0 { 0.0 } else { self.demand(m) / count as f64 }
+        };
+        let mut gain = 0.0;
+        for (i, slot) in slots.iter().enumerate() {
+            let touched = |m: &Arc<str>| m == model || evict.contains(m);
+            if i != index && !slot.held.iter().any(touched) {
+                continue;
+            }
+            let old: f64 = slot.held.iter().map(|m| share(m, before(m))).sum();
+            let mut new: f64 = (slot.held.iter())
+                .filter(|m| i != index || !evict.contains(m))
+                .map(|m| share(m, after(m)))
+                .sum();
+            if i == index {
+                new += share(model, after(model));
+            }
+            gain += old * old - new * new;
+        }
+        if before(model) == 0 {
+            gain += self.absent_cost(model);
+        }
+        for evicted in evict.iter().filter(|m| after(m) == 0) {
+            gain -= self.absent_cost(evicted);
+        }
+        gain
+    }
+}
+
+fn count_copies(slots: &[Slot]) -> HashMap<Arc<str>, usize> {
+    let mut copies = HashMap::new();
+    for model in slots.iter().flat_map(|s| &s.held) {
+        *copies.entry(model.clone()).or_insert(0) += 1;
+    }
+    copies
+}
+
+/// Returns the memory that a model takes with the adapters that may come to it, in megabytes.
+fn footprint(model: &ModelSpec, slots: u32) -> f64 {
+    model.weights_mb + model.adapter_mb * f64::from(slots.min(model.adapters))
+}
+
+/// Lists the sets of held models that may make way, smallest first.
+fn evictions(slot: &Slot, model: &ModelSpec, spec: &EngineSpec) -> Vec<Vec<Arc<str>>> {
+    let size = |name: &Arc<str>| {
+        let known = spec.models.get(name).map(|m| footprint(m, spec.adapter_slots));
+        known.unwrap_or(spec.weights_mb)
+    };
+    let used: f64 = slot.held.iter().map(size).sum();
+    let need = used + footprint(model, spec.adapter_slots) - spec.weights_mb;
+    if need <= 0.0 {
+        return vec![Vec::new()];
+    }
+    let singles: Vec<Vec<Arc<str>>> = (slot.held.iter())
+        .filter(|m| size(m) >= need)
+        .map(|m| vec![m.clone()])
+        .collect();
+    if !singles.is_empty() {
+        return singles;
+    }
+    let mut pairs = Vec::new();
+    for (i, first) in slot.held.iter().enumerate() {
+        for second in &slot.held[i + 1..] {
+            if size(first) + size(second) >= need {
+                pairs.push(vec![first.clone(), second.clone()]);
+            }
+        }
+    }
+    pairs
+}
--- /dev/null
+++ b/crates/core/src/serving/table.rs
@@ -0,0 +1,161 @@
+//! The set of known targets and when one of them stops being used.
+//!
+//! Load pattern: targets come, drain and vanish while the platform's list is itself down at times.
+//! An entry that vanishes while the list was away may only have lapsed, so it is kept for a short
+//! grace; any other removal counts at once.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquatkeel_types::Timestamp;
+
+use super::target::{Target, TargetId, TargetState};
+
+/// How long a lapsed entry may take to return after an outage; the platform says about two
+/// seconds.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
+/// How long after an outage removals may still be lapses that happened within it.
+const OUTAGE_TAIL: Duration = Duration::from_millis(2_000);
+
+/// One change of the list.
+#[derive(Debug, Clone, PartialEq)]
+pub enum TableChange {
+    /// A target was listed or changed.
+    Listed(Target),
+    /// A target's entry is gone.
+    Removed(TargetId),
+}
+
+#[derive(Debug, Clone)]
+struct Entry {
+    target: Arc<Target>,
+    lapsed: Option<Timestamp>,
+}
+
+/// The known targets, by service.
+#[derive(Debug, Clone, Default)]
+pub struct TargetTable {
+    entries: BTreeMap<TargetId, Entry>,
+    services: HashMap<Arc<str>, Vec<Arc<Target>>>,
+    outage: Option<Timestamp>,
+}
+
+impl TargetTable {
+    /// Notes that the list can't be read now.
+    pub fn store_failed(&mut self, now: Timestamp) {
+        self.outage = Some(now);
+    }
+
+    /// Takes in a change; returns whether the usable targets changed.
+    pub fn apply(&mut self, change: TableChange, now: Timestamp) -> bool {
+        let changed = match change {
+            TableChange::Listed(target) => self.list(target),
+            TableChange::Removed(id) => self.remove(&id, now),
+        };
+        if changed {
+            self.index();
+        }
+        changed
+    }
+
+    /// Replaces the whole list, as after a lost history; returns whether anything changed.
+    pub fn replace(&mut self, targets: Vec<Target>, now: Timestamp) -> bool {
+        let mut changed = false;
+        let known: Vec<TargetId> = self.entries.keys().cloned().collect();
+        for id in known.into_iter().filter(|id| !targets.iter().any(|t| t.id == *id)) {
+            changed |= self.remove(&id, now);
+        }
+        for target in targets {
+            changed |= self.list(target);
+        }
+        if changed {
+            self.index();
+        }
+        changed
+    }
+
+    /// Drops lapsed entries whose grace is over; returns their ids.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<TargetId> {
+        let over = |e: &Entry| e.lapsed.is_some_and(|at| now.since(at) >= LAPSE_GRACE);
+        let gone: Vec<TargetId> = (self.entries.iter())
+            .filter(|(_, e)| over(e))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &gone {
+            self.entries.remove(id);
+        }
+        if !gone.is_empty() {
+            self.index();
+        }
+        gone
+    }
+
+    /// Returns the targets of a service that take new work.
+    pub fn ready(&self, service: &str) -> &[Arc<Target>] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns all listed targets, leaving ones included.
+    pub fn all(&self) -> impl Iterator<Item = &Arc<Target>> {
+        self.entries.values().map(|e| &e.target)
+    }
+
+    /// Finds a target by its id.
+    pub fn get(&self, id: &TargetId) -> Option<&Arc<Target>> {
+        self.entries.get(id).map(|e| &e.target)
+    }
+
+    fn list(&mut self, target: Target) -> bool {
+        let id = target.id.clone();
+        let target = Arc::new(target);
+        match self.entries.get_mut(&id) {
+            Some(entry) if entry.target == target => entry.lapsed.take().is_some(),
+            Some(entry) => {
+                *entry = Entry {
+                    target,
+                    lapsed: None,
+                };
+                true
+            }
+            None => {
+                // An address serves one target at a time; an older entry there is out of date.
+                self.entries.retain(|_, e| e.target.address != target.address);
+                self.entries.insert(
+                    id,
+                    Entry {
+                        target,
+                        lapsed: None,
+                    },
+                );
+                true
+            }
+        }
+    }
+
+    fn remove(&mut self, id: &TargetId, now: Timestamp) -> bool {
+        let after_outage = (self.outage).is_some_and(|at| now.since(at) < OUTAGE_TAIL);
+        let Some(entry) = self.entries.get_mut(id) else {
+            return false;
+        };
+        if after_outage && entry.target.state == TargetState::Ready {
+            entry.lapsed.get_or_insert(now);
+            return false;
+        }
+        if entry.lapsed.is_some() {
+            return false;
+        }
+        self.entries.remove(id);
+        true
+    }
+
+    fn index(&mut self) {
+        self.services.clear();
+        for entry in self.entries.values() {
+            if entry.target.state == TargetState::Ready {
+                let service = self.services.entry(entry.target.service.clone());
+                service.or_default().push(entry.target.clone());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/src/agent/daemon.rs
@@ -0,0 +1,410 @@
+//! The agent's loop.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquatkeel_core::serving::{
+    EngineReport, EngineSpec, LoadCommand, Planner, PlannerInput, PlannerSettings, ServingConfig,
+    TableChange, Target, TargetId, TargetTable,
+};
+use kumquatkeel_daemon::clock::Clock;
+use kumquatkeel_types::Timestamp;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
+
+use super::orders::Orders;
+use super::peers::Peers;
+use crate::feed::{FeedEvent, follow};
+use crate::gossip::{AgentBeat, Datagram, Gossip, Stamp};
+use crate::metrics::Instruments;
+use crate::port::{EnginePort, FeedItem, FeedKind, ObjectFeed, OrderReply, ReadMode};
+use crate::shutdown::{ProcessSignal, Signals};
+
+/// Pause between two reads of the engine's state.
+const POLL: Duration = Duration::from_millis(100);
+/// Pause while an order is to be given.
+const ORDER_POLL: Duration = Duration::from_millis(15);
+/// Longest pause between two beats to an entry.
+const ENTRY_BEAT: Duration = Duration::from_millis(200);
+/// Pause between two beats to other agents.
+const AGENT_BEAT: Duration = Duration::from_millis(500);
+/// Pause between two planning rounds.
+const ROUND: Duration = Duration::from_millis(250);
+/// How long an agent listens before it may plan.
+const LISTEN: Duration = Duration::from_millis(1_500);
+/// A gap between two steps that shows that the process was paused.
+const PAUSE: Duration = Duration::from_millis(1_000);
+/// Share of the weight store's rate that the planner uses.
+const LOAD_RATE_SHARE: f64 = 0.9;
+
+/// What an agent is told at start.
+#[derive(Debug, Clone)]
+pub struct AgentSettings {
+    /// The instance's name.
+    pub instance: Arc<str>,
+    /// The address for datagrams.
+    pub gossip: SocketAddr,
+    /// The address for metrics.
+    pub metrics: Option<SocketAddr>,
+    /// The target beside the agent.
+    pub target: SocketAddr,
+    /// Loads from the weight store that may be in progress.
+    pub load_flight: u16,
+}
+
+/// An agent.
+pub struct Agent {
+    settings: AgentSettings,
+    engine: Arc<dyn EnginePort>,
+    gossip: Gossip,
+    instruments: Instruments,
+    clock: Clock,
+    stamp: Stamp,
+    config: Option<Arc<ServingConfig>>,
+    revision: u64,
+    table: TargetTable,
+    peers: Peers,
+    orders: Orders,
+    planner: Planner,
+    planning: bool,
+    listening: Timestamp,
+    born: u64,
+    report: Option<EngineReport>,
+    beat: Option<(Timestamp, EngineReport)>,
+    agent_beat: Timestamp,
+    round: Timestamp,
+    engine_lost: bool,
+}
+
+impl Agent {
+    /// Binds the agent's addresses.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the step when an address can't be bound.
+    pub async fn start(
+        settings: AgentSettings,
+        engine: Arc<dyn EnginePort>,
+    ) -> Result<Self, Box<dyn std::error::Error>> {
+        let gossip = Gossip::bind(settings.gossip).await?;
+        let instruments = Instruments::start()?;
+        if let Some(address) = settings.metrics {
+            instruments.serve(address).await?;
+        }
+        let clock = Clock::start();
+        Ok(Self {
+            settings,
+            engine,
+            gossip,
+            instruments,
+            clock,
+            stamp: Stamp {
+                incarnation: rand::random(),
+                count: 0,
+            },
+            config: None,
+            revision: 0,
+            table: TargetTable::default(),
+            peers: Peers::default(),
+            orders: Orders::default(),
+            planner: Planner::default(),
+            planning: false,
+            listening: clock.now(),
+            born: 0,
+            report: None,
+            beat: None,
+            agent_beat: Timestamp::ZERO,
+            round: Timestamp::ZERO,
+            engine_lost: false,
+        })
+    }
+
+    /// Runs until the platform stops the process.
+    pub async fn run(mut self, feed: Arc<dyn ObjectFeed>, mut signals: Signals) {
+        let (sender, mut events) = mpsc::channel(16);
+        for kind in [FeedKind::Config, FeedKind::Targets] {
+            tokio::spawn(follow(feed.clone(), kind, ReadMode::Stale, sender.clone()));
+        }
+        let mut poll = interval(POLL);
+        poll.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut last = self.clock.now();
+        loop {
+            let order_poll = Instant::now() + ORDER_POLL;
+            let idle = self.orders.is_idle();
+            tokio::select! {
+                _ = poll.tick() => self.step().await,
+                () = sleep_until(order_poll), if !idle => self.step().await,
+                (from, datagram) = self.gossip.receive() => self.hear(from, datagram).await,
+                Some(event) = events.recv() => self.learn(event),
+                signal = signals.next() => match signal {
+                    ProcessSignal::Stop => break,
+                    ProcessSignal::Reload => log::info!("reload: nothing of the agent's changes"),
+                },
+            }
+            let now = self.clock.now();
+            if now.since(last) > PAUSE {
+                self.resume(now, now.since(last));
+            }
+            last = now;
+        }
+        log::info!(instance:% = self.settings.instance; "stopped");
+    }
+
+    /// Starts listening anew after a pause, since what was known is out of date.
+    fn resume(&mut self, now: Timestamp, pause: Duration) {
+        log::warn!(pause_ms = pause.as_millis() as u64; "the process was paused; listening anew");
+        self.listening = now;
+        self.planning = false;
+        self.planner = Planner::default();
+        self.peers.forget_agents();
+    }
+
+    fn learn(&mut self, event: FeedEvent) {
+        let now = self.clock.now();
+        match event {
+            FeedEvent::Failed(_) => self.table.store_failed(now),
+            FeedEvent::Snapshot(items) => {
+                let targets: Vec<Target> = (items.iter())
+                    .filter_map(|item| match item {
+                        FeedItem::Target(target) => Some(target.clone()),
+                        _ => None,
+                    })
+                    .collect();
+                if !targets.is_empty() {
+                    self.table.replace(targets, now);
+                }
+                self.take_in(items, now);
+            }
+            FeedEvent::Changes(items) => self.take_in(items, now),
+        }
+    }
+
+    fn take_in(&mut self, items: Vec<FeedItem>, now: Timestamp) {
+        for item in items {
+            match item {
+                FeedItem::Config { config, revision } if revision > self.revision => {
+                    self.revision = revision;
+                    self.config = Some(Arc::from(config));
+                }
+                FeedItem::Config { .. } | FeedItem::Unusable { .. } => {}
+                FeedItem::Target(target) => {
+                    self.table.apply(TableChange::Listed(target), now);
+                }
+                FeedItem::TargetRemoved(id) => {
+                    self.table.apply(TableChange::Removed(id), now);
+                }
+            }
+        }
+    }
+
+    async fn hear(&mut self, from: SocketAddr, datagram: Datagram) {
+        let now = self.clock.now();
+        match datagram {
+            Datagram::Entry(beat) => {
+                let is_new = !self.peers.entries().any(|entry| entry == from);
+                if self.peers.hear_entry(from, &beat, now) && self.planning {
+                    self.planner.report_demand(&beat.demand);
+                }
+                if is_new {
+                    self.beat = None;
+                }
+            }
+            Datagram::Agent(beat) => self.peers.hear_agent(from, beat, now),
+            Datagram::Want(want) => {
+                if self.target().is_some_and(|t| t.id == want.target) {
+                    self.orders.want(want.adapter, now);
+                    self.step().await;
+                }
+            }
+            Datagram::Load(command) => {
+                if self.target().is_some_and(|t| t.id == command.target) {
+                    self.accept(command, now);
+                    self.step().await;
+                }
+            }
+        }
+    }
+
+    fn accept(&mut self, command: LoadCommand, now: Timestamp) {
+        let model = command.model.clone();
+        let evict: Vec<String> = command.evict.iter().map(ToString::to_string).collect();
+        let accepted = self.orders.command(command, now);
+        log::info!(model:%, evict:serde, accepted; "load command");
+    }
+
+    /// Returns the incarnation beside this agent as the platform lists it.
+    fn target(&self) -> Option<Arc<Target>> {
+        let here = self.table.all().filter(|t| t.address == self.settings.target);
+        here.max_by_key(|t| t.born).cloned()
+    }
+
+    fn spec(&self) -> Option<&EngineSpec> {
+        let target = self.target()?;
+        self.config.as_ref()?.services.get(&target.service)?.engine.as_ref()
+    }
+
+    async fn step(&mut self) {
+        let now = self.clock.now();
+        self.peers.expire(now);
+        self.table.expire(now);
+        self.read_engine().await;
+        if !self.orders.is_idle() {
+            self.give_order().await;
+        }
+        self.publish();
+        self.plan();
+    }
+
+    async fn read_engine(&mut self) {
+        match self.engine.report().await {
+            Ok(status) => {
+                if std::mem::take(&mut self.engine_lost) {
+                    log::info!(dependency = "engine"; "dependency regained");
+                }
+                if status.born != self.born {
+                    log::info!(born = status.born; "engine incarnation");
+                    self.born = status.born;
+                    self.orders.reset();
+                }
+                self.report = Some(status.report);
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut self.engine_lost, true) {
+                    log::warn!(dependency = "engine", error:%; "dependency lost");
+                }
+                self.report = None;
+            }
+        }
+    }
+
+    async fn give_order(&mut self) {
+        let now = self.clock.now();
+        let (Some(target), Some(spec)) = (self.target(), self.spec().cloned()) else {
+            return;
+        };
+        let Some(report) = self.report.clone() else {
+            return;
+        };
+        let Some(order) = self.orders.next(&report, &spec, now) else {
+            return;
+        };
+        let reply = self.engine.order(&target.id, &order).await;
+        let text = match &reply {
+            Ok(reply) => reply.to_string(),
+            Err(error) => error.to_string(),
+        };
+        self.instruments.order(match &reply {
+            Ok(OrderReply::Accepted) => "accepted",
+            Ok(OrderReply::Holds) => "holds",
+            Ok(OrderReply::Conflict) => "conflict",
+            Ok(OrderReply::Refused) => "refused",
+            Err(_) => "lost",
+        });
+        log::info!(
+            target_id:% = target.id, load = order.load, model:% = order.model,
+            adapter = order.adapter.as_deref().unwrap_or(""), expected = order.expected,
+            reply = text;
+            "order"
+        );
+        if reply.is_ok() {
+            self.read_engine().await;
+        }
+    }
+
+    fn publish(&mut self) {
+        let now = self.clock.now();
+        let (Some(target), Some(report)) = (self.target(), self.report.as_ref()) else {
+            return;
+        };
+        let shown = self.orders.publish(report, self.spec(), now);
+        let to_agents = now.since(self.agent_beat) >= AGENT_BEAT;
+        let to_entries = (self.beat.as_ref()).is_none_or(|(at, last)| {
+            now.since(*at) >= ENTRY_BEAT || differs(last, &shown)
+        });
+        if !to_agents && !to_entries {
+            return;
+        }
+        let beat = Datagram::Agent(AgentBeat {
+            stamp: self.stamp.next(),
+            target: target.id.clone(),
+            report: shown.clone(),
+            planner: self.planning,
+            entries: self.peers.work(),
+        });
+        if to_entries {
+            for entry in self.peers.entries() {
+                self.gossip.send(entry, &beat);
+            }
+            self.beat = Some((now, shown));
+        }
+        if to_agents {
+            let own = self.settings.gossip;
+            let agents = self.table.all().map(|t| SocketAddr::new(t.address.ip(), own.port()));
+            for agent in agents.filter(|a| *a != own) {
+                self.gossip.send(agent, &beat);
+            }
+            self.agent_beat = now;
+        }
+    }
+
+    fn plan(&mut self) {
+        let now = self.clock.now();
+        if now.since(self.listening) < LISTEN || now.since(self.round) < ROUND {
+            return;
+        }
+        self.round = now;
+        let planning = self.peers.is_lowest(self.settings.gossip) && self.report.is_some();
+        if planning != self.planning {
+            log::info!(planning; "planner role");
+            self.planning = planning;
+            self.planner = Planner::default();
+        }
+        if planning {
+            self.plan_round(now);
+        }
+    }
+
+    fn plan_round(&mut self, now: Timestamp) {
+        let (Some(target), Some(spec)) = (self.target(), self.spec().cloned()) else {
+            return;
+        };
+        let mut engines: BTreeMap<TargetId, EngineReport> = self.peers.reports().collect();
+        if let Some(report) = &self.report {
+            let shown = self.orders.publish(report, Some(&spec), now);
+            engines.insert(target.id.clone(), shown);
+        }
+        let ready = self.table.ready(&target.service);
+        engines.retain(|id, _| ready.iter().any(|t| t.id == *id));
+        let settings = PlannerSettings {
+            load_rate: spec.load_rate * LOAD_RATE_SHARE,
+            load_flight: self.settings.load_flight,
+        };
+        let input = PlannerInput {
+            now,
+            engines: &engines,
+            spec: &spec,
+        };
+        for command in self.planner.round(&input, settings) {
+            let demand = self.planner.demand(&command.model);
+            let evict: Vec<String> = command.evict.iter().map(ToString::to_string).collect();
+            log::info!(
+                target_id:% = command.target, model:% = command.model, evict:serde, demand,
+                engines = engines.len();
+                "planned load"
+            );
+            if command.target == target.id {
+                self.accept(command, now);
+            } else if let Some(agent) = self.peers.agent_of(&command.target) {
+                self.gossip.send(agent, &Datagram::Load(command));
+            }
+        }
+    }
+}
+
+/// Says whether entries should hear of a change at once.
+fn differs(last: &EngineReport, new: &EngineReport) -> bool {
+    let loading = |r: &EngineReport| r.loading.as_ref().map(|l| l.model.clone());
+    last.models != new.models || loading(last) != loading(new)
+}
--- /dev/null
+++ b/crates/serving/src/agent/orders.rs
@@ -0,0 +1,186 @@
+//! Orders to the engine beside the agent.
+//!
+//! Every order names the number of orders that the engine has accepted, as read just before. An
+//! order that is carried out late, after a newer one, is therefore refused by the engine, and what
+//! an order asks for is checked against exactly the state in which it takes effect.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquatkeel_core::serving::{
+    AdapterKey, AdapterStep, EngineReport, EngineSpec, LoadCommand, LoadProgress, next_adapter_step,
+};
+use kumquatkeel_types::Timestamp;
+
+use crate::port::EngineOrder;
+
+/// How long a command may take before it is given up.
+const COMMAND_LIFE: Duration = Duration::from_secs(20);
+/// How long an adapter is wanted after the last request for it.
+const WANT_LIFE: Duration = Duration::from_secs(1);
+
+#[derive(Debug, Clone)]
+struct Pending {
+    command: LoadCommand,
+    since: Timestamp,
+    started: Option<Timestamp>,
+    from_store: bool,
+}
+
+/// What the agent still has to order.
+#[derive(Debug, Default)]
+pub(super) struct Orders {
+    pending: Option<Pending>,
+    wants: HashMap<AdapterKey, Timestamp>,
+    used: HashMap<AdapterKey, Timestamp>,
+}
+
+impl Orders {
+    /// Takes in a command; an older one in progress goes first.
+    pub(super) fn command(&mut self, command: LoadCommand, now: Timestamp) -> bool {
+        if self.pending.is_some() {
+            return false;
+        }
+        self.pending = Some(Pending {
+            command,
+            since: now,
+            started: None,
+            from_store: true,
+        });
+        true
+    }
+
+    /// Notes that an adapter is wanted.
+    pub(super) fn want(&mut self, adapter: AdapterKey, now: Timestamp) {
+        self.used.insert(adapter.clone(), now);
+        self.wants.insert(adapter, now);
+    }
+
+    /// Forgets everything, as when another incarnation of the engine has started.
+    pub(super) fn reset(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Says whether anything is left to order.
+    pub(super) fn is_idle(&self) -> bool {
+        self.pending.is_none() && self.wants.is_empty()
+    }
+
+    /// Returns the next order, given the engine's state.
+    pub(super) fn next(
+        &mut self,
+        report: &EngineReport,
+        spec: &EngineSpec,
+        now: Timestamp,
+    ) -> Option<EngineOrder> {
+        self.wants.retain(|_, at| now.since(*at) < WANT_LIFE);
+        self.next_adapter(report, spec)
+            .or_else(|| self.next_model(report, spec, now))
+    }
+
+    /// Describes the engine to others: models on their way out are not held any more.
+    pub(super) fn publish(&self, report: &EngineReport, spec: Option<&EngineSpec>, now: Timestamp) -> EngineReport {
+        let mut shown = report.clone();
+        let Some(pending) = &self.pending else {
+            return shown;
+        };
+        let command = &pending.command;
+        shown.models.retain(|m| !command.evict.contains(&m.name));
+        if !report.holds(&command.model) {
+            let model = spec.and_then(|s| s.models.get(&command.model));
+            let load = model.map_or(Duration::from_secs(8), |m| {
+                if pending.from_store { m.load } else { m.disk_load }
+            });
+            let since = pending.started.unwrap_or(now);
+            let left = load.saturating_sub(now.since(since)).as_millis() as u32;
+            shown.loading = Some(LoadProgress {
+                model: command.model.clone(),
+                left_ms: left.max(50),
+            });
+        }
+        shown
+    }
+
+    fn next_adapter(&mut self, report: &EngineReport, spec: &EngineSpec) -> Option<EngineOrder> {
+        let wanted: Vec<AdapterKey> = self.wants.keys().cloned().collect();
+        for key in wanted {
+            let evicted = (self.pending.as_ref())
+                .is_some_and(|p| p.command.evict.contains(&key.0));
+            let step = if evicted {
+                AdapterStep::ModelAbsent
+            } else {
+                next_adapter_step(report, &key, &self.used, spec.adapter_slots)
+            };
+            let order = |load: bool, (model, adapter): AdapterKey| EngineOrder {
+                load,
+                model,
+                adapter: Some(adapter),
+                expected: report.order_seq,
+            };
+            match step {
+                AdapterStep::Load => return Some(order(true, key)),
+                AdapterStep::Unload(old) => return Some(order(false, old)),
+                AdapterStep::Done if report.pending.contains(&key) => {}
+                AdapterStep::Done | AdapterStep::ModelAbsent => {
+                    self.wants.remove(&key);
+                }
+            }
+        }
+        None
+    }
+
+    fn next_model(
+        &mut self,
+        report: &EngineReport,
+        spec: &EngineSpec,
+        now: Timestamp,
+    ) -> Option<EngineOrder> {
+        let pending = self.pending.as_mut()?;
+        let command = &pending.command;
+        let held = report.holds(&command.model);
+        if held || now.since(pending.since) > COMMAND_LIFE {
+            log::info!(model:% = command.model, held; "load command ended");
+            self.pending = None;
+            return None;
+        }
+        if report.busy {
+            return None;
+        }
+        let order = |load: bool, model: &Arc<str>| EngineOrder {
+            load,
+            model: model.clone(),
+            adapter: None,
+            expected: report.order_seq,
+        };
+        if let Some(model) = command.evict.iter().find(|m| report.holds(m)) {
+            return Some(order(false, model));
+        }
+        if !fits(report, spec, &command.model) {
+            log::warn!(model:% = command.model; "load command dropped: no memory for the weights");
+            self.pending = None;
+            return None;
+        }
+        pending.from_store = !report.cached.contains(&command.model);
+        pending.started = Some(now);
+        Some(order(true, &command.model))
+    }
+}
+
+/// Says whether the engine's memory holds one more model beside what it has.
+fn fits(report: &EngineReport, spec: &EngineSpec, model: &str) -> bool {
+    let size = |name: &str| spec.models.get(name).map(|m| m.weights_mb);
+    let held: Option<f64> = (report.models.iter())
+        .map(|m| {
+            let adapter_mb = spec.models.get(&m.name)?.adapter_mb;
+            Some(size(&m.name)? + adapter_mb * m.adapters.len() as f64)
+        })
+        .sum();
+    // Adapters on their way may be of any model.
+    let largest = spec.models.values().map(|m| m.adapter_mb).fold(0.0, f64::max);
+    let pending = largest * report.pending.len() as f64;
+    match (held, size(model)) {
+        (Some(held), Some(new)) => held + pending + new <= spec.weights_mb,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/serving/src/entry/mod.rs
@@ -0,0 +1,11 @@
+//! The entry: takes callers' requests, chooses targets and relays answers.
+
+mod answer;
+mod attempt;
+mod daemon;
+mod exchange;
+mod relay;
+mod state;
+mod work;
+
+pub use daemon::{Entry, EntrySettings};
--- /dev/null
+++ b/crates/serving/src/entry/state.rs
@@ -0,0 +1,342 @@
+//! What an entry knows, shared by all its requests.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use kumquatkeel_core::retry::{AttemptResult, Ejector};
+use kumquatkeel_core::serving::{
+    Backlog, EngineReport, EngineState, ModelDemand, PaceMeter, ResidentModel, RetryQuota,
+    RouteTable, ServiceSpec, ServingConfig, TableChange, Target, TargetId, TargetTable,
+};
+use kumquatkeel_daemon::clock::Clock;
+use kumquatkeel_types::Timestamp;
+use tokio::sync::watch;
+
+use super::daemon::EntrySettings;
+use crate::gossip::{AgentBeat, Stamp};
+use crate::metrics::Instruments;
+use crate::net::{Pool, PoolLimits};
+use crate::port::{Dialect, FeedItem};
+
+/// Round trip within a data centre.
+const LOCAL_LINK: Duration = Duration::from_millis(1);
+/// Round trip to another data centre of the region, with the price of the bytes as time.
+const REGION_LINK: Duration = Duration::from_millis(15);
+/// Round trip to another region, with the price of the bytes as time.
+const REMOTE_LINK: Duration = Duration::from_millis(130);
+/// Age from which a report says little of an engine.
+const SILENT_AFTER: Duration = Duration::from_millis(1_000);
+/// How long another entry's work is believed after its agent's last report.
+const PEER_WORK_LIFE: Duration = Duration::from_millis(1_500);
+/// How long a planner counts after its last beat.
+const PLANNER_LIFE: Duration = Duration::from_millis(1_500);
+
+/// A configuration in force.
+#[derive(Debug)]
+pub(super) struct Active {
+    pub(super) config: ServingConfig,
+    pub(super) routes: RouteTable,
+    pub(super) revision: u64,
+}
+
+/// State and collaborators of an entry.
+pub(super) struct Shared {
+    pub(super) settings: EntrySettings,
+    pub(super) dialect: Arc<dyn Dialect>,
+    pub(super) instruments: Instruments,
+    pub(super) clock: Clock,
+    /// Changes with what requests may wait for.
+    pub(super) changed: watch::Sender<u64>,
+    state: Mutex<State>,
+}
+
+impl std::fmt::Debug for Shared {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Shared").finish_non_exhaustive()
+    }
+}
+
+/// One agent that an entry has heard.
+#[derive(Debug, Clone)]
+struct AgentPeer {
+    seen: Timestamp,
+    stamp: Stamp,
+    planner: bool,
+}
+
+/// The mutable part.
+#[derive(Debug)]
+pub(super) struct State {
+    pub(super) active: Option<Arc<Active>>,
+    pub(super) table: TargetTable,
+    pub(super) ejector: Ejector<TargetId>,
+    pub(super) pace: PaceMeter,
+    /// Whether the process was asked to stop.
+    pub(super) draining: bool,
+    /// Open connections of callers.
+    pub(super) open: usize,
+    engines: HashMap<TargetId, EngineState>,
+    pools: HashMap<TargetId, Arc<Pool>>,
+    quotas: HashMap<Arc<str>, RetryQuota>,
+    demand: BTreeMap<Arc<str>, u64>,
+    agents: HashMap<SocketAddr, AgentPeer>,
+    entries: usize,
+}
+
+impl Shared {
+    pub(super) fn new(
+        settings: EntrySettings,
+        dialect: Arc<dyn Dialect>,
+        instruments: Instruments,
+    ) -> Self {
+        Self {
+            settings,
+            dialect,
+            instruments,
+            clock: Clock::start(),
+            changed: watch::Sender::new(0),
+            state: Mutex::new(State {
+                active: None,
+                table: TargetTable::default(),
+                ejector: Ejector::default(),
+                pace: PaceMeter::default(),
+                draining: false,
+                open: 0,
+                engines: HashMap::new(),
+                pools: HashMap::new(),
+                quotas: HashMap::new(),
+                demand: BTreeMap::new(),
+                agents: HashMap::new(),
+                entries: 1,
+            }),
+        }
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    /// Wakes requests that wait for an engine's state.
+    pub(super) fn notify(&self) {
+        self.changed.send_modify(|version| *version += 1);
+    }
+
+    /// Returns the path cost of a data centre.
+    pub(super) fn link(&self, data_centre: &str) -> Duration {
+        let settings = &self.settings;
+        if *settings.data_centre == *data_centre {
+            return LOCAL_LINK;
+        }
+        let region = |name: &str| settings.regions.get(name);
+        match (region(&settings.data_centre), region(data_centre)) {
+            (Some(own), Some(other)) if own == other => REGION_LINK,
+            _ => REMOTE_LINK,
+        }
+    }
+
+    /// Takes in objects of the feed.
+    pub(super) fn take_in(&self, items: Vec<FeedItem>, whole_list: bool) {
+        let now = self.now();
+        let mut state = self.lock();
+        if whole_list && items.iter().any(|i| matches!(i, FeedItem::Target(_))) {
+            let targets = items.iter().filter_map(|item| match item {
+                FeedItem::Target(target) => Some(target.clone()),
+                _ => None,
+            });
+            let targets: Vec<Target> = targets.collect();
+            log::info!(targets = targets.len(); "target list read");
+            state.table.replace(targets, now);
+        }
+        for item in items {
+            state.apply(item, now);
+        }
+        state.forget_gone();
+        drop(state);
+        self.notify();
+    }
+
+    /// Takes in an agent's beat.
+    pub(super) fn hear_agent(&self, from: SocketAddr, beat: AgentBeat, own: SocketAddr) {
+        let now = self.now();
+        let mut state = self.lock();
+        let known = state.agents.get(&from);
+        if known.is_some_and(|a| !beat.stamp.follows(a.stamp)) {
+            return;
+        }
+        state.agents.insert(
+            from,
+            AgentPeer {
+                seen: now,
+                stamp: beat.stamp,
+                planner: beat.planner,
+            },
+        );
+        state.entries = beat.entries.len().max(1);
+        if state.table.get(&beat.target).is_none() {
+            return;
+        }
+        let others = beat.entries.iter().filter(|e| e.entry != own);
+        let peers = others.fold(Backlog::default(), |sum, e| sum.plus(e.backlog));
+        let engine = state.engines.entry(beat.target).or_default();
+        let wakes = engine.report.models != beat.report.models
+            || engine.report.pending != beat.report.pending
+            || engine.report.loading.is_some() != beat.report.loading.is_some();
+        engine.report = beat.report;
+        engine.reported = Some(now);
+        engine.peers = peers;
+        drop(state);
+        if wakes {
+            self.notify();
+        }
+    }
+}
+
+impl State {
+    /// Changes an engine's account, if the engine is known.
+    pub(super) fn with_engine(&mut self, id: &TargetId, change: impl FnOnce(&mut EngineState)) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            change(engine);
+        }
+    }
+
+    /// Returns what is known of a target's engine, from its agent or else from the list.
+    pub(super) fn engine(&mut self, target: &Target, now: Timestamp) -> &EngineState {
+        let engine = self.engines.entry(target.id.clone()).or_default();
+        if engine.reported.is_none() && engine.report.models.is_empty() {
+            engine.report = listed_report(target);
+        }
+        if engine.age(now).is_some_and(|age| age > PEER_WORK_LIFE) {
+            engine.peers = Backlog::default();
+        }
+        engine
+    }
+
+    /// Says whether a target's agent has been silent.
+    pub(super) fn is_silent(&self, id: &TargetId, now: Timestamp) -> bool {
+        let age = self.engines.get(id).and_then(|e| e.age(now));
+        age.is_none_or(|age| age > SILENT_AFTER)
+    }
+
+    /// Returns the work sent to a target.
+    pub(super) fn own_work(&self, id: &TargetId) -> Backlog {
+        self.engines.get(id).map_or_else(Backlog::default, |e| e.own)
+    }
+
+    /// Returns the pool of connections to a target.
+    pub(super) fn pool(&mut self, target: &Target) -> Arc<Pool> {
+        let pool = self.pools.entry(target.id.clone());
+        let new = || Arc::new(Pool::new(target.address, PoolLimits::default()));
+        pool.or_insert_with(new).clone()
+    }
+
+    /// Drops connections that have been idle for too long.
+    pub(super) fn prune_pools(&self) {
+        for pool in self.pools.values() {
+            pool.prune();
+        }
+    }
+
+    /// Records how an attempt at a target ended.
+    pub(super) fn record(&mut self, id: &TargetId, result: AttemptResult, now: Timestamp) {
+        let was = self.ejector.is_ejected(id, now);
+        self.ejector.record(id, result, now);
+        if !was && self.ejector.is_ejected(id, now) {
+            log::warn!(target_id:% = id; "target ejected after failures");
+        }
+    }
+
+    /// Returns the retry quota of a service.
+    pub(super) fn quota(&mut self, service: &Arc<str>, settings: &EntrySettings) -> &mut RetryQuota {
+        let new = || {
+            let window = settings.retry_window;
+            RetryQuota::new(settings.retry_ratio, settings.retry_slack, window)
+        };
+        self.quotas.entry(service.clone()).or_insert_with(new)
+    }
+
+    /// Returns how many entries share the budgets, as far as known.
+    pub(super) const fn entries(&self) -> usize {
+        self.entries
+    }
+
+    /// Counts demand for a model.
+    pub(super) fn ask_for(&mut self, model: &Arc<str>, work: Duration) {
+        *self.demand.entry(model.clone()).or_default() += work.as_micros() as u64;
+    }
+
+    /// Takes the demand counted since the last call.
+    pub(super) fn take_demand(&mut self) -> Vec<ModelDemand> {
+        let demand = std::mem::take(&mut self.demand);
+        let row = |(model, work_us)| ModelDemand { model, work_us };
+        demand.into_iter().map(row).collect()
+    }
+
+    /// Says whether the agent at this address plans placement.
+    pub(super) fn is_planner(&self, agent: SocketAddr, now: Timestamp) -> bool {
+        let peer = self.agents.get(&agent);
+        peer.is_some_and(|a| a.planner && now.since(a.seen) < PLANNER_LIFE)
+    }
+
+    /// Returns the service's configuration.
+    pub(super) fn service(&self, name: &str) -> Option<&ServiceSpec> {
+        self.active.as_ref()?.config.services.get(name)
+    }
+
+    fn apply(&mut self, item: FeedItem, now: Timestamp) {
+        match item {
+            FeedItem::Config { config, revision } => self.put_in_force(*config, revision),
+            FeedItem::Target(target) => {
+                let (id, state) = (target.id.clone(), target.state);
+                if self.table.apply(TableChange::Listed(target), now) {
+                    log::info!(target_id:% = id, state:serde; "target listed");
+                }
+            }
+            FeedItem::TargetRemoved(id) => {
+                let removed = self.table.apply(TableChange::Removed(id.clone()), now);
+                log::info!(target_id:% = id, removed; "target's entry is gone");
+            }
+            FeedItem::Unusable { name, reason } => {
+                log::warn!(object:% = name, reason; "object skipped");
+            }
+        }
+    }
+
+    /// Puts a configuration in force, unless a newer one already is.
+    fn put_in_force(&mut self, config: ServingConfig, revision: u64) {
+        let known = self.active.as_ref().map_or(0, |a| a.revision);
+        if revision <= known {
+            return;
+        }
+        let (version, routes) = (config.version, config.routes.len());
+        log::info!(version, revision, routes; "configuration in force");
+        self.active = Some(Arc::new(Active {
+            routes: RouteTable::new(&config),
+            config,
+            revision,
+        }));
+    }
+
+    pub(super) fn forget_gone(&mut self) {
+        let table = &self.table;
+        self.engines.retain(|id, _| table.get(id).is_some());
+        self.pools.retain(|id, _| table.get(id).is_some());
+        self.ejector.retain(|id| table.get(id).is_some());
+    }
+}
+
+fn listed_report(target: &Target) -> EngineReport {
+    let model = |name: &Arc<str>| ResidentModel {
+        name: name.clone(),
+        adapters: Vec::new(),
+    };
+    EngineReport {
+        models: target.models.iter().map(model).collect(),
+        ..EngineReport::default()
+    }
+}
--- /dev/null
+++ b/crates/serving/src/entry/work.rs
@@ -0,0 +1,59 @@
+//! The account of one request at a target.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquatkeel_core::serving::TargetId;
+
+use super::state::Shared;
+
+/// Counts a request at a target until it is dropped.
+#[derive(Debug)]
+pub(super) struct WorkGuard {
+    shared: Arc<Shared>,
+    target: TargetId,
+    prefill: Duration,
+    urgent: bool,
+    waiting: bool,
+}
+
+impl WorkGuard {
+    /// Starts counting a request with this prefill time.
+    pub(super) fn new(
+        shared: Arc<Shared>,
+        target: TargetId,
+        prefill: Duration,
+        urgent: bool,
+    ) -> Self {
+        shared.lock().with_engine(&target, |engine| {
+            engine.own.add(prefill, urgent);
+            engine.running += 1;
+        });
+        Self {
+            shared,
+            target,
+            prefill,
+            urgent,
+            waiting: true,
+        }
+    }
+
+    /// Notes the first byte: the prefill is over.
+    pub(super) fn first_byte(&mut self) {
+        if std::mem::take(&mut self.waiting) {
+            let (prefill, urgent) = (self.prefill, self.urgent);
+            let mut state = self.shared.lock();
+            state.with_engine(&self.target, |engine| engine.own.remove(prefill, urgent));
+        }
+    }
+}
+
+impl Drop for WorkGuard {
+    fn drop(&mut self) {
+        self.first_byte();
+        let mut state = self.shared.lock();
+        state.with_engine(&self.target, |engine| {
+            engine.running = engine.running.saturating_sub(1);
+        });
+    }
+}
--- /dev/null
+++ b/crates/serving/src/feed.rs
@@ -0,0 +1,125 @@
+//! Following the platform's store: list, watch, list again when the history is gone.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use crate::port::{FeedBatch, FeedItem, FeedKind, ObjectFeed, PortError, ReadMode};
+
+/// How long one watch call waits. Short enough to notice a silent connection within the
+/// deployment's bound for a configuration to be in force.
+const WATCH_WAIT: Duration = Duration::from_millis(2_500);
+/// Pause after a change, so that changes in series come in one call; every call is priced.
+const COALESCE: Duration = Duration::from_millis(250);
+/// First pause after a failed call.
+const MIN_BACKOFF: Duration = Duration::from_millis(100);
+/// Longest pause after failed calls.
+const MAX_BACKOFF: Duration = Duration::from_millis(800);
+
+/// What a follower learns.
+#[derive(Debug, Clone, PartialEq)]
+pub enum FeedEvent {
+    /// All objects of the kind.
+    Snapshot(Vec<FeedItem>),
+    /// Changes since the last event.
+    Changes(Vec<FeedItem>),
+    /// The store could not be read.
+    Failed(FeedKind),
+}
+
+/// Follows one kind of object until the receiver is dropped.
+pub async fn follow(
+    feed: Arc<dyn ObjectFeed>,
+    kind: FeedKind,
+    mode: ReadMode,
+    events: mpsc::Sender<FeedEvent>,
+) {
+    let mut follower = Follower {
+        feed,
+        kind,
+        mode,
+        events,
+        backoff: MIN_BACKOFF,
+        failed: false,
+    };
+    while let Some(revision) = follower.snapshot().await {
+        if !follower.changes(revision).await {
+            return;
+        }
+    }
+}
+
+struct Follower {
+    feed: Arc<dyn ObjectFeed>,
+    kind: FeedKind,
+    mode: ReadMode,
+    events: mpsc::Sender<FeedEvent>,
+    backoff: Duration,
+    failed: bool,
+}
+
+impl Follower {
+    /// Reads all objects; returns the revision to watch from, or `None` without a receiver.
+    async fn snapshot(&mut self) -> Option<u64> {
+        loop {
+            match self.feed.list(self.kind, self.mode).await {
+                Ok(FeedBatch { items, revision }) => {
+                    self.regained(revision);
+                    self.events.send(FeedEvent::Snapshot(items)).await.ok()?;
+                    return Some(revision);
+                }
+                Err(error) => self.lost(&error).await.ok()?,
+            }
+        }
+    }
+
+    /// Watches for changes; returns whether all objects must be read again.
+    async fn changes(&mut self, mut revision: u64) -> bool {
+        loop {
+            let watch = self.feed.watch(self.kind, self.mode, revision, WATCH_WAIT);
+            match watch.await {
+                Ok(batch) => {
+                    self.regained(batch.revision);
+                    revision = batch.revision.max(revision);
+                    if batch.items.is_empty() {
+                        continue;
+                    }
+                    if self.events.send(FeedEvent::Changes(batch.items)).await.is_err() {
+                        return false;
+                    }
+                    sleep(COALESCE).await;
+                }
+                Err(error) if error.history_gone => {
+                    log::info!(kind:% = self.kind, revision; "history is gone; reading all objects");
+                    return true;
+                }
+                Err(error) => {
+                    if self.lost(&error).await.is_err() {
+                        return false;
+                    }
+                }
+            }
+        }
+    }
+
+    fn regained(&mut self, revision: u64) {
+        self.backoff = MIN_BACKOFF;
+        if std::mem::take(&mut self.failed) {
+            log::info!(dependency = "store", kind:% = self.kind, revision; "dependency regained");
+        }
+    }
+
+    async fn lost(&mut self, error: &PortError) -> Result<(), mpsc::error::SendError<FeedEvent>> {
+        if !std::mem::replace(&mut self.failed, true) {
+            log::warn!(dependency = "store", kind:% = self.kind, error:%; "dependency lost");
+        }
+        self.events.send(FeedEvent::Failed(self.kind)).await?;
+        let jitter = rand::rng().random_range(0.5..1.0);
+        sleep(self.backoff.mul_f64(jitter)).await;
+        self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/serving/src/gossip.rs
@@ -0,0 +1,151 @@
+//! Datagrams between entries and agents.
+//!
+//! All state is sent again and again, so a lost datagram only delays it. A datagram that is older
+//! than one already seen from the same incarnation is ignored.
+
+use std::io;
+use std::net::SocketAddr;
+
+use kumquatkeel_core::serving::{
+    AdapterKey, Backlog, EngineReport, LoadCommand, ModelDemand, TargetId,
+};
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+
+/// Largest datagram, in bytes.
+const MAX_DATAGRAM: usize = 8 * 1024;
+
+/// Identifies one incarnation of a process and counts what it sends.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Stamp {
+    /// Drawn at random at start.
+    pub incarnation: u64,
+    /// Grows with each datagram.
+    pub count: u64,
+}
+
+impl Stamp {
+    /// Returns the stamp of the next datagram.
+    #[must_use]
+    pub fn next(&mut self) -> Self {
+        self.count += 1;
+        *self
+    }
+
+    /// Says whether a datagram with this stamp is newer than the last one seen.
+    pub const fn follows(self, last: Self) -> bool {
+        self.incarnation != last.incarnation || self.count > last.count
+    }
+}
+
+/// An entry's state for the agent of one target.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct EntryBeat {
+    /// The sender's stamp.
+    pub stamp: Stamp,
+    /// The work that the entry has sent to the receiver's target.
+    pub backlog: Backlog,
+    /// Demand since the last beat; only a planner is told.
+    pub demand: Vec<ModelDemand>,
+}
+
+/// One entry's work at a target, as the target's agent knows it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct EntryWork {
+    /// The entry.
+    pub entry: SocketAddr,
+    /// Its work.
+    pub backlog: Backlog,
+}
+
+/// An agent's state, for entries and other agents.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct AgentBeat {
+    /// The sender's stamp.
+    pub stamp: Stamp,
+    /// The target beside the agent.
+    pub target: TargetId,
+    /// The engine's state.
+    pub report: EngineReport,
+    /// Whether the agent plans placement.
+    pub planner: bool,
+    /// The work of each entry at the target.
+    pub entries: Vec<EntryWork>,
+}
+
+/// Asks an agent to load an adapter.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct AdapterWant {
+    /// The target that is meant.
+    pub target: TargetId,
+    /// The adapter.
+    pub adapter: AdapterKey,
+}
+
+/// One datagram.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Datagram {
+    /// From an entry to an agent.
+    Entry(EntryBeat),
+    /// From an agent to entries and agents.
+    Agent(AgentBeat),
+    /// From an entry to an agent.
+    Want(AdapterWant),
+    /// From the planner to an agent.
+    Load(LoadCommand),
+}
+
+/// A socket for datagrams.
+#[derive(Debug)]
+pub struct Gossip {
+    socket: UdpSocket,
+}
+
+impl Gossip {
+    /// Binds the socket.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address can't be bound.
+    pub async fn bind(address: SocketAddr) -> io::Result<Self> {
+        let socket = UdpSocket::bind(address).await?;
+        Ok(Self { socket })
+    }
+
+    /// Sends a datagram if the socket takes it at once; a later one carries the same state.
+    pub fn send(&self, to: SocketAddr, datagram: &Datagram) {
+        match postcard::to_allocvec(datagram) {
+            Ok(bytes) if bytes.len() <= MAX_DATAGRAM => {
+                if let Err(error) = self.socket.try_send_to(&bytes, to) {
+                    log::debug!(peer:% = to, error:%; "datagram not sent");
+                }
+            }
+            Ok(bytes) => log::warn!(peer:% = to, bytes = bytes.len(); "datagram is too large"),
+            Err(error) => log::warn!(peer:% = to, error:%; "datagram not encoded"),
+        }
+    }
+
+    /// Waits for the next datagram that can be read.
+    pub async fn receive(&self) -> (SocketAddr, Datagram) {
+        let mut buffer = [0; MAX_DATAGRAM];
+        loop {
+            match self.socket.recv_from(&mut buffer).await {
+                Ok((size, from)) => match postcard::from_bytes(&buffer[..size]) {
+                    Ok(datagram) => return (from, datagram),
+                    Err(error) => log::warn!(peer:% = from, error:%; "datagram not read"),
+                },
+                Err(error) => {
+                    // A refused datagram is reported on the next read.
+                    log::debug!(error:%; "datagram socket");
+                    tokio::task::yield_now().await;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/src/lib.rs
@@ -0,0 +1,15 @@
+//! Serving daemons for an external platform.
+//!
+//! An entry takes callers' requests and sends them to targets. An agent runs beside each target,
+//! gives it orders and reports its state. Both learn what is in force through the traits in
+//! [`port`], which an adapter implements; the decisions are in `kumquatkeel_core::serving`.
+
+pub mod agent;
+pub mod entry;
+pub mod feed;
+pub mod gossip;
+pub mod logging;
+pub mod metrics;
+pub mod net;
+pub mod port;
+pub mod shutdown;
--- /dev/null
+++ b/crates/serving/src/metrics.rs
@@ -0,0 +1,112 @@
+//! Counters and latency histograms of the serving daemons.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use http_body_util::Full;
+use kumquatkeel_daemon::metrics::{METRICS_CONTENT_TYPE, Metrics, MetricsError};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram};
+use tokio::net::TcpListener;
+
+use crate::net::small_server;
+
+/// Bounds of the latency histograms' buckets, in seconds.
+const LATENCY_BOUNDS: [f64; 14] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0, 16.0,
+];
+
+/// The instruments of a serving daemon.
+#[derive(Debug, Clone)]
+pub struct Instruments {
+    metrics: Metrics,
+    requests: Counter<u64>,
+    attempts: Counter<u64>,
+    refusals: Counter<u64>,
+    orders: Counter<u64>,
+    first_byte: Histogram<f64>,
+    predicted: Histogram<f64>,
+    total: Histogram<f64>,
+}
+
+impl Instruments {
+    /// Makes the instruments.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the exporter can't be set up.
+    pub fn start() -> Result<Self, MetricsError> {
+        let metrics = Metrics::start()?;
+        let meter = metrics.meter("serving");
+        let histogram = |name: &'static str| {
+            let builder = meter.f64_histogram(name).with_unit("s");
+            builder.with_boundaries(LATENCY_BOUNDS.to_vec()).build()
+        };
+        Ok(Self {
+            requests: meter.u64_counter("requests").build(),
+            attempts: meter.u64_counter("attempts").build(),
+            refusals: meter.u64_counter("refusals").build(),
+            orders: meter.u64_counter("orders").build(),
+            first_byte: histogram("first_byte"),
+            predicted: histogram("first_byte_predicted"),
+            total: histogram("request_duration"),
+            metrics,
+        })
+    }
+
+    /// Counts a request by its outcome, with its whole duration.
+    pub fn request(&self, outcome: &'static str, duration: Duration) {
+        self.requests.add(1, &[KeyValue::new("outcome", outcome)]);
+        self.total.record(duration.as_secs_f64(), &[]);
+    }
+
+    /// Counts an attempt at a target by its end.
+    pub fn attempt(&self, end: &'static str) {
+        self.attempts.add(1, &[KeyValue::new("end", end)]);
+    }
+
+    /// Counts a refusal by its reason.
+    pub fn refusal(&self, reason: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts an order to an engine by its reply.
+    pub fn order(&self, reply: &'static str) {
+        self.orders.add(1, &[KeyValue::new("reply", reply)]);
+    }
+
+    /// Records a predicted and a seen time to the first byte.
+    pub fn first_byte(&self, predicted: Duration, seen: Duration) {
+        self.predicted.record(predicted.as_secs_f64(), &[]);
+        self.first_byte.record(seen.as_secs_f64(), &[]);
+    }
+
+    /// Serves the metrics as text for as long as the process runs.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address can't be bound.
+    pub async fn serve(&self, address: SocketAddr) -> std::io::Result<()> {
+        let listener = TcpListener::bind(address).await?;
+        let metrics = self.metrics.clone();
+        tokio::spawn(small_server(listener, move |_, _| show(&metrics)));
+        Ok(())
+    }
+}
+
+fn show(metrics: &Metrics) -> Response<Full<Bytes>> {
+    let (status, body) = match metrics.to_text() {
+        Ok(text) => (StatusCode::OK, text),
+        Err(error) => {
+            log::warn!(error:%; "metrics not shown");
+            (StatusCode::INTERNAL_SERVER_ERROR, Vec::new())
+        }
+    };
+    let mut response = Response::new(Full::from(body));
+    *response.status_mut() = status;
+    let kind = http::HeaderValue::from_static(METRICS_CONTENT_TYPE);
+    response.headers_mut().insert(http::header::CONTENT_TYPE, kind);
+    response
+}
--- /dev/null
+++ b/crates/serving/src/net/mod.rs
@@ -0,0 +1,9 @@
+//! Connections to targets and to the platform, and small HTTP servers.
+
+mod connection;
+mod pool;
+mod serve;
+
+pub use connection::{CallError, Connection, RequestBody, call, open};
+pub use pool::{Lease, Pool, PoolLimits};
+pub use serve::{ServeOptions, serve_connection, small_server};
