--- a/crates/core/src/serving/table.rs
+++ b/crates/core/src/serving/table.rs
@@ -5,6 +5,7 @@
 //! grace; any other removal counts at once.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -119,8 +120,6 @@
                 true
             }
             None => {
-                // An address serves one target at a time; an older entry there is out of date.
-                self.entries.retain(|_, e| e.target.address != target.address);
                 self.entries.insert(
                     id,
                     Entry {
@@ -149,10 +148,18 @@
         true
     }
 
+    /// Lists the usable targets. An address serves one incarnation at a time, so the newest one
+    /// hides an older whose entry has not lapsed yet.
     fn index(&mut self) {
+        let mut newest: HashMap<SocketAddr, u64> = HashMap::new();
+        for entry in self.entries.values() {
+            let born = newest.entry(entry.target.address).or_default();
+            *born = entry.target.born.max(*born);
+        }
         self.services.clear();
         for entry in self.entries.values() {
-            if entry.target.state == TargetState::Ready {
+            let current = newest.get(&entry.target.address) == Some(&entry.target.born);
+            if current && entry.target.state == TargetState::Ready {
                 let service = self.services.entry(entry.target.service.clone());
                 service.or_default().push(entry.target.clone());
             }
--- /dev/null
+++ b/crates/core/tests/serving_table.rs
@@ -0,0 +1,73 @@
+//! The set of usable targets: incarnations at one address, removals, lapses around outages.
+
+use std::sync::Arc;
+
+use kumquatkeel_core::serving::{TableChange, Target, TargetId, TargetState, TargetTable};
+use kumquatkeel_types::Timestamp;
+
+fn target(id: &str, port: u16, born: u64) -> Target {
+    Target {
+        id: TargetId::from(id),
+        service: Arc::from("assist"),
+        address: ([10, 0, 0, 1], port).into(),
+        data_centre: Arc::from("a"),
+        slots: 4,
+        state: TargetState::Ready,
+        born,
+        models: Vec::new(),
+    }
+}
+
+fn ready(table: &TargetTable) -> Vec<&str> {
+    table.ready("assist").iter().map(|t| t.id.as_str()).collect()
+}
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+#[test]
+fn the_newest_incarnation_of_an_address_stays_whatever_the_order_of_the_list() {
+    for listed in [[("new", 200), ("old", 100)], [("old", 100), ("new", 200)]] {
+        let mut table = TargetTable::default();
+        for (id, born) in listed {
+            table.apply(TableChange::Listed(target(id, 1, born)), at(0));
+        }
+        assert_eq!(ready(&table), ["new"]);
+        table.apply(TableChange::Removed(TargetId::from("old")), at(100));
+        assert_eq!(ready(&table), ["new"]);
+    }
+}
+
+#[test]
+fn a_removal_counts_at_once() {
+    let mut table = TargetTable::default();
+    table.apply(TableChange::Listed(target("one", 1, 1)), at(0));
+    table.apply(TableChange::Removed(TargetId::from("one")), at(10));
+    assert!(ready(&table).is_empty());
+}
+
+#[test]
+fn a_leaving_target_gets_no_work() {
+    let mut table = TargetTable::default();
+    table.apply(TableChange::Listed(target("one", 1, 1)), at(0));
+    let mut leaving = target("one", 1, 1);
+    leaving.state = TargetState::Leaving;
+    table.apply(TableChange::Listed(leaving), at(10));
+    assert!(ready(&table).is_empty());
+}
+
+#[test]
+fn an_entry_that_lapsed_in_an_outage_has_two_seconds_to_return() {
+    let mut table = TargetTable::default();
+    table.apply(TableChange::Listed(target("back", 1, 1)), at(0));
+    table.apply(TableChange::Listed(target("gone", 2, 1)), at(0));
+    table.store_failed(at(5_000));
+    table.replace(Vec::new(), at(5_500));
+    assert_eq!(ready(&table), ["back", "gone"]);
+    table.apply(TableChange::Listed(target("back", 1, 1)), at(6_500));
+    assert!(table.expire(at(7_400)).is_empty());
+    let expired = table.expire(at(7_800));
+    assert_eq!(expired, [TargetId::from("gone")]);
+    assert_eq!(ready(&table), ["back"]);
+}
