--- a/crates/core/src/serving/drain.rs
+++ b/crates/core/src/serving/drain.rs
@@ -50,6 +50,11 @@
         DrainPhase::Closing
     }
 
+    /// Returns when requests without an answer get one, so that it leaves before the exit.
+    pub const fn last_answers(self) -> Duration {
+        self.grace.saturating_sub(MARGIN)
+    }
+
     /// Says whether a request that is expected to take `expected` may still be taken.
     pub fn admits(self, elapsed: Duration, expected: Duration) -> bool {
         elapsed < SERVE_ALL || elapsed + expected + MARGIN + EXIT_BEFORE < self.grace
--- a/crates/core/src/serving/engine.rs
+++ b/crates/core/src/serving/engine.rs
@@ -6,6 +6,9 @@
 use kumquatkeel_types::Timestamp;
 use serde::{Deserialize, Serialize};
 
+/// Silence of both the agent and the engine that shows that their machine stands still.
+const STALLED_AFTER: Duration = Duration::from_millis(1_000);
+
 /// A model that an engine holds, with its adapters.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -131,6 +134,8 @@
     pub peers: Backlog,
     /// Requests of this entry that are unfinished at the engine.
     pub running: u32,
+    /// When this entry last received a byte of an answer.
+    pub heard: Option<Timestamp>,
 }
 
 impl EngineState {
@@ -139,6 +144,13 @@
         self.own.plus(self.peers).ahead(urgent)
     }
 
+    /// Says whether the engine's machine stands still: its agent has fallen silent, and so has the
+    /// engine itself. A request that waits there gains nothing from waiting longer.
+    pub fn is_stalled(&self, now: Timestamp) -> bool {
+        let silent = |at: Timestamp| now.since(at) >= STALLED_AFTER;
+        self.reported.is_some_and(silent) && self.heard.is_none_or(silent)
+    }
+
     /// Returns the age of the report.
     pub fn age(&self, now: Timestamp) -> Option<Duration> {
         self.reported.map(|at| now.since(at))
--- a/crates/serving/src/entry/daemon.rs
+++ b/crates/serving/src/entry/daemon.rs
@@ -143,7 +143,8 @@
 
 async fn drain(shared: &Shared, closing: &watch::Sender<bool>) {
     let started = Instant::now();
-    shared.lock().draining = Some(started);
+    shared.draining.send_replace(Some(started));
+    shared.notify();
     log::info!(open = shared.lock().open; "stop asked for; draining");
     let plan = DrainPlan::new(shared.settings.grace);
     loop {
@@ -164,7 +165,7 @@
     let state = shared.lock();
     *response.status_mut() = if !shared.dialect.is_readiness(request.uri().path()) {
         StatusCode::NOT_FOUND
-    } else if state.active.is_some() && state.draining.is_none() {
+    } else if state.active.is_some() && shared.draining.borrow().is_none() {
         StatusCode::OK
     } else {
         StatusCode::SERVICE_UNAVAILABLE
@@ -307,7 +308,7 @@
     request: Request<Incoming>,
 ) -> io::Result<Response<AnswerBody>> {
     let mut response = respond(&shared, gossip, request).await?;
-    if shared.lock().draining.is_some() {
+    if shared.draining.borrow().is_some() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/crates/serving/src/entry/exchange.rs
+++ b/crates/serving/src/entry/exchange.rs
@@ -115,6 +115,14 @@
         self.outcome = Some(outcome);
     }
 
+    /// Waits until a target stands still, if the stream could then go on elsewhere.
+    pub(super) async fn stall(&self, target: &TargetId) {
+        if !self.is_resumable() || self.runs >= self.route.attempts {
+            return std::future::pending().await;
+        }
+        self.shared.stall(target).await;
+    }
+
     /// Records the first byte of a stream.
     pub(super) fn first_byte(&self, predicted: Duration, sent: Instant) {
         let seen = sent.elapsed();
@@ -137,11 +145,11 @@
                 state.ask_for(model, work);
             }
         }
-        if !self.is_admitted_while_draining() {
-            return Ok(self.refuse(RefusalReason::Draining, Duration::ZERO));
-        }
         let mut changed = self.shared.changed.subscribe();
         loop {
+            if !self.is_admitted_while_draining() {
+                return Ok(self.refuse(RefusalReason::Draining, Duration::ZERO));
+            }
             if Instant::now() >= self.deadline {
                 return Ok(self.expire());
             }
@@ -204,7 +212,7 @@
 
     /// Says whether a stopping process can still finish the request.
     fn is_admitted_while_draining(&self) -> bool {
-        let Some(since) = self.shared.lock().draining else {
+        let Some(since) = *self.shared.draining.borrow() else {
             return true;
         };
         let expected = match self.route.kind {
@@ -367,7 +375,17 @@
         let target = plan.target.id.clone();
         self.tried.push(target.clone());
         self.sends += 1;
-        let result = attempt(&self.shared, &self.outgoing, plan).await;
+        let result = tokio::select! {
+            result = attempt(&self.shared, &self.outgoing, plan) => result,
+            () = self.shared.stall(&target) => Err(AttemptFailure {
+                end: AttemptEnd::Lost,
+                reason: "the target stands still".to_owned(),
+            }),
+            () = self.shared.end_of_drain() => Err(AttemptFailure {
+                end: AttemptEnd::Lost,
+                reason: "the process stops".to_owned(),
+            }),
+        };
         match &result {
             Ok(_) => self.runs += 1,
             Err(failure) => {
--- a/crates/serving/src/entry/relay.rs
+++ b/crates/serving/src/entry/relay.rs
@@ -91,7 +91,14 @@
     }
 
     async fn step(&mut self) -> Step {
-        let frame = match timeout_at(self.exchange.deadline(), self.body.frame()).await {
+        let next = timeout_at(self.exchange.deadline(), self.body.frame());
+        let next = tokio::select! {
+            next = next => next,
+            () = self.exchange.stall(self.guard.target()) => {
+                return Step::Broken("the target stands still".to_owned());
+            }
+        };
+        let frame = match next {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(error))) => return Step::Broken(error.to_string()),
             Ok(None) if self.partial.is_empty() => return Step::End,
@@ -101,8 +108,8 @@
         let Ok(data) = frame.into_data() else {
             return Step::Emit(Bytes::new());
         };
+        self.guard.received();
         if !std::mem::replace(&mut self.started, true) {
-            self.guard.first_byte();
             self.exchange.first_byte(self.predicted, self.sent);
         }
         if !self.exchange.is_resumable() {
--- a/crates/serving/src/entry/state.rs
+++ b/crates/serving/src/entry/state.rs
@@ -7,7 +7,7 @@
 
 use kumquatkeel_core::retry::{AttemptResult, Ejector};
 use kumquatkeel_core::serving::{
-    AdapterKey, Backlog, EngineReport, EngineState, ModelDemand, PaceMeter, ResidentModel, RetryQuota,
+    AdapterKey, Backlog, DrainPlan, EngineReport, EngineState, ModelDemand, PaceMeter, ResidentModel, RetryQuota,
     RouteTable, ServiceSpec, ServingConfig, TableChange, Target, TargetId, TargetTable,
 };
 use kumquatkeel_daemon::clock::Clock;
@@ -31,6 +31,8 @@
 const SILENT_AFTER: Duration = Duration::from_millis(650);
 /// How long another entry's work is believed after its agent's last report.
 const PEER_WORK_LIFE: Duration = Duration::from_millis(1_500);
+/// Pause between two looks at whether a target stands still.
+const STALL_CHECK: Duration = Duration::from_millis(200);
 /// How long a planner counts after its last beat.
 const PLANNER_LIFE: Duration = Duration::from_millis(1_500);
 
@@ -48,6 +50,8 @@
     pub(super) dialect: Arc<dyn Dialect>,
     pub(super) instruments: Instruments,
     pub(super) clock: Clock,
+    /// When the process was asked to stop.
+    pub(super) draining: watch::Sender<Option<Instant>>,
     /// Changes with what requests may wait for.
     pub(super) changed: watch::Sender<u64>,
     state: Mutex<State>,
@@ -74,8 +78,6 @@
     pub(super) table: TargetTable,
     pub(super) ejector: Ejector<TargetId>,
     pub(super) pace: PaceMeter,
-    /// When the process was asked to stop.
-    pub(super) draining: Option<Instant>,
     /// Open connections of callers.
     pub(super) open: usize,
     engines: HashMap<TargetId, EngineState>,
@@ -99,13 +101,13 @@
             dialect,
             instruments,
             clock: Clock::start(),
+            draining: watch::Sender::new(None),
             changed: watch::Sender::new(0),
             state: Mutex::new(State {
                 active: None,
                 table: TargetTable::default(),
                 ejector: Ejector::default(),
                 pace: PaceMeter::default(),
-                draining: None,
                 open: 0,
                 engines: HashMap::new(),
                 pools: HashMap::new(),
@@ -131,6 +133,29 @@
         self.changed.send_modify(|version| *version += 1);
     }
 
+    /// Waits until a target stands still.
+    pub(super) async fn stall(&self, id: &TargetId) {
+        loop {
+            tokio::time::sleep(STALL_CHECK).await;
+            let now = self.now();
+            if self.lock().engines.get(id).is_some_and(|e| e.is_stalled(now)) {
+                return;
+            }
+        }
+    }
+
+    /// Waits until a stopping process must answer what it still holds.
+    pub(super) async fn end_of_drain(&self) {
+        let mut draining = self.draining.subscribe();
+        let Ok(started) = draining.wait_for(Option::is_some).await.map(|since| *since) else {
+            return std::future::pending().await;
+        };
+        if let Some(started) = started {
+            let plan = DrainPlan::new(self.settings.grace);
+            tokio::time::sleep_until(started + plan.last_answers()).await;
+        }
+    }
+
     /// Returns the path cost of a data centre.
     pub(super) fn link(&self, data_centre: &str) -> Duration {
         let settings = &self.settings;
--- a/crates/serving/src/entry/work.rs
+++ b/crates/serving/src/entry/work.rs
@@ -46,8 +46,19 @@
         }
     }
 
-    /// Notes the first byte: the prefill is over.
-    pub(super) fn first_byte(&mut self) {
+    /// Notes bytes of the answer; the first ones show that the prefill is over.
+    pub(super) fn received(&mut self) {
+        let now = self.shared.now();
+        (self.shared.lock()).with_engine(&self.target, |engine| engine.heard = Some(now));
+        self.end_prefill();
+    }
+
+    /// Returns the target.
+    pub(super) const fn target(&self) -> &TargetId {
+        &self.target
+    }
+
+    fn end_prefill(&mut self) {
         if std::mem::take(&mut self.waiting) {
             let (prefill, urgent) = (self.prefill, self.urgent);
             let mut state = self.shared.lock();
@@ -58,7 +69,7 @@
 
 impl Drop for WorkGuard {
     fn drop(&mut self) {
-        self.first_byte();
+        self.end_prefill();
         let mut state = self.shared.lock();
         if let Some(adapter) = &self.adapter {
             state.leave_adapter(&self.target, adapter);
--- /dev/null
+++ b/crates/serving/src/net/abort.rs
@@ -0,0 +1,98 @@
+//! A stream that is reset rather than closed when an exchange is given up.
+//!
+//! Bytes of a request that has been given up may still be on their way. A reset drops them where a
+//! plain close would have them delivered first, perhaps seconds later.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Whether an exchange is in progress on a connection.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Busy(Arc<AtomicBool>);
+
+impl Busy {
+    /// Notes that an exchange starts or ends.
+    pub(super) fn set(&self, busy: bool) {
+        self.0.store(busy, Ordering::Relaxed);
+    }
+
+    fn get(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// A TCP stream that resets its connection when it is dropped during an exchange.
+#[derive(Debug)]
+pub(super) struct AbortStream {
+    stream: TcpStream,
+    busy: Busy,
+}
+
+impl AbortStream {
+    /// Wraps a stream whose exchanges `busy` follows.
+    pub(super) const fn new(stream: TcpStream, busy: Busy) -> Self {
+        Self { stream, busy }
+    }
+}
+
+impl Drop for AbortStream {
+    fn drop(&mut self) {
+        if self.busy.get() {
+            let socket = SockRef::from(&self.stream);
+            if let Err(error) = socket.set_linger(Some(Duration::ZERO)) {
+                log::debug!(error:%; "connection not reset");
+            }
+        }
+    }
+}
+
+impl AsyncRead for AbortStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buffer)
+    }
+}
+
+impl AsyncWrite for AbortStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.busy.get() {
+            return Poll::Ready(Ok(()));
+        }
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/serving/src/net/connection.rs
+++ b/crates/serving/src/net/connection.rs
@@ -15,6 +15,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout, timeout_at};
 
+use super::abort::{AbortStream, Busy};
+
 /// The body of a request to a peer.
 pub type RequestBody = Full<Bytes>;
 
@@ -48,6 +50,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<RequestBody>,
+    busy: Busy,
     /// When it last ended an exchange, or was made.
     pub used: Instant,
     /// Whether it has served an exchange before.
@@ -68,7 +71,9 @@
     prepare(&stream).map_err(CallError::Connect)?;
     let mut builder = http1::Builder::new();
     let builder = builder.max_buf_size(HEAD_BYTES);
-    let (sender, driver) = (builder.handshake(TokioIo::new(stream)).await)
+    let busy = Busy::default();
+    let stream = TokioIo::new(AbortStream::new(stream, busy.clone()));
+    let (sender, driver) = (builder.handshake(stream).await)
         .map_err(|e| CallError::Lost(e.to_string()))?;
     tokio::spawn(async move {
         // The exchange that was in progress sees the same error.
@@ -76,6 +81,7 @@
     });
     Ok(Connection {
         sender,
+        busy,
         used: Instant::now(),
         reused: false,
     })
@@ -96,6 +102,13 @@
         self.sender.is_ready()
     }
 
+    /// Notes that an exchange is over and its answer has been read whole.
+    pub fn finish(&mut self) {
+        self.busy.set(false);
+        self.used = Instant::now();
+        self.reused = true;
+    }
+
     /// Sends a request and waits for the head of its answer until `deadline`.
     ///
     /// # Errors
@@ -106,6 +119,7 @@
         request: Request<RequestBody>,
         deadline: Instant,
     ) -> Result<Response<Incoming>, CallError> {
+        self.busy.set(true);
         let sent = async {
             if self.sender.ready().await.is_err() {
                 return Err(CallError::NotSent);
@@ -148,8 +162,7 @@
         Ok(Err(error)) => return Err(CallError::Lost(error.to_string())),
         Err(_) => return Err(CallError::Timeout),
     };
-    connection.used = Instant::now();
-    connection.reused = true;
+    connection.finish();
     *slot = Some(connection);
     Ok(Response::from_parts(parts, body))
 }
--- a/crates/serving/src/net/mod.rs
+++ b/crates/serving/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! Connections to targets and to the platform, and small HTTP servers.
 
+mod abort;
 mod connection;
 mod pool;
 mod serve;
--- a/crates/serving/src/net/pool.rs
+++ b/crates/serving/src/net/pool.rs
@@ -4,8 +4,6 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use tokio::time::Instant;
-
 use super::connection::{CallError, Connection, open};
 
 /// When kept connections are used no more.
@@ -89,8 +87,7 @@
 impl Lease {
     /// Keeps the connection for a later request; its answer has been read whole.
     pub fn keep(mut self) {
-        self.connection.used = Instant::now();
-        self.connection.reused = true;
+        self.connection.finish();
         let mut idle = self.pool.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.push(self.connection);
     }
