feat(serving): bands by rank, demand as rates, fewer bytes between regions, failing targets penalised

Cause: drafts of the first rank were judged late behind the backlog of the second; a new planner knew no demand and evicted hot models; agent beats made most bytes between regions; grey targets kept their share.

--- a/crates/core/src/serving/dispatch.rs
+++ b/crates/core/src/serving/dispatch.rs
@@ -10,12 +10,14 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::engine::EngineState;
+use super::engine::{Band, EngineState};
 
 /// Part of the caller's remaining time within which a first token must be predicted.
 const PATIENCE_SHARE: f64 = 0.75;
 /// Fixed time of an engine's step before a first token, beside the prefill.
 const FIRST_STEP: Duration = Duration::from_millis(25);
+/// Factor on the wait of deferred work for urgent work that arrives meanwhile.
+const OVERTAKING: f64 = 1.6;
 /// Penalty of an engine whose slots or KV memory are all taken: a typical generation's rest.
 const FULL_PENALTY: Duration = Duration::from_millis(1_500);
 /// Time to load an adapter, beside the order's way there.
@@ -46,6 +48,8 @@
     pub engine: &'a EngineState,
     /// The round trip to the target, with what a byte on that path costs.
     pub link: Duration,
+    /// Time by which the target is worse than others, as it fails part of its requests.
+    pub penalty: Duration,
     /// Whether the target is avoided for now: failures have ejected it, or its agent is silent, as
     /// when its machine stands still.
     pub avoided: bool,
@@ -66,10 +70,12 @@
     pub objective: Duration,
     /// What is left until the caller leaves or the route's deadline.
     pub patience: Duration,
-    /// Whether the route's objective is short.
-    pub interactive: bool,
-    /// The expected time until an engine could have loaded the model.
+    /// The band in which the request meets its objective.
+    pub band: Band,
+    /// The expected time until an engine could have loaded the model from the weight store.
     pub load_time: Duration,
+    /// The same from a copy that the engine's machine keeps.
+    pub disk_load_time: Duration,
 }
 
 /// What to do with a request.
@@ -81,8 +87,8 @@
         index: usize,
         /// When the first token is expected.
         predicted: Duration,
-        /// Whether it belongs to the urgent band.
-        urgent: bool,
+        /// The band in which it waits there.
+        band: Band,
     },
     /// Ask the candidate with this index to load the adapter, and decide again.
     LoadAdapter {
@@ -113,16 +119,17 @@
     }
     let any_open = holders.iter().any(|i| !candidates[*i].avoided);
     let open = |i: &&usize| !any_open || !candidates[**i].avoided;
-    let best = |urgent: bool| {
-        let predicted = |i: usize| (predict(&candidates[i], terms, urgent), i);
-        holders.iter().filter(open).map(|i| predicted(*i)).min()
+    let best = |band: Band| {
+        let predicted = |i: usize| (predict(&candidates[i], terms, band), i);
+        let ranked = |(time, i): (Duration, usize)| (time + candidates[i].penalty, time, i);
+        holders.iter().filter(open).map(|i| ranked(predicted(*i))).min()
     };
-    let urgent = best(terms.interactive).filter(|(t, _)| *t <= terms.objective);
-    let (urgent, found) = match urgent {
-        Some(found) => (terms.interactive, Some(found)),
-        None => (false, best(false)),
+    let timely = best(terms.band).filter(|(_, time, _)| *time <= terms.objective);
+    let (band, found) = match timely {
+        Some(found) => (terms.band, Some(found)),
+        None => (Band::Deferred, best(Band::Deferred)),
     };
-    let Some((predicted, index)) = found else {
+    let Some((_, predicted, index)) = found else {
         return refuse(RefusalReason::NoTarget, MIN_RETRY_AFTER);
     };
     if predicted > terms.patience.mul_f64(PATIENCE_SHARE) {
@@ -135,7 +142,7 @@
     Choice::Send {
         index,
         predicted,
-        urgent,
+        band,
     }
 }
 
@@ -147,7 +154,7 @@
     let score = |i: usize| {
         let candidate = &candidates[i];
         let load = f64::from(candidate.engine.running) / f64::from(slots[i].max(1));
-        candidate.link.mul_f64(0.5) + Duration::from_millis(30).mul_f64(load)
+        candidate.penalty + candidate.link.mul_f64(0.5) + Duration::from_millis(30).mul_f64(load)
     };
     let best = (0..candidates.len())
         .filter(|i| !any_open || !candidates[*i].avoided)
@@ -158,15 +165,15 @@
         |(predicted, index)| Choice::Send {
             index,
             predicted,
-            urgent: true,
+            band: Band::First,
         },
     )
 }
 
-fn predict(candidate: &Candidate<'_>, terms: &DispatchTerms<'_>, urgent: bool) -> Duration {
+fn predict(candidate: &Candidate<'_>, terms: &DispatchTerms<'_>, band: Band) -> Duration {
     let engine = candidate.engine;
     let report = &engine.report;
-    let mut time = candidate.link + engine.ahead(urgent) + terms.prefill + FIRST_STEP;
+    let mut time = candidate.link + ahead(engine, band) + terms.prefill + FIRST_STEP;
     if report.kv_total > 0 && report.kv_used + terms.tokens > report.kv_total {
         time += FULL_PENALTY;
     }
@@ -176,18 +183,26 @@
     time
 }
 
+/// Returns the expected prefill time ahead; work that arrives meanwhile passes deferred work.
+fn ahead(engine: &EngineState, band: Band) -> Duration {
+    let ahead = engine.ahead(band);
+    if band == Band::Deferred { ahead.mul_f64(OVERTAKING) } else { ahead }
+}
+
 fn needs_adapter(candidate: &Candidate<'_>, terms: &DispatchTerms<'_>) -> bool {
     let report = &candidate.engine.report;
     (terms.adapter).is_some_and(|adapter| !report.holds_adapter(terms.model, adapter))
 }
 
 fn absent_model(candidates: &[Candidate<'_>], terms: &DispatchTerms<'_>) -> Choice {
+    let cached = candidates.iter().any(|c| c.engine.report.is_cached(terms.model));
+    let load_time = if cached { terms.disk_load_time } else { terms.load_time };
     let loading = candidates.iter().filter_map(|c| {
         let progress = c.engine.report.loading.as_ref();
         progress.filter(|p| &*p.model == terms.model)
     });
     let left = loading.map(|p| u64::from(p.left_ms)).min();
-    let wait = left.map_or(terms.load_time, Duration::from_millis);
+    let wait = left.map_or(load_time, Duration::from_millis);
     if wait + terms.prefill <= terms.patience.mul_f64(PATIENCE_SHARE) {
         return Choice::AwaitModel;
     }
--- a/crates/core/src/serving/engine.rs
+++ b/crates/core/src/serving/engine.rs
@@ -6,7 +6,11 @@
 use kumquatkeel_types::Timestamp;
 use serde::{Deserialize, Serialize};
 
-/// Silence of both the agent and the engine that shows that their machine stands still.
+/// Reports of an agent that are missing when its target is avoided.
+const SILENT_BEATS: f64 = 3.25;
+/// Reports of an agent that are missing when its machine may stand still.
+const STALLED_BEATS: f64 = 5.0;
+/// Silence of an engine that shows, with that of its agent, that their machine stands still.
 const STALLED_AFTER: Duration = Duration::from_millis(1_000);
 
 /// A model that an engine holds, with its adapters.
@@ -63,6 +67,11 @@
         self.models.iter().any(|m| &*m.name == model)
     }
 
+    /// Says whether the target's machine keeps a copy of a model's weights.
+    pub fn is_cached(&self, model: &str) -> bool {
+        self.cached.iter().any(|name| &**name == model)
+    }
+
     /// Says whether the engine holds an adapter of a model.
     pub fn holds_adapter(&self, model: &str, adapter: &str) -> bool {
         let resident = self.models.iter().find(|m| &*m.name == model);
@@ -75,48 +84,77 @@
     }
 }
 
-/// Prefill time that was sent to an engine and has not produced a first token.
+/// Which waiting work an engine admits first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Band {
+    /// Meets a short objective on a route of the first rank.
+    First,
+    /// Meets a short objective on any other route.
+    Urgent,
+    /// Has a long objective, or misses a short one.
+    Deferred,
+}
+
+/// Prefill time that was sent to an engine and has not produced a first token, in microseconds.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Backlog {
-    /// Work that is expected to meet a short objective, in microseconds.
+    /// Work of the first band.
+    pub first_us: u64,
+    /// Work of the urgent band.
     pub urgent_us: u64,
-    /// Work that the engine admits after all urgent work, in microseconds.
+    /// Work of the deferred band.
     pub deferred_us: u64,
 }
 
 impl Backlog {
     /// Adds work of one band.
-    pub fn add(&mut self, work: Duration, urgent: bool) {
-        *self.band(urgent) += work.as_micros() as u64;
+    pub const fn add(&mut self, work: Duration, band: Band) {
+        *self.band(band) += work.as_micros() as u64;
     }
 
     /// Takes off work that has produced its first token or ended.
-    pub fn remove(&mut self, work: Duration, urgent: bool) {
-        let band = self.band(urgent);
-        *band = band.saturating_sub(work.as_micros() as u64);
+    pub const fn remove(&mut self, work: Duration, band: Band) {
+        let sum = self.band(band);
+        *sum = sum.saturating_sub(work.as_micros() as u64);
     }
 
-    /// Returns the work ahead of a new request.
-    pub const fn ahead(self, urgent: bool) -> Duration {
-        let deferred = if urgent { 0 } else { self.deferred_us };
-        Duration::from_micros(self.urgent_us + deferred)
+    /// Returns the work ahead of a new request of a band.
+    pub const fn ahead(self, band: Band) -> Duration {
+        let micros = match band {
+            Band::First => self.first_us,
+            Band::Urgent => self.first_us + self.urgent_us,
+            Band::Deferred => self.first_us + self.urgent_us + self.deferred_us,
+        };
+        Duration::from_micros(micros)
     }
 
     /// Returns the sum of two backlogs.
     #[must_use]
     pub const fn plus(self, other: Self) -> Self {
         Self {
+            first_us: self.first_us + other.first_us,
             urgent_us: self.urgent_us + other.urgent_us,
             deferred_us: self.deferred_us + other.deferred_us,
         }
     }
 
-    const fn band(&mut self, urgent: bool) -> &mut u64 {
-        if urgent {
-            &mut self.urgent_us
-        } else {
-            &mut self.deferred_us
+    /// Returns what is left without a part.
+    #[must_use]
+    pub const fn minus(self, part: Self) -> Self {
+        Self {
+            first_us: self.first_us.saturating_sub(part.first_us),
+            urgent_us: self.urgent_us.saturating_sub(part.urgent_us),
+            deferred_us: self.deferred_us.saturating_sub(part.deferred_us),
+        }
+    }
+
+    const fn band(&mut self, band: Band) -> &mut u64 {
+        match band {
+            Band::First => &mut self.first_us,
+            Band::Urgent => &mut self.urgent_us,
+            Band::Deferred => &mut self.deferred_us,
         }
     }
 }
@@ -134,21 +172,32 @@
     pub peers: Backlog,
     /// Requests of this entry that are unfinished at the engine.
     pub running: u32,
+    /// The pause between the agent's reports.
+    pub interval: Duration,
     /// When this entry last received a byte of an answer.
     pub heard: Option<Timestamp>,
 }
 
 impl EngineState {
     /// Returns the expected prefill time ahead of a new request.
-    pub const fn ahead(&self, urgent: bool) -> Duration {
-        self.own.plus(self.peers).ahead(urgent)
+    pub const fn ahead(&self, band: Band) -> Duration {
+        self.own.plus(self.peers).ahead(band)
     }
 
     /// Says whether the engine's machine stands still: its agent has fallen silent, and so has the
     /// engine itself. A request that waits there gains nothing from waiting longer.
     pub fn is_stalled(&self, now: Timestamp) -> bool {
         let silent = |at: Timestamp| now.since(at) >= STALLED_AFTER;
-        self.reported.is_some_and(silent) && self.heard.is_none_or(silent)
+        self.misses(STALLED_BEATS, now) && self.heard.is_none_or(silent)
+    }
+
+    /// Says whether the agent has been silent, so that its target is better avoided.
+    pub fn is_silent(&self, now: Timestamp) -> bool {
+        self.misses(SILENT_BEATS, now)
+    }
+
+    fn misses(&self, beats: f64, now: Timestamp) -> bool {
+        self.age(now).is_some_and(|age| age >= self.interval.mul_f64(beats))
     }
 
     /// Returns the age of the report.
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -4,10 +4,12 @@
 //! configuration, reports and requests and carry out what it returns.
 
 mod config;
+mod demand;
 mod dispatch;
 mod drain;
 mod engine;
 mod eviction;
+mod failures;
 mod pace;
 mod planner;
 mod quota;
@@ -20,12 +22,14 @@
     CallKind, ClientLimits, ConfigError, EngineSpec, ModelSpec, Route, RouteShare, ServiceSpec,
     ServingConfig,
 };
+pub use demand::{DemandMeter, ModelDemand};
 pub use dispatch::{Candidate, Choice, DispatchTerms, RefusalReason, choose_engine, choose_plain};
 pub use drain::{DrainPhase, DrainPlan};
-pub use engine::{Backlog, EngineReport, EngineState, LoadProgress, ResidentModel};
+pub use engine::{Backlog, Band, EngineReport, EngineState, LoadProgress, ResidentModel};
 pub use eviction::{AdapterKey, AdapterStep, has_adapter_room, next_adapter_step};
+pub use failures::FailureMeter;
 pub use pace::PaceMeter;
-pub use planner::{LoadCommand, ModelDemand, Planner, PlannerInput, PlannerSettings};
+pub use planner::{LoadCommand, Planner, PlannerInput, PlannerSettings};
 pub use quota::RetryQuota;
 pub use request::{AttemptEnd, CallerRequest, Recovery, Usage, after_attempt};
 pub use routes::{RouteMatch, RouteTable};
--- a/crates/core/src/serving/planner.rs
+++ b/crates/core/src/serving/planner.rs
@@ -18,12 +18,14 @@
 
 /// How long an engine may take to show a command's effect before it is considered again.
 const COMMAND_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Half-life of the smoothed demand.
-const DEMAND_HALF_LIFE: Duration = Duration::from_millis(2_500);
 /// Cost of a model that nobody holds, whatever its demand.
 const ABSENT_COST: f64 = 0.03;
 /// Cost of a model in demand that nobody holds, for each unit of demand.
 const ABSENT_DEMAND_COST: f64 = 12.0;
+/// Cost of a model that is asked for and that nobody holds.
+const ASKED_FOR_COST: f64 = 0.3;
+/// Share of the cost that remains where an engine could load the model from its own copy.
+const CACHED_COST_SHARE: f64 = 0.5;
 /// Demand above which a model counts as asked for, in engines.
 const ASKED_FOR: f64 = 0.002;
 /// Least gain of a load from the weight store, in squared engine loads.
@@ -35,16 +37,6 @@
 /// Commands in one round.
 const MAX_COMMANDS: usize = 8;
 
-/// What the planner is told of one model's requests.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub struct ModelDemand {
-    /// The model.
-    pub model: Arc<str>,
-    /// Prefill work asked for since the last report, in microseconds on an idle engine.
-    pub work_us: u64,
-}
-
 /// Orders one engine to load a model.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -71,6 +63,8 @@
 pub struct PlannerInput<'a> {
     /// The present time.
     pub now: Timestamp,
+    /// The demand of all entries for each model, in engines that it keeps busy.
+    pub demand: &'a HashMap<Arc<str>, f64>,
     /// The engines that take work and have reported lately.
     pub engines: &'a BTreeMap<TargetId, EngineReport>,
     /// What the engines' service offers.
@@ -97,30 +91,13 @@
 /// Plans loads round by round.
 #[derive(Debug, Default)]
 pub struct Planner {
-    demand: HashMap<Arc<str>, f64>,
-    updated: Option<Timestamp>,
     limiter: LoadLimiter,
     sent: HashMap<TargetId, (Timestamp, Arc<str>)>,
-    /// Work reported since the last round, in microseconds.
-    gathered: HashMap<Arc<str>, u64>,
 }
 
 impl Planner {
-    /// Takes in what an entry was asked for.
-    pub fn report_demand(&mut self, demand: &[ModelDemand]) {
-        for row in demand {
-            *self.gathered.entry(row.model.clone()).or_default() += row.work_us;
-        }
-    }
-
-    /// Returns the smoothed demand of a model, in engines that it keeps busy.
-    pub fn demand(&self, model: &str) -> f64 {
-        self.demand.get(model).copied().unwrap_or(0.0)
-    }
-
     /// Plans one round.
     pub fn round(&mut self, input: &PlannerInput<'_>, settings: PlannerSettings) -> Vec<LoadCommand> {
-        self.smooth(input.now);
         let now = input.now;
         self.sent.retain(|id, (at, model)| {
             let shown = input.engines.get(id).is_some_and(|r| r.holds(model));
@@ -133,7 +110,8 @@
         let mut grant = self.limiter.grant(now, loading, flight, rate);
         let mut commands = Vec::new();
         while commands.len() < MAX_COMMANDS {
-            let Some(best) = self.best_move(&slots, input.spec, grant > 0) else {
+            let view = View::new(&slots, input);
+            let Some(best) = view.best_move(grant > 0) else {
                 break;
             };
             if best.from_store {
@@ -154,26 +132,6 @@
         commands
     }
 
-    fn smooth(&mut self, now: Timestamp) {
-        let Some(last) = self.updated else {
-            self.updated = Some(now);
-            return;
-        };
-        let elapsed = now.since(last).as_secs_f64();
-        if elapsed <= 0.0 {
-            return;
-        }
-        self.updated = Some(now);
-        let keep = 0.5_f64.powf(elapsed / DEMAND_HALF_LIFE.as_secs_f64());
-        for demand in self.demand.values_mut() {
-            *demand *= keep;
-        }
-        for (model, work) in self.gathered.drain() {
-            let rate = work as f64 / 1e6 / elapsed;
-            *self.demand.entry(model).or_default() += rate * (1.0 - keep);
-        }
-    }
-
     fn slots(&self, input: &PlannerInput<'_>) -> Vec<Slot> {
         let slot = |(id, report): (&TargetId, &EngineReport)| {
             let mut held: Vec<Arc<str>> = report.models.iter().map(|m| m.name.clone()).collect();
@@ -195,17 +153,47 @@
         input.engines.iter().map(slot).collect()
     }
 
-    fn best_move(&self, slots: &[Slot], spec: &EngineSpec, store_allowed: bool) -> Option<Move> {
-        let copies = count_copies(slots);
+}
+
+/// The engines and the demand as one step of a round sees them.
+struct View<'a> {
+    slots: &'a [Slot],
+    input: &'a PlannerInput<'a>,
+    copies: HashMap<Arc<str>, usize>,
+}
+
+impl<'a> View<'a> {
+    fn new(slots: &'a [Slot], input: &'a PlannerInput<'a>) -> Self {
+        let mut copies = HashMap::new();
+        for model in slots.iter().flat_map(|s| &s.held) {
+            *copies.entry(model.clone()).or_insert(0) += 1;
+        }
+        Self {
+            slots,
+            input,
+            copies,
+        }
+    }
+
+    fn demand(&self, model: &str) -> f64 {
+        self.input.demand.get(model).copied().unwrap_or(0.0)
+    }
+
+    fn count(&self, model: &str) -> usize {
+        self.copies.get(model).copied().unwrap_or(0)
+    }
+
+    fn best_move(&self, store_allowed: bool) -> Option<Move> {
+        let spec = self.input.spec;
         let mut wanted: Vec<(f64, &ModelSpec)> = (spec.models.values())
-            .map(|m| (self.pressure(&m.name, &copies), m))
+            .map(|m| (self.pressure(&m.name), m))
             .filter(|(pressure, _)| *pressure > 0.0)
             .collect();
         wanted.sort_by(|a, b| b.0.total_cmp(&a.0));
         wanted.truncate(MAX_CANDIDATES);
         let mut best: Option<Move> = None;
         for (_, model) in wanted {
-            for (index, slot) in slots.iter().enumerate().filter(|(_, s)| s.free) {
+            for (index, slot) in self.slots.iter().enumerate().filter(|(_, s)| s.free) {
                 if slot.held.contains(&model.name) {
                     continue;
                 }
@@ -215,7 +203,7 @@
                 }
                 let least = if from_store { STORE_LOAD_GAIN } else { LOCAL_LOAD_GAIN };
                 for evict in evictions(slot, model, spec) {
-                    let gain = self.gain(slots, &copies, index, &model.name, &evict) - least;
+                    let gain = self.gain(index, &model.name, &evict) - least;
                     if gain > 0.0 && best.as_ref().is_none_or(|b| gain > b.gain) {
                         best = Some(Move {
                             slot: index,
@@ -232,30 +220,27 @@
     }
 
     /// Returns how much a further copy of a model could help.
-    fn pressure(&self, model: &Arc<str>, copies: &HashMap<Arc<str>, usize>) -> f64 {
+    fn pressure(&self, model: &str) -> f64 {
         let demand = self.demand(model);
-        match copies.get(model).copied().unwrap_or(0) {
+        match self.count(model) {
             0 => 1_000.0 * demand + ABSENT_COST,
             count => demand / count as f64,
         }
     }
 
+    /// Returns the cost of holding a model nowhere; an engine with a copy of its weights could bring
+    /// it back soon.
     fn absent_cost(&self, model: &Arc<str>) -> f64 {
         let demand = self.demand(model);
-        let asked = if demand > ASKED_FOR { 0.3 } else { 0.0 };
-        ABSENT_COST + asked + ABSENT_DEMAND_COST * demand
+        let asked = if demand > ASKED_FOR { ASKED_FOR_COST } else { 0.0 };
+        let cost = ABSENT_COST + asked + ABSENT_DEMAND_COST * demand;
+        let cached = self.slots.iter().any(|s| s.cached.contains(model));
+        if cached { cost * CACHED_COST_SHARE } else { cost }
     }
 
     /// Returns by how much a move lowers the sum of squared engine loads and absent models.
-    fn gain(
-        &self,
-        slots: &[Slot],
-        copies: &HashMap<Arc<str>, usize>,
-        index: usize,
-        model: &Arc<str>,
-        evict: &[Arc<str>],
-    ) -> f64 {
-        let before = |m: &Arc<str>| copies.get(m).copied().unwrap_or(0);
+    fn gain(&self, index: usize, model: &Arc<str>, evict: &[Arc<str>]) -> f64 {
+        let before = |m: &Arc<str>| self.count(m);
         let after = |m: &Arc<str>| {
             before(m) + usize::from(m == model) - usize::from(evict.contains(m))
         };
@@ -263,7 +248,7 @@
             if count == 0 { 0.0 } else { self.demand(m) / count as f64 }
         };
         let mut gain = 0.0;
-        for (i, slot) in slots.iter().enumerate() {
+        for (i, slot) in self.slots.iter().enumerate() {
             let touched = |m: &Arc<str>| m == model || evict.contains(m);
             if i != index && !slot.held.iter().any(touched) {
                 continue;
@@ -288,14 +273,6 @@
     }
 }
 
-fn count_copies(slots: &[Slot]) -> HashMap<Arc<str>, usize> {
-    let mut copies = HashMap::new();
-    for model in slots.iter().flat_map(|s| &s.held) {
-        *copies.entry(model.clone()).or_insert(0) += 1;
-    }
-    copies
-}
-
 /// Returns the memory that a model takes with the adapters that may come to it, in megabytes.
 fn footprint(model: &ModelSpec, slots: u32) -> f64 {
     model.weights_mb + model.adapter_mb * f64::from(slots.min(model.adapters))
--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use kumquatkeel_core::serving::{
-    EngineReport, EngineSpec, LoadCommand, Planner, PlannerInput, PlannerSettings, ServingConfig,
+    Backlog, EngineReport, EngineSpec, LoadCommand, Planner, PlannerInput, PlannerSettings, ServingConfig,
     TableChange, Target, TargetId, TargetTable,
 };
 use kumquatkeel_daemon::clock::Clock;
@@ -26,14 +26,16 @@
 const POLL: Duration = Duration::from_millis(100);
 /// Pause while an order is to be given.
 const ORDER_POLL: Duration = Duration::from_millis(15);
-/// Longest pause between two beats to an entry.
-const ENTRY_BEAT: Duration = Duration::from_millis(200);
+/// Beats between two that carry the list of cached models.
+const CACHED_EVERY: u64 = 8;
 /// Pause between two beats to other agents.
 const AGENT_BEAT: Duration = Duration::from_millis(500);
 /// Pause between two planning rounds.
 const ROUND: Duration = Duration::from_millis(250);
 /// How long an agent listens before it may plan.
 const LISTEN: Duration = Duration::from_millis(1_500);
+/// How long a new planner gathers the entries' demand before its first round.
+const GATHER: Duration = Duration::from_millis(1_000);
 /// A gap between two steps that shows that the process was paused.
 const PAUSE: Duration = Duration::from_millis(1_000);
 /// Share of the weight store's rate that the planner uses.
@@ -69,10 +71,11 @@
     orders: Orders,
     planner: Planner,
     planning: bool,
+    planning_since: Timestamp,
     listening: Timestamp,
     born: u64,
     report: Option<EngineReport>,
-    beat: Option<(Timestamp, EngineReport)>,
+    beat: Option<EngineReport>,
     agent_beat: Timestamp,
     round: Timestamp,
     engine_lost: bool,
@@ -111,6 +114,7 @@
             orders: Orders::default(),
             planner: Planner::default(),
             planning: false,
+            planning_since: Timestamp::ZERO,
             listening: clock.now(),
             born: 0,
             report: None,
@@ -203,13 +207,8 @@
         let now = self.clock.now();
         match datagram {
             Datagram::Entry(beat) => {
-                let is_new = !self.peers.entries().any(|entry| entry == from);
-                if self.peers.hear_entry(from, &beat, now) && self.planning {
-                    self.planner.report_demand(&beat.demand);
-                }
-                self.orders.note_use(&beat.adapters, now);
-                if is_new {
-                    self.beat = None;
+                if self.peers.hear_entry(from, &beat, now) {
+                    self.orders.note_use(&beat.adapters, now);
                 }
             }
             Datagram::Agent(beat) => self.peers.hear_agent(from, beat, now),
@@ -323,31 +322,37 @@
             return;
         };
         let shown = self.orders.publish(report, self.spec(), now);
-        let to_agents = now.since(self.agent_beat) >= AGENT_BEAT;
-        let to_entries = (self.beat.as_ref()).is_none_or(|(at, last)| {
-            now.since(*at) >= ENTRY_BEAT || differs(last, &shown)
-        });
-        if !to_agents && !to_entries {
-            return;
-        }
-        let beat = Datagram::Agent(AgentBeat {
-            stamp: self.stamp.next(),
+        let news = self.beat.as_ref().is_none_or(|last| differs(last, &shown));
+        let stamp = self.stamp.next();
+        let cached = (news || stamp.count % CACHED_EVERY == 0).then(|| shown.cached.clone());
+        let mut beat = AgentBeat {
+            stamp,
             target: target.id.clone(),
-            report: shown.clone(),
+            report: EngineReport {
+                cached: Vec::new(),
+                ..shown.clone()
+            },
+            cached,
             planner: self.planning,
-            entries: self.peers.work(),
-        });
-        if to_entries {
-            for entry in self.peers.entries() {
-                self.gossip.send(entry, &beat);
-            }
-            self.beat = Some((now, shown));
+            entries: self.peers.entry_count() as u16,
+            others: Backlog::default(),
+            interval_ms: AGENT_BEAT.as_millis() as u16,
+        };
+        for entry in self.peers.due_entries(now, news) {
+            beat.others = entry.others;
+            beat.interval_ms = entry.interval.as_millis() as u16;
+            self.gossip.send(entry.address, &Datagram::Agent(beat.clone()));
+        }
+        if news {
+            self.beat = Some(shown);
         }
-        if to_agents {
+        if now.since(self.agent_beat) >= AGENT_BEAT {
             let own = self.settings.gossip;
             let agents = self.table.all().map(|t| SocketAddr::new(t.address.ip(), own.port()));
+            beat.interval_ms = AGENT_BEAT.as_millis() as u16;
+            beat.cached = self.report.as_ref().map(|r| r.cached.clone());
             for agent in agents.filter(|a| *a != own) {
-                self.gossip.send(agent, &beat);
+                self.gossip.send(agent, &Datagram::Agent(beat.clone()));
             }
             self.agent_beat = now;
         }
@@ -363,9 +368,10 @@
         if planning != self.planning {
             log::info!(planning; "planner role");
             self.planning = planning;
+            self.planning_since = now;
             self.planner = Planner::default();
         }
-        if planning {
+        if planning && now.since(self.planning_since) >= GATHER {
             self.plan_round(now);
         }
     }
@@ -385,13 +391,15 @@
             load_rate: spec.load_rate * LOAD_RATE_SHARE,
             load_flight: self.settings.load_flight,
         };
+        let demand = self.peers.demand();
         let input = PlannerInput {
             now,
+            demand: &demand,
             engines: &engines,
             spec: &spec,
         };
         for command in self.planner.round(&input, settings) {
-            let demand = self.planner.demand(&command.model);
+            let demand = demand.get(&command.model).copied().unwrap_or(0.0);
             let evict: Vec<String> = command.evict.iter().map(ToString::to_string).collect();
             log::info!(
                 target_id:% = command.target, model:% = command.model, evict:serde, demand,
--- a/crates/serving/src/agent/peers.rs
+++ b/crates/serving/src/agent/peers.rs
@@ -2,13 +2,20 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
-use kumquatkeel_core::serving::{Backlog, EngineReport, TargetId};
+use kumquatkeel_core::serving::{Backlog, EngineReport, ModelDemand, TargetId};
 use kumquatkeel_types::Timestamp;
 
-use crate::gossip::{AgentBeat, EntryBeat, EntryWork, Stamp};
+use crate::gossip::{AgentBeat, EntryBeat, Stamp};
 
+/// Shortest pause between two beats to an entry.
+const ENTRY_BEAT: Duration = Duration::from_millis(200);
+/// Pause that each entry adds, so that a large fleet is told less often.
+const BEAT_PER_ENTRY: Duration = Duration::from_millis(15);
+/// How much less often an entry in another region is told, as the link is thin and paid.
+const REMOTE_FACTOR: u32 = 4;
 /// How long an entry counts after its last beat.
 const ENTRY_LIFE: Duration = Duration::from_millis(2_500);
 /// How long an agent counts after its last beat.
@@ -19,6 +26,10 @@
     seen: Timestamp,
     stamp: Stamp,
     backlog: Backlog,
+    remote: bool,
+    demand: Vec<ModelDemand>,
+    /// When the entry was last told.
+    told: Option<Timestamp>,
 }
 
 #[derive(Debug, Clone)]
@@ -27,6 +38,17 @@
     beat: AgentBeat,
 }
 
+/// An entry that is to be told now.
+#[derive(Debug, Clone)]
+pub(super) struct DueEntry {
+    /// The entry's address.
+    pub(super) address: SocketAddr,
+    /// The pause until it is told again.
+    pub(super) interval: Duration,
+    /// The work of the other entries.
+    pub(super) others: Backlog,
+}
+
 /// The peers heard from lately.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Peers {
@@ -45,6 +67,9 @@
             seen: now,
             stamp: beat.stamp,
             backlog: beat.backlog,
+            remote: beat.remote,
+            demand: beat.demand.clone(),
+            told: known.and_then(|e| e.told),
         };
         self.entries.insert(from, peer);
         true
@@ -54,6 +79,12 @@
     pub(super) fn hear_agent(&mut self, from: SocketAddr, beat: AgentBeat, now: Timestamp) {
         let known = self.agents.get(&from);
         if known.is_none_or(|a| beat.stamp.follows(a.beat.stamp)) {
+            let mut beat = beat;
+            if let Some(cached) = beat.cached.take() {
+                beat.report.cached = cached;
+            } else if let Some(known) = known {
+                beat.report.cached.clone_from(&known.beat.report.cached);
+            }
             self.agents.insert(from, AgentPeer { seen: now, beat });
         }
     }
@@ -74,18 +105,39 @@
         self.agents.keys().all(|address| own < *address)
     }
 
-    /// Returns the addresses of the entries.
-    pub(super) fn entries(&self) -> impl Iterator<Item = SocketAddr> {
-        self.entries.keys().copied()
+    /// Returns the number of entries.
+    pub(super) fn entry_count(&self) -> usize {
+        self.entries.len()
     }
 
-    /// Returns each entry's work at the target.
-    pub(super) fn work(&self) -> Vec<EntryWork> {
-        let work = |(entry, peer): (&SocketAddr, &EntryPeer)| EntryWork {
-            entry: *entry,
-            backlog: peer.backlog,
-        };
-        self.entries.iter().map(work).collect()
+    /// Returns the entries that are due to be told, and notes that they are; with `news` all are.
+    pub(super) fn due_entries(&mut self, now: Timestamp, news: bool) -> Vec<DueEntry> {
+        let pause = ENTRY_BEAT.max(BEAT_PER_ENTRY * self.entries.len() as u32);
+        let total = (self.entries.values()).fold(Backlog::default(), |sum, e| sum.plus(e.backlog));
+        let mut due = Vec::new();
+        for (address, entry) in &mut self.entries {
+            let interval = if entry.remote { pause * REMOTE_FACTOR } else { pause };
+            let waits = entry.told.is_some_and(|told| now.since(told) < interval);
+            if waits && !news {
+                continue;
+            }
+            entry.told = Some(now);
+            due.push(DueEntry {
+                address: *address,
+                interval,
+                others: total.minus(entry.backlog),
+            });
+        }
+        due
+    }
+
+    /// Returns the demand of all entries for each model, in engines that it keeps busy.
+    pub(super) fn demand(&self) -> HashMap<Arc<str>, f64> {
+        let mut demand = HashMap::new();
+        for row in self.entries.values().flat_map(|e| &e.demand) {
+            *demand.entry(row.model.clone()).or_insert(0.0) += row.rate_us as f64 / 1e6;
+        }
+        demand
     }
 
     /// Returns the address of the agent beside a target.
--- a/crates/serving/src/entry/daemon.rs
+++ b/crates/serving/src/entry/daemon.rs
@@ -187,11 +187,10 @@
 }
 
 async fn hear(shared: Arc<Shared>, gossip: Arc<Gossip>) {
-    let own = shared.settings.gossip;
     loop {
         let (from, datagram) = gossip.receive().await;
         match datagram {
-            Datagram::Agent(beat) => shared.hear_agent(from, beat, own),
+            Datagram::Agent(beat) => shared.hear_agent(from, beat),
             Datagram::Entry(_) | Datagram::Want(_) | Datagram::Load(_) => {
                 log::debug!(peer:% = from; "datagram for an agent");
             }
@@ -216,10 +215,9 @@
 fn send_beats(shared: &Shared, gossip: &Gossip, stamp: &mut Stamp) -> u32 {
     let now = shared.now();
     let mut state = shared.lock();
-    let demand = state.take_demand();
+    let demand = state.demand.rates(now);
     let targets: Vec<Arc<Target>> = state.table.all().cloned().collect();
     let mut agents = 0;
-    let mut planned = false;
     for target in &targets {
         if state.service(&target.service).is_none_or(|s| s.engine.is_none()) {
             continue;
@@ -227,21 +225,15 @@
         agents += 1;
         let agent = shared.settings.agent_of(target);
         let planner = state.is_planner(agent, now);
-        planned |= planner;
         let beat = EntryBeat {
             stamp: stamp.next(),
             backlog: state.own_work(&target.id),
             adapters: state.take_adapters(&target.id),
+            remote: shared.is_remote(&target.data_centre),
             demand: if planner { demand.clone() } else { Vec::new() },
         };
         gossip.send(agent, &Datagram::Entry(beat));
     }
-    if !planned {
-        // Kept for the next planner.
-        for row in &demand {
-            state.ask_for(&row.model, Duration::from_micros(row.work_us));
-        }
-    }
     agents
 }
 
--- a/crates/serving/src/entry/exchange.rs
+++ b/crates/serving/src/entry/exchange.rs
@@ -6,7 +6,7 @@
 
 use http::{Response, StatusCode};
 use kumquatkeel_core::serving::{
-    AttemptEnd, CallKind, CallerRequest, Candidate, Choice, DispatchTerms, DrainPlan, Recovery,
+    AttemptEnd, Band, CallKind, CallerRequest, Candidate, Choice, DispatchTerms, DrainPlan, Recovery,
     RefusalReason,
     Route, Target, TargetId, after_attempt, choose_engine, choose_plain,
 };
@@ -22,7 +22,13 @@
 
 /// Objectives below this are interactive: they belong to the urgent band.
 const INTERACTIVE: Duration = Duration::from_secs(2);
-/// Engine priority of requests that no longer meet their objective.
+/// Engine priority of the first band.
+const FIRST_PRIORITY: u8 = 1;
+/// Engine priority of the urgent band.
+const URGENT_PRIORITY: u8 = 3;
+/// Engine priority of requests of the first rank that no longer meet their objective.
+const LATE_FIRST_PRIORITY: u8 = 6;
+/// Engine priority of other requests that no longer meet their objective.
 const LATE_PRIORITY: u8 = 8;
 /// Engine priority of requests with a long objective.
 const PATIENT_PRIORITY: u8 = 5;
@@ -36,6 +42,8 @@
 const RETRY_SHARE: f64 = 0.33;
 /// Time within which the planner notices demand for a model and commands a load.
 const PLANNING_TIME: Duration = Duration::from_millis(600);
+/// Load time of a model that the configuration does not name.
+const UNKNOWN_LOAD: Duration = Duration::from_secs(6);
 /// Output tokens count this much less than prompt tokens towards the memory that a request takes,
 /// as callers name a most.
 const OUTPUT_SHARE: u64 = 2;
@@ -142,7 +150,7 @@
             state.quota(&self.service, &self.shared.settings).request(now);
             if let Some(model) = &self.request.model {
                 let work = state.pace.prefill(model, self.request.usage.prompt);
-                state.ask_for(model, work);
+                state.demand.ask_for(model, work);
             }
         }
         let mut changed = self.shared.changed.subscribe();
@@ -241,6 +249,7 @@
             .map(|(target, engine)| Candidate {
                 engine,
                 link: shared.link(&target.data_centre),
+                penalty: state.failures.penalty(&target.id),
                 avoided: state.is_avoided(&target.id, now),
             })
             .collect();
@@ -269,10 +278,10 @@
             Choice::Send {
                 index,
                 predicted,
-                urgent,
+                band,
             } => {
                 let age = engines[index].age(now);
-                Next::Send(self.plan(targets[index].clone(), predicted, urgent, prefill, age))
+                Next::Send(self.plan(targets[index].clone(), predicted, band, prefill, age))
             }
         }
     }
@@ -281,7 +290,9 @@
         let left = self.deadline.saturating_duration_since(Instant::now());
         let usage = self.request.usage;
         let spec = state.service(&self.service).and_then(|s| s.engine.as_ref());
-        let load_time = spec.and_then(|s| s.models.get(model)).map(|m| m.load);
+        let model_spec = spec.and_then(|s| s.models.get(model));
+        let load_time = model_spec.map_or(UNKNOWN_LOAD, |m| m.load);
+        let disk_load_time = model_spec.map_or(UNKNOWN_LOAD, |m| m.disk_load);
         DispatchTerms {
             model,
             adapter: self.request.adapter.as_deref(),
@@ -289,8 +300,9 @@
             tokens: usage.prompt + usage.output / OUTPUT_SHARE,
             objective: self.objective_left(),
             patience: left.min(self.abandon_left()),
-            interactive: self.route.objective < INTERACTIVE,
-            load_time: load_time.unwrap_or(Duration::from_secs(5)) + PLANNING_TIME,
+            band: self.band(),
+            load_time: load_time + PLANNING_TIME,
+            disk_load_time: disk_load_time + PLANNING_TIME,
         }
     }
 
@@ -329,7 +341,7 @@
         &self,
         target: Arc<Target>,
         predicted: Duration,
-        urgent: bool,
+        band: Band,
         prefill: Duration,
         age: Option<Duration>,
     ) -> AttemptPlan {
@@ -341,7 +353,7 @@
         log::info!(
             request:% = self.request.attempt, route:% = self.route.name, target_id:% = target.id,
             config = self.version, report_age_ms = age.map(millis), predicted_ms = millis(predicted),
-            urgent, waited = self.waited, left_ms = millis(left);
+            band:serde, waited = self.waited, left_ms = millis(left);
             "dispatch"
         );
         let adapter = (self.request.model.clone()).zip(self.request.adapter.clone());
@@ -350,25 +362,34 @@
             terms: TargetTerms {
                 target: target.id.clone(),
                 patience: left,
-                priority: self.request.model.as_ref().map(|_| self.priority(urgent)),
+                priority: self.request.model.as_ref().map(|_| self.priority(band)),
                 resume_after: None,
             },
             deadline: now + wait,
             careful: !repeatable,
             predicted,
-            guard: WorkGuard::new(shared, target.id.clone(), prefill, urgent, adapter),
+            guard: WorkGuard::new(shared, target.id.clone(), prefill, band, adapter),
             target,
         }
     }
 
-    fn priority(&self, urgent: bool) -> u8 {
-        if urgent {
-            return self.route.priority.min(PATIENT_PRIORITY - 1);
+    /// Returns the band in which the request meets its objective.
+    fn band(&self) -> Band {
+        match self.route.priority {
+            _ if self.route.objective >= INTERACTIVE => Band::Deferred,
+            0 => Band::First,
+            _ => Band::Urgent,
         }
-        if self.route.objective >= INTERACTIVE && self.objective_left() > Duration::ZERO {
-            return PATIENT_PRIORITY;
+    }
+
+    fn priority(&self, band: Band) -> u8 {
+        match band {
+            Band::First => FIRST_PRIORITY,
+            Band::Urgent => URGENT_PRIORITY,
+            Band::Deferred if self.route.objective >= INTERACTIVE => PATIENT_PRIORITY,
+            Band::Deferred if self.route.priority == 0 => LATE_FIRST_PRIORITY,
+            Band::Deferred => LATE_PRIORITY,
         }
-        LATE_PRIORITY
     }
 
     async fn send(&mut self, plan: AttemptPlan) -> Result<Answer, AttemptFailure> {
--- a/crates/serving/src/entry/state.rs
+++ b/crates/serving/src/entry/state.rs
@@ -1,13 +1,13 @@
 //! What an entry knows, shared by all its requests.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use kumquatkeel_core::retry::{AttemptResult, Ejector};
 use kumquatkeel_core::serving::{
-    AdapterKey, Backlog, DrainPlan, EngineReport, EngineState, ModelDemand, PaceMeter, ResidentModel, RetryQuota,
+    AdapterKey, Backlog, DemandMeter, DrainPlan, EngineReport, EngineState, FailureMeter, PaceMeter, ResidentModel, RetryQuota,
     RouteTable, ServiceSpec, ServingConfig, TableChange, Target, TargetId, TargetTable,
 };
 use kumquatkeel_daemon::clock::Clock;
@@ -27,8 +27,6 @@
 const REGION_LINK: Duration = Duration::from_millis(15);
 /// Round trip to another region, with the price of the bytes as time.
 const REMOTE_LINK: Duration = Duration::from_millis(130);
-/// Age from which a report says little of an engine.
-const SILENT_AFTER: Duration = Duration::from_millis(650);
 /// How long another entry's work is believed after its agent's last report.
 const PEER_WORK_LIFE: Duration = Duration::from_millis(1_500);
 /// Pause between two looks at whether a target stands still.
@@ -85,7 +83,8 @@
     /// Requests that use an adapter at a target; entries without any are told once more.
     adapters: HashMap<TargetId, HashMap<AdapterKey, u32>>,
     quotas: HashMap<Arc<str>, RetryQuota>,
-    demand: BTreeMap<Arc<str>, u64>,
+    pub(super) demand: DemandMeter,
+    pub(super) failures: FailureMeter,
     agents: HashMap<SocketAddr, AgentPeer>,
     entries: usize,
 }
@@ -113,7 +112,8 @@
                 pools: HashMap::new(),
                 adapters: HashMap::new(),
                 quotas: HashMap::new(),
-                demand: BTreeMap::new(),
+                demand: DemandMeter::default(),
+                failures: FailureMeter::default(),
                 agents: HashMap::new(),
                 entries: 1,
             }),
@@ -158,14 +158,21 @@
 
     /// Returns the path cost of a data centre.
     pub(super) fn link(&self, data_centre: &str) -> Duration {
-        let settings = &self.settings;
-        if *settings.data_centre == *data_centre {
-            return LOCAL_LINK;
+        if *self.settings.data_centre == *data_centre {
+            LOCAL_LINK
+        } else if self.is_remote(data_centre) {
+            REMOTE_LINK
+        } else {
+            REGION_LINK
         }
-        let region = |name: &str| settings.regions.get(name);
-        match (region(&settings.data_centre), region(data_centre)) {
-            (Some(own), Some(other)) if own == other => REGION_LINK,
-            _ => REMOTE_LINK,
+    }
+
+    /// Says whether a data centre is in another region.
+    pub(super) fn is_remote(&self, data_centre: &str) -> bool {
+        let region = |name: &str| self.settings.regions.get(name);
+        match (region(&self.settings.data_centre), region(data_centre)) {
+            (Some(own), Some(other)) => own != other,
+            _ => *self.settings.data_centre != *data_centre,
         }
     }
 
@@ -191,7 +198,7 @@
     }
 
     /// Takes in an agent's beat.
-    pub(super) fn hear_agent(&self, from: SocketAddr, beat: AgentBeat, own: SocketAddr) {
+    pub(super) fn hear_agent(&self, from: SocketAddr, beat: AgentBeat) {
         let now = self.now();
         let mut state = self.lock();
         let known = state.agents.get(&from);
@@ -206,19 +213,22 @@
                 planner: beat.planner,
             },
         );
-        state.entries = beat.entries.len().max(1);
+        state.entries = usize::from(beat.entries.max(1));
         if state.table.get(&beat.target).is_none() {
             return;
         }
-        let others = beat.entries.iter().filter(|e| e.entry != own);
-        let peers = others.fold(Backlog::default(), |sum, e| sum.plus(e.backlog));
         let engine = state.engines.entry(beat.target).or_default();
         let wakes = engine.report.models != beat.report.models
             || engine.report.pending != beat.report.pending
             || engine.report.loading.is_some() != beat.report.loading.is_some();
-        engine.report = beat.report;
+        let cached = beat.cached.unwrap_or_else(|| std::mem::take(&mut engine.report.cached));
+        engine.report = EngineReport {
+            cached,
+            ..beat.report
+        };
         engine.reported = Some(now);
-        engine.peers = peers;
+        engine.peers = beat.others;
+        engine.interval = Duration::from_millis(u64::from(beat.interval_ms));
         drop(state);
         if wakes {
             self.notify();
@@ -248,8 +258,7 @@
 
     /// Says whether a target should get no work while there is another.
     pub(super) fn is_avoided(&self, id: &TargetId, now: Timestamp) -> bool {
-        let age = self.engines.get(id).and_then(|e| e.age(now));
-        age.is_some_and(|age| age > SILENT_AFTER) || self.ejector.is_ejected(id, now)
+        self.engines.get(id).is_some_and(|e| e.is_silent(now)) || self.ejector.is_ejected(id, now)
     }
 
     /// Returns the work sent to a target.
@@ -299,6 +308,7 @@
     pub(super) fn record(&mut self, id: &TargetId, result: AttemptResult, now: Timestamp) {
         let was = self.ejector.is_ejected(id, now);
         self.ejector.record(id, result, now);
+        self.failures.record(id, result == AttemptResult::Failed);
         if !was && self.ejector.is_ejected(id, now) {
             log::warn!(target_id:% = id; "target ejected after failures");
         }
@@ -318,18 +328,6 @@
         self.entries
     }
 
-    /// Counts demand for a model.
-    pub(super) fn ask_for(&mut self, model: &Arc<str>, work: Duration) {
-        *self.demand.entry(model.clone()).or_default() += work.as_micros() as u64;
-    }
-
-    /// Takes the demand counted since the last call.
-    pub(super) fn take_demand(&mut self) -> Vec<ModelDemand> {
-        let demand = std::mem::take(&mut self.demand);
-        let row = |(model, work_us)| ModelDemand { model, work_us };
-        demand.into_iter().map(row).collect()
-    }
-
     /// Says whether the agent at this address plans placement.
     pub(super) fn is_planner(&self, agent: SocketAddr, now: Timestamp) -> bool {
         let peer = self.agents.get(&agent);
@@ -381,6 +379,7 @@
         self.pools.retain(|id, _| table.get(id).is_some());
         self.adapters.retain(|id, _| table.get(id).is_some());
         self.ejector.retain(|id| table.get(id).is_some());
+        self.failures.retain(|id| table.get(id).is_some());
     }
 }
 
--- a/crates/serving/src/entry/work.rs
+++ b/crates/serving/src/entry/work.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kumquatkeel_core::serving::{AdapterKey, TargetId};
+use kumquatkeel_core::serving::{AdapterKey, Band, TargetId};
 
 use super::state::Shared;
 
@@ -13,7 +13,7 @@
     shared: Arc<Shared>,
     target: TargetId,
     prefill: Duration,
-    urgent: bool,
+    band: Band,
     waiting: bool,
     adapter: Option<AdapterKey>,
 }
@@ -24,7 +24,7 @@
         shared: Arc<Shared>,
         target: TargetId,
         prefill: Duration,
-        urgent: bool,
+        band: Band,
         adapter: Option<AdapterKey>,
     ) -> Self {
         let mut state = shared.lock();
@@ -32,7 +32,7 @@
             state.use_adapter(&target, adapter);
         }
         state.with_engine(&target, |engine| {
-            engine.own.add(prefill, urgent);
+            engine.own.add(prefill, band);
             engine.running += 1;
         });
         drop(state);
@@ -40,7 +40,7 @@
             shared,
             target,
             prefill,
-            urgent,
+            band,
             waiting: true,
             adapter,
         }
@@ -60,9 +60,9 @@
 
     fn end_prefill(&mut self) {
         if std::mem::take(&mut self.waiting) {
-            let (prefill, urgent) = (self.prefill, self.urgent);
+            let (prefill, band) = (self.prefill, self.band);
             let mut state = self.shared.lock();
-            state.with_engine(&self.target, |engine| engine.own.remove(prefill, urgent));
+            state.with_engine(&self.target, |engine| engine.own.remove(prefill, band));
         }
     }
 }
--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -9,11 +9,15 @@
 
 use crate::port::{FeedBatch, FeedItem, FeedKind, ObjectFeed, PortError, ReadMode};
 
-/// How long one watch call waits. Short enough to notice a silent connection within the
-/// deployment's bound for a configuration to be in force.
-const WATCH_WAIT: Duration = Duration::from_millis(2_500);
-/// Pause after a change, so that changes in series come in one call; every call is priced.
-const COALESCE: Duration = Duration::from_millis(250);
+/// How long one watch call waits. A watch may hear nothing of changes although its connection is
+/// sound, so it must end well within the deployment's bounds for a configuration to be in force and
+/// for a leaving target to be out of use.
+const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+/// Pause after a change of the configuration, so that changes in series come in one call.
+const CONFIG_PAUSE: Duration = Duration::from_millis(250);
+/// Pause after a change of the targets, which change all the time in a large fleet. A target that
+/// leaves must be out of use within the deployment's bound, which is several times this.
+const TARGETS_PAUSE: Duration = Duration::from_millis(900);
 /// First pause after a failed call.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls.
@@ -90,7 +94,11 @@
                     if self.events.send(FeedEvent::Changes(batch.items)).await.is_err() {
                         return false;
                     }
-                    sleep(COALESCE).await;
+                    let pause = match self.kind {
+                        FeedKind::Config => CONFIG_PAUSE,
+                        FeedKind::Targets => TARGETS_PAUSE,
+                    };
+                    sleep(pause).await;
                 }
                 Err(error) if error.history_gone => {
                     log::info!(kind:% = self.kind, revision; "history is gone; reading all objects");
--- a/crates/serving/src/gossip.rs
+++ b/crates/serving/src/gossip.rs
@@ -5,6 +5,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use kumquatkeel_core::serving::{
     AdapterKey, Backlog, EngineReport, LoadCommand, ModelDemand, TargetId,
@@ -49,20 +50,12 @@
     pub backlog: Backlog,
     /// Adapters in use at the receiver's target since the last beat.
     pub adapters: Vec<AdapterKey>,
-    /// Demand since the last beat; only a planner is told.
+    /// Whether the entry is in another region, and is told less often.
+    pub remote: bool,
+    /// The demand of the entry's callers; only a planner is told.
     pub demand: Vec<ModelDemand>,
 }
 
-/// One entry's work at a target, as the target's agent knows it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub struct EntryWork {
-    /// The entry.
-    pub entry: SocketAddr,
-    /// Its work.
-    pub backlog: Backlog,
-}
-
 /// An agent's state, for entries and other agents.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -71,12 +64,18 @@
     pub stamp: Stamp,
     /// The target beside the agent.
     pub target: TargetId,
-    /// The engine's state.
+    /// The engine's state, without the list of cached models.
     pub report: EngineReport,
+    /// The models whose weights the machine keeps; not with each beat.
+    pub cached: Option<Vec<Arc<str>>>,
     /// Whether the agent plans placement.
     pub planner: bool,
-    /// The work of each entry at the target.
-    pub entries: Vec<EntryWork>,
+    /// The number of entries that the agent knows.
+    pub entries: u16,
+    /// The work of all other entries at the target.
+    pub others: Backlog,
+    /// The pause between two beats to the receiver, in milliseconds.
+    pub interval_ms: u16,
 }
 
 /// Asks an agent to load an adapter.
