--- a/crates/core/src/serving/planner.rs
+++ b/crates/core/src/serving/planner.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: demand moves between models within seconds while all must stay reachable on few
 //! engines. A round looks for the single load, with the models that make way for it, that most
-//! lowers the sum of squared engine loads; a model in demand that nobody holds weighs most.
+//! lowers the cost of the engines' loads; a model in demand that nobody holds weighs most.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -261,7 +261,7 @@
             if i == index {
                 new += share(model, after(model));
             }
-            gain += old * old - new * new;
+            gain += load_cost(old) - load_cost(new);
         }
         if before(model) == 0 {
             gain += self.absent_cost(model);
@@ -273,6 +273,12 @@
     }
 }
 
+/// Returns the cost of an engine's load: its square, and beyond saturation its tangent, so that a
+/// model in great demand is never better held nowhere.
+fn load_cost(load: f64) -> f64 {
+    if load <= 1.0 { load * load } else { 2.0 * load - 1.0 }
+}
+
 /// Returns the memory that a model takes with the adapters that may come to it, in megabytes.
 fn footprint(model: &ModelSpec, slots: u32) -> f64 {
     model.weights_mb + model.adapter_mb * f64::from(slots.min(model.adapters))
--- /dev/null
+++ b/crates/core/tests/serving_planner.rs
@@ -0,0 +1,171 @@
+//! Placement of models on engines: absent models, hot models, memory, the weight store's rate.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquatkeel_core::serving::{
+    EngineReport, EngineSpec, LoadCommand, ModelSpec, Planner, PlannerInput, PlannerSettings,
+    ResidentModel, TargetId,
+};
+use kumquatkeel_types::Timestamp;
+use proptest::prelude::*;
+
+const SETTINGS: PlannerSettings = PlannerSettings {
+    load_rate: 100.0,
+    load_flight: 16,
+};
+
+fn spec(models: &[(&str, f64)]) -> EngineSpec {
+    let model = |(name, weights_mb): &(&str, f64)| {
+        let name: Arc<str> = Arc::from(*name);
+        let spec = ModelSpec {
+            name: name.clone(),
+            weights_mb: *weights_mb,
+            load: Duration::from_secs(6),
+            disk_load: Duration::from_secs(1),
+            adapters: 0,
+            adapter_mb: 0.0,
+        };
+        (name, spec)
+    };
+    EngineSpec {
+        slots: 64,
+        kv_tokens: 150_000,
+        weights_mb: 200.0,
+        adapter_slots: 8,
+        load_rate: 1.0,
+        models: models.iter().map(model).collect(),
+    }
+}
+
+fn engine(models: &[&str]) -> EngineReport {
+    let model = |name: &&str| ResidentModel {
+        name: Arc::from(*name),
+        adapters: Vec::new(),
+    };
+    EngineReport {
+        models: models.iter().map(model).collect(),
+        ..EngineReport::default()
+    }
+}
+
+fn fleet(engines: &[&[&str]]) -> BTreeMap<TargetId, EngineReport> {
+    let entry = |(i, models): (usize, &&[&str])| (TargetId::from(format!("e{i}")), engine(models));
+    engines.iter().enumerate().map(entry).collect()
+}
+
+fn demand(rows: &[(&str, f64)]) -> HashMap<Arc<str>, f64> {
+    rows.iter().map(|(name, rate)| (Arc::from(*name), *rate)).collect()
+}
+
+fn plan(
+    engines: &BTreeMap<TargetId, EngineReport>,
+    spec: &EngineSpec,
+    demand: &HashMap<Arc<str>, f64>,
+    settings: PlannerSettings,
+) -> Vec<LoadCommand> {
+    let mut planner = Planner::default();
+    let mut input = PlannerInput {
+        now: Timestamp::from_millis(0),
+        demand,
+        engines,
+        spec,
+    };
+    // A new planner starts without credit for loads.
+    assert!(planner.round(&input, settings).iter().all(|c| is_cached(engines, c)));
+    input.now = Timestamp::from_millis(1_000);
+    planner.round(&input, settings)
+}
+
+fn is_cached(engines: &BTreeMap<TargetId, EngineReport>, command: &LoadCommand) -> bool {
+    engines[&command.target].is_cached(&command.model)
+}
+
+/// After a power loss all engines are empty while callers ask for one model far beyond what a
+/// single engine serves.
+#[test]
+fn a_model_in_great_demand_is_loaded_although_one_engine_cannot_carry_it() {
+    let spec = spec(&[("hot", 70.0), ("rare", 70.0)]);
+    for rate in [0.5, 1.0, 4.0, 16.0, 64.0] {
+        let engines = fleet(&[&["rare"], &["rare"], &[]]);
+        let commands = plan(&engines, &spec, &demand(&[("hot", rate)]), SETTINGS);
+        assert!(commands.iter().any(|c| &*c.model == "hot"), "demand {rate}: {commands:?}");
+    }
+}
+
+/// Demand moves to a model with one copy while idle models take room.
+#[test]
+fn a_hot_model_gets_copies_and_no_model_is_lost() {
+    let spec = spec(&[("hot", 90.0), ("idle", 90.0), ("warm", 90.0)]);
+    let mut engines = fleet(&[&["hot", "warm"], &["idle", "warm"], &["idle", "warm"]]);
+    let rates = demand(&[("hot", 1.4), ("warm", 0.3)]);
+    for command in plan(&engines, &spec, &rates, SETTINGS) {
+        let report = engines.get_mut(&command.target).unwrap();
+        report.models.retain(|m| !command.evict.contains(&m.name));
+        report.models.extend(engine(&[&command.model]).models);
+    }
+    let copies = |model: &str| engines.values().filter(|r| r.holds(model)).count();
+    assert!(copies("hot") >= 2);
+    assert!(copies("idle") >= 1);
+    assert!(copies("warm") >= 1);
+}
+
+#[test]
+fn a_rare_model_in_demand_is_loaded_from_nowhere() {
+    let spec = spec(&[("hot", 90.0), ("rare", 90.0)]);
+    let engines = fleet(&[&["hot"], &["hot"]]);
+    let commands = plan(&engines, &spec, &demand(&[("hot", 0.6), ("rare", 0.01)]), SETTINGS);
+    assert!(commands.iter().any(|c| &*c.model == "rare"));
+}
+
+#[test]
+fn a_balanced_fleet_is_left_alone() {
+    let spec = spec(&[("a", 90.0), ("b", 90.0)]);
+    let engines = fleet(&[&["a", "b"], &["a", "b"]]);
+    let commands = plan(&engines, &spec, &demand(&[("a", 0.5), ("b", 0.5)]), SETTINGS);
+    assert_eq!(commands, []);
+}
+
+#[test]
+fn loads_keep_to_the_weight_stores_rate() {
+    let spec = spec(&[("a", 60.0), ("b", 60.0), ("c", 60.0)]);
+    let engines = fleet(&[&[], &[], &[], &[]]);
+    let rates = demand(&[("a", 1.0), ("b", 1.0), ("c", 1.0)]);
+    let settings = PlannerSettings {
+        load_rate: 2.0,
+        load_flight: 16,
+    };
+    assert_eq!(plan(&engines, &spec, &rates, settings).len(), 2);
+}
+
+proptest! {
+    #[test]
+    fn what_a_command_leads_to_fits_the_engine(
+        held in proptest::collection::vec(proptest::collection::btree_set(0_usize..6, 0..3), 1..6),
+        rates in proptest::collection::vec(0.0..3.0_f64, 6),
+    ) {
+        let names = ["m0", "m1", "m2", "m3", "m4", "m5"];
+        let sizes = [34.0, 65.0, 65.5, 72.7, 72.7, 60.0];
+        let rows: Vec<(&str, f64)> = names.into_iter().zip(sizes).collect();
+        let spec = spec(&rows);
+        let size = |name: &str| spec.models[name].weights_mb;
+        let engines: Vec<Vec<&str>> =
+            held.iter().map(|set| set.iter().map(|i| names[*i]).collect()).collect();
+        let fits = |models: &[&str]| models.iter().map(|m| size(m)).sum::<f64>() <= 200.0;
+        prop_assume!(engines.iter().all(|e| fits(e)));
+        let lists: Vec<&[&str]> = engines.iter().map(Vec::as_slice).collect();
+        let engines = fleet(&lists);
+        let rates: Vec<(&str, f64)> = names.into_iter().zip(rates).collect();
+        for command in plan(&engines, &spec, &demand(&rates), SETTINGS) {
+            let report = &engines[&command.target];
+            prop_assert!(!report.holds(&command.model));
+            prop_assert!(command.evict.iter().all(|m| report.holds(m)));
+            let kept: f64 = (report.models.iter())
+                .filter(|m| !command.evict.contains(&m.name))
+                .map(|m| size(&m.name))
+                .sum();
+            prop_assert!(kept + size(&command.model) <= 200.0);
+        }
+    }
+}
--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -1,6 +1,6 @@
 //! The agent's loop.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -36,6 +36,8 @@
 const LISTEN: Duration = Duration::from_millis(1_500);
 /// How long a new planner gathers the entries' demand before its first round.
 const GATHER: Duration = Duration::from_millis(1_000);
+/// Pause between two log lines on the plan.
+const PLAN_LOG: Duration = Duration::from_secs(2);
 /// A gap between two steps that shows that the process was paused.
 const PAUSE: Duration = Duration::from_millis(1_000);
 /// Share of the weight store's rate that the planner uses.
@@ -78,6 +80,7 @@
     beat: Option<EngineReport>,
     agent_beat: Timestamp,
     round: Timestamp,
+    logged: Timestamp,
     engine_lost: bool,
 }
 
@@ -121,6 +124,7 @@
             beat: None,
             agent_beat: Timestamp::ZERO,
             round: Timestamp::ZERO,
+            logged: Timestamp::ZERO,
             engine_lost: false,
         })
     }
@@ -398,6 +402,7 @@
             engines: &engines,
             spec: &spec,
         };
+        self.log_hottest(&demand, &engines);
         for command in self.planner.round(&input, settings) {
             let demand = demand.get(&command.model).copied().unwrap_or(0.0);
             let evict: Vec<String> = command.evict.iter().map(ToString::to_string).collect();
@@ -415,6 +420,27 @@
     }
 }
 
+impl Agent {
+    /// Logs now and then which engines hold the model in most demand.
+    fn log_hottest(
+        &mut self,
+        demand: &HashMap<Arc<str>, f64>,
+        engines: &BTreeMap<TargetId, EngineReport>,
+    ) {
+        let now = self.clock.now();
+        if now.since(self.logged) < PLAN_LOG {
+            return;
+        }
+        self.logged = now;
+        let Some((model, demand)) = demand.iter().max_by(|a, b| a.1.total_cmp(b.1)) else {
+            return;
+        };
+        let holders = engines.iter().filter(|(_, r)| r.holds(model));
+        let holders: Vec<&str> = holders.map(|(id, _)| id.as_str()).collect();
+        log::info!(model:%, demand, holders:serde, engines = engines.len(); "hottest model");
+    }
+}
+
 /// Says whether entries should hear of a change at once.
 fn differs(last: &EngineReport, new: &EngineReport) -> bool {
     let loading = |r: &EngineReport| r.loading.as_ref().map(|l| l.model.clone());
