--- a/crates/core/src/serving/demand.rs
+++ b/crates/core/src/serving/demand.rs
@@ -10,8 +10,9 @@
 use kumquatkeel_types::Timestamp;
 use serde::{Deserialize, Serialize};
 
-/// Half-life of the smoothed rate. Demand moves between models within four to six seconds.
-const HALF_LIFE: Duration = Duration::from_millis(1_500);
+/// Half-life of the smoothed rate: long against clumps of requests with prompts of very different
+/// length, short against the four to six seconds within which demand moves between models.
+const HALF_LIFE: Duration = Duration::from_millis(2_500);
 /// Rates below this are forgotten, in microseconds of work a second.
 const MIN_RATE_US: u64 = 200;
 
--- a/crates/core/src/serving/planner.rs
+++ b/crates/core/src/serving/planner.rs
@@ -18,6 +18,10 @@
 
 /// How long an engine may take to show a command's effect before it is considered again.
 const COMMAND_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Half-life of the demand against which a rise shows.
+const BASE_HALF_LIFE: Duration = Duration::from_millis(5_000);
+/// How much of a rise is expected to follow within the time of a load.
+const RISE_FACTOR: f64 = 1.0;
 /// Cost of a model that nobody holds, whatever its demand.
 const ABSENT_COST: f64 = 0.03;
 /// Cost of a model in demand that nobody holds, for each unit of demand.
@@ -29,9 +33,11 @@
 /// Demand above which a model counts as asked for, in engines.
 const ASKED_FOR: f64 = 0.002;
 /// Least gain of a load from the weight store, in squared engine loads.
-const STORE_LOAD_GAIN: f64 = 0.05;
+const STORE_LOAD_GAIN: f64 = 0.1;
 /// Least gain of a load from the target's own copy.
-const LOCAL_LOAD_GAIN: f64 = 0.03;
+const LOCAL_LOAD_GAIN: f64 = 0.06;
+/// Load of a model's remaining copies up to which one of them may make way.
+const EVICT_LOAD: f64 = 0.6;
 /// Models considered for a further copy in one round.
 const MAX_CANDIDATES: usize = 6;
 /// Commands in one round.
@@ -74,7 +80,10 @@
 #[derive(Debug, Clone)]
 struct Slot {
     id: TargetId,
+    /// Models that serve now or will once their load is over.
     held: Vec<Arc<str>>,
+    /// Models that serve now.
+    serving: Vec<Arc<str>>,
     free: bool,
     cached: Vec<Arc<str>>,
 }
@@ -92,6 +101,9 @@
 #[derive(Debug, Default)]
 pub struct Planner {
     limiter: LoadLimiter,
+    /// Slowly smoothed demand, against which a rise shows.
+    base: HashMap<Arc<str>, f64>,
+    updated: Option<Timestamp>,
     sent: HashMap<TargetId, (Timestamp, Arc<str>)>,
 }
 
@@ -99,6 +111,11 @@
     /// Plans one round.
     pub fn round(&mut self, input: &PlannerInput<'_>, settings: PlannerSettings) -> Vec<LoadCommand> {
         let now = input.now;
+        let expected = self.extrapolate(input);
+        let input = &PlannerInput {
+            demand: &expected,
+            ..*input
+        };
         self.sent.retain(|id, (at, model)| {
             let shown = input.engines.get(id).is_some_and(|r| r.holds(model));
             !shown && now.since(*at) < COMMAND_TIMEOUT
@@ -120,6 +137,7 @@
             }
             let slot = &mut slots[best.slot];
             slot.held.retain(|m| !best.evict.contains(m));
+            slot.serving.retain(|m| !best.evict.contains(m));
             slot.held.push(best.model.clone());
             slot.free = false;
             self.sent.insert(slot.id.clone(), (now, best.model.clone()));
@@ -132,9 +150,25 @@
         commands
     }
 
+    /// Returns the demand that is expected once a load that begins now is over.
+    fn extrapolate(&mut self, input: &PlannerInput<'_>) -> HashMap<Arc<str>, f64> {
+        let last = self.updated.replace(input.now).unwrap_or(input.now);
+        let elapsed = input.now.since(last).as_secs_f64();
+        let keep = 0.5_f64.powf(elapsed / BASE_HALF_LIFE.as_secs_f64());
+        self.base.retain(|model, _| input.demand.contains_key(model));
+        let rise = |(model, demand): (&Arc<str>, &f64)| {
+            let base = self.base.entry(model.clone()).or_insert(*demand);
+            *base = *base * keep + demand * (1.0 - keep);
+            let expected = demand + RISE_FACTOR * (demand - *base).max(0.0);
+            (model.clone(), expected)
+        };
+        input.demand.iter().map(rise).collect()
+    }
+
     fn slots(&self, input: &PlannerInput<'_>) -> Vec<Slot> {
         let slot = |(id, report): (&TargetId, &EngineReport)| {
-            let mut held: Vec<Arc<str>> = report.models.iter().map(|m| m.name.clone()).collect();
+            let serving: Vec<Arc<str>> = report.models.iter().map(|m| m.name.clone()).collect();
+            let mut held = serving.clone();
             let pending = report.loading.as_ref().map(|p| p.model.clone());
             let sent = self.sent.get(id).map(|(_, model)| model.clone());
             let free = pending.is_none() && sent.is_none() && !report.busy;
@@ -146,6 +180,7 @@
             Slot {
                 id: id.clone(),
                 held,
+                serving,
                 free,
                 cached: report.cached.clone(),
             }
@@ -202,7 +237,8 @@
                     continue;
                 }
                 let least = if from_store { STORE_LOAD_GAIN } else { LOCAL_LOAD_GAIN };
-                for evict in evictions(slot, model, spec) {
+                let sets = evictions(slot, model, spec);
+                for evict in sets.into_iter().filter(|e| self.may_evict(e, index, model)) {
                     let gain = self.gain(index, &model.name, &evict) - least;
                     if gain > 0.0 && best.as_ref().is_none_or(|b| gain > b.gain) {
                         best = Some(Move {
@@ -219,6 +255,21 @@
         best
     }
 
+    /// Says whether the copies that go on serving can carry what the evicted ones did, until the
+    /// new copy serves; those of a model with less demand a copy than the new one has always may go.
+    fn may_evict(&self, evict: &[Arc<str>], index: usize, model: &ModelSpec) -> bool {
+        let serving = |name: &Arc<str>, without: Option<usize>| {
+            let others = self.slots.iter().enumerate().filter(|(i, _)| Some(*i) != without);
+            others.filter(|(_, slot)| slot.serving.contains(name)).count()
+        };
+        let pressure = self.demand(&model.name) / serving(&model.name, None).max(1) as f64;
+        evict.iter().all(|name| {
+            let left = serving(name, Some(index));
+            let load = self.demand(name) / left.max(1) as f64;
+            left == 0 || load <= EVICT_LOAD.max(pressure / 2.0)
+        })
+    }
+
     /// Returns how much a further copy of a model could help.
     fn pressure(&self, model: &str) -> f64 {
         let demand = self.demand(model);
@@ -238,6 +289,13 @@
         if cached { cost * CACHED_COST_SHARE } else { cost }
     }
 
+    /// Says whether an engine other than `index` serves a model now; a copy that is still being
+    /// loaded serves nobody for seconds.
+    fn serves_beside(&self, model: &Arc<str>, index: usize) -> bool {
+        let others = self.slots.iter().enumerate().filter(|(i, _)| *i != index);
+        others.map(|(_, slot)| slot).any(|slot| slot.serving.contains(model))
+    }
+
     /// Returns by how much a move lowers the sum of squared engine loads and absent models.
     fn gain(&self, index: usize, model: &Arc<str>, evict: &[Arc<str>]) -> f64 {
         let before = |m: &Arc<str>| self.count(m);
@@ -266,7 +324,7 @@
         if before(model) == 0 {
             gain += self.absent_cost(model);
         }
-        for evicted in evict.iter().filter(|m| after(m) == 0) {
+        for evicted in evict.iter().filter(|m| !self.serves_beside(m, index)) {
             gain -= self.absent_cost(evicted);
         }
         gain
--- a/crates/core/tests/serving_planner.rs
+++ b/crates/core/tests/serving_planner.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use kumquatkeel_core::serving::{
-    EngineReport, EngineSpec, LoadCommand, ModelSpec, Planner, PlannerInput, PlannerSettings,
+    EngineReport, EngineSpec, LoadCommand, LoadProgress, ModelSpec, Planner, PlannerInput,
+    PlannerSettings,
     ResidentModel, TargetId,
 };
 use kumquatkeel_types::Timestamp;
@@ -169,3 +170,43 @@
         }
     }
 }
+
+/// A second copy is on its way; the one that serves must not make way meanwhile.
+#[test]
+fn the_only_serving_copy_stays_while_another_is_loaded() {
+    let spec = spec(&[("hot", 100.0), ("rare", 100.0), ("other", 100.0)]);
+    let mut engines = fleet(&[&["hot", "other"], &["other"]]);
+    let loading = engines.get_mut(&TargetId::from("e1")).unwrap();
+    loading.loading = Some(LoadProgress {
+        model: Arc::from("hot"),
+        left_ms: 5_000,
+    });
+    let rates = demand(&[("hot", 4.0), ("rare", 0.2), ("other", 0.0)]);
+    for command in plan(&engines, &spec, &rates, SETTINGS) {
+        assert!(!command.evict.contains(&Arc::from("hot")), "{command:?}");
+    }
+}
+
+/// Demand ramps up over seconds, about as long as a load takes.
+#[test]
+fn a_rise_is_met_before_it_has_saturated_the_engine() {
+    let spec = spec(&[("hot", 100.0), ("idle", 100.0)]);
+    let engines = fleet(&[&["hot"], &["idle"], &["idle"]]);
+    let first_load = |rates: &[f64]| {
+        let mut planner = Planner::default();
+        rates.iter().position(|rate| {
+            let demand = demand(&[("hot", *rate)]);
+            let round = (rate * 10_000.0) as u64;
+            let input = PlannerInput {
+                now: Timestamp::from_millis(round),
+                demand: &demand,
+                engines: &engines,
+                spec: &spec,
+            };
+            !planner.round(&input, SETTINGS).is_empty()
+        })
+    };
+    let ramp: Vec<f64> = (1..=20).map(|step| f64::from(step) * 0.05).collect();
+    let step = first_load(&ramp).expect("a copy is loaded");
+    assert!(ramp[step] < 0.5, "loaded at a demand of {}", ramp[step]);
+}
--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -33,9 +33,9 @@
 /// Pause between two planning rounds.
 const ROUND: Duration = Duration::from_millis(250);
 /// How long an agent listens before it may plan.
-const LISTEN: Duration = Duration::from_millis(1_500);
+const LISTEN: Duration = Duration::from_millis(900);
 /// How long a new planner gathers the entries' demand before its first round.
-const GATHER: Duration = Duration::from_millis(1_000);
+const GATHER: Duration = Duration::from_millis(600);
 /// Pause between two log lines on the plan.
 const PLAN_LOG: Duration = Duration::from_secs(2);
 /// A gap between two steps that shows that the process was paused.
--- a/crates/serving/src/agent/orders.rs
+++ b/crates/serving/src/agent/orders.rs
@@ -98,6 +98,9 @@
             }
             self.accepted = None;
         }
+        if report.busy {
+            return None;
+        }
         self.next_adapter(report, spec, now)
             .or_else(|| self.next_model(report, spec, now))
     }
@@ -106,7 +109,8 @@
     pub(super) fn publish(&self, report: &EngineReport, spec: Option<&EngineSpec>, now: Timestamp) -> EngineReport {
         let mut shown = report.clone();
         let slots = spec.map_or(0, |s| s.adapter_slots);
-        shown.adapter_room = has_adapter_room(report, &self.used, slots, now);
+        // An engine that loads or unloads a model refuses orders for adapters meanwhile.
+        shown.adapter_room = !report.busy && has_adapter_room(report, &self.used, slots, now);
         let Some(pending) = &self.pending else {
             return shown;
         };
@@ -175,9 +179,6 @@
             self.pending = None;
             return None;
         }
-        if report.busy {
-            return None;
-        }
         let order = |load: bool, model: &Arc<str>| EngineOrder {
             load,
             model: model.clone(),
