fix(entry): one decision for each failed attempt; copies count from when they serve

Cause: a failure that was to be resent was decided on twice and took two resends from the quota. A load from the weight store weighed as much as one from the engine's own disk that serves five seconds earlier.

--- a/crates/core/src/serving/planner.rs
+++ b/crates/core/src/serving/planner.rs
@@ -18,6 +18,8 @@
 
 /// How long an engine may take to show a command's effect before it is considered again.
 const COMMAND_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// How far ahead the gain of a copy counts; demand moves on by then.
+const HORIZON: Duration = Duration::from_secs(12);
 /// Half-life of the demand against which a rise shows.
 const BASE_HALF_LIFE: Duration = Duration::from_millis(5_000);
 /// How much of a rise is expected to follow within the time of a load.
@@ -236,10 +238,16 @@
                 if from_store && !store_allowed {
                     continue;
                 }
-                let least = if from_store { STORE_LOAD_GAIN } else { LOCAL_LOAD_GAIN };
+                let (least, time) = if from_store {
+                    (STORE_LOAD_GAIN, model.load)
+                } else {
+                    (LOCAL_LOAD_GAIN, model.disk_load)
+                };
+                // A copy counts for what is left of the horizon once it serves.
+                let share = 1.0 - time.as_secs_f64() / HORIZON.as_secs_f64();
                 let sets = evictions(slot, model, spec);
                 for evict in sets.into_iter().filter(|e| self.may_evict(e, index, model)) {
-                    let gain = self.gain(index, &model.name, &evict) - least;
+                    let gain = self.gain(index, &model.name, &evict) * share.max(0.1) - least;
                     if gain > 0.0 && best.as_ref().is_none_or(|b| gain > b.gain) {
                         best = Some(Move {
                             slot: index,
--- a/crates/serving/src/entry/exchange.rs
+++ b/crates/serving/src/entry/exchange.rs
@@ -170,21 +170,15 @@
                     // Both ends of the wait lead to a new decision.
                     let _ = timeout_at(until, changed.changed()).await;
                 }
-                Next::Send(plan) => match self.send(plan).await {
-                    Ok(answer) => match self.answer(answer).await {
-                        Ok(response) => return Ok(response),
-                        Err(failure) => {
-                            if let Some(response) = self.recover(&failure, None) {
-                                return Ok(response);
-                            }
-                        }
-                    },
-                    Err(failure) => {
-                        if let Some(response) = self.recover(&failure, None) {
-                            return Ok(response);
-                        }
+                Next::Send(plan) => {
+                    let response = match self.send(plan).await {
+                        Ok(answer) => self.answer(answer).await,
+                        Err(failure) => self.recover(&failure, None),
+                    };
+                    if let Some(response) = response {
+                        return Ok(response);
                     }
-                },
+                }
             }
         }
     }
@@ -421,8 +415,8 @@
         result
     }
 
-    /// Turns an accepted answer into the caller's, or says why it can't be passed on.
-    async fn answer(&mut self, answer: Answer) -> Result<Response<AnswerBody>, AttemptFailure> {
+    /// Turns an accepted answer into the caller's; `None` means that the request goes on.
+    async fn answer(&mut self, answer: Answer) -> Option<Response<AnswerBody>> {
         let headers = self.shared.dialect.relay_headers(&answer.headers);
         let status = answer.status;
         let mut response = if answer.success && self.route.kind == CallKind::Stream {
@@ -430,10 +424,11 @@
             Response::new(Relay::body(exchange, answer))
         } else {
             let Some(body) = read_whole(answer.body, self.deadline).await else {
-                return Err(AttemptFailure {
+                let failure = AttemptFailure {
                     end: AttemptEnd::Lost,
                     reason: "the answer broke off".to_owned(),
-                });
+                };
+                return self.recover(&failure, None);
             };
             answer.lease.keep();
             if !answer.success {
@@ -444,10 +439,7 @@
                 let mut response = Response::new(whole(body));
                 *response.status_mut() = status;
                 *response.headers_mut() = headers;
-                return match self.recover(&failure, Some(response)) {
-                    Some(response) => Ok(response),
-                    None => Err(failure),
-                };
+                return self.recover(&failure, Some(response));
             }
             self.shared.instruments.first_byte(answer.predicted, answer.sent.elapsed());
             self.finish("served");
@@ -455,7 +447,7 @@
         };
         *response.status_mut() = status;
         *response.headers_mut() = headers;
-        Ok(response)
+        Some(response)
     }
 
     /// Decides what follows a failed attempt; `None` means that the request goes on.
