--- a/crates/core/src/serving/dispatch.rs
+++ b/crates/core/src/serving/dispatch.rs
@@ -11,13 +11,15 @@
 use serde::{Deserialize, Serialize};
 
 use super::engine::{Band, EngineState};
+use super::overtaking::BandRates;
 
+/// Part of what is left until the objective within which a first token must be predicted; the rest
+/// covers the error of the prediction.
+const TIMELY_SHARE: f64 = 0.65;
 /// Part of the caller's remaining time within which a first token must be predicted.
 const PATIENCE_SHARE: f64 = 0.75;
 /// Fixed time of an engine's step before a first token, beside the prefill.
 const FIRST_STEP: Duration = Duration::from_millis(25);
-/// Factor on the wait of deferred work for urgent work that arrives meanwhile.
-const OVERTAKING: f64 = 1.6;
 /// Penalty of an engine whose slots or KV memory are all taken: a typical generation's rest.
 const FULL_PENALTY: Duration = Duration::from_millis(1_500);
 /// Time to load an adapter, beside the order's way there.
@@ -72,6 +74,8 @@
     pub patience: Duration,
     /// The band in which the request meets its objective.
     pub band: Band,
+    /// The work that callers offer lately.
+    pub rates: &'a BandRates,
     /// The expected time until an engine could have loaded the model from the weight store.
     pub load_time: Duration,
     /// The same from a copy that the engine's machine keeps.
@@ -124,8 +128,9 @@
         let ranked = |(time, i): (Duration, usize)| (time + candidates[i].penalty, time, i);
         holders.iter().filter(open).map(|i| ranked(predicted(*i))).min()
     };
-    let timely = best(terms.band).filter(|(_, time, _)| *time <= terms.objective);
-    let (band, found) = match timely {
+    let timely = terms.objective.mul_f64(TIMELY_SHARE);
+    let found = best(terms.band).filter(|(_, time, _)| *time <= timely);
+    let (band, found) = match found {
         Some(found) => (terms.band, Some(found)),
         None => (Band::Deferred, best(Band::Deferred)),
     };
@@ -173,7 +178,7 @@
 fn predict(candidate: &Candidate<'_>, terms: &DispatchTerms<'_>, band: Band) -> Duration {
     let engine = candidate.engine;
     let report = &engine.report;
-    let mut time = candidate.link + ahead(engine, band) + terms.prefill + FIRST_STEP;
+    let mut time = candidate.link + engine.ahead(band).mul_f64(terms.rates.factor(band)) + terms.prefill + FIRST_STEP;
     if report.kv_total > 0 && report.kv_used + terms.tokens > report.kv_total {
         time += FULL_PENALTY;
     }
@@ -183,12 +188,6 @@
     time
 }
 
-/// Returns the expected prefill time ahead; work that arrives meanwhile passes deferred work.
-fn ahead(engine: &EngineState, band: Band) -> Duration {
-    let ahead = engine.ahead(band);
-    if band == Band::Deferred { ahead.mul_f64(OVERTAKING) } else { ahead }
-}
-
 fn needs_adapter(candidate: &Candidate<'_>, terms: &DispatchTerms<'_>) -> bool {
     let report = &candidate.engine.report;
     (terms.adapter).is_some_and(|adapter| !report.holds_adapter(terms.model, adapter))
--- /dev/null
+++ b/crates/core/tests/serving_request.rs
@@ -0,0 +1,60 @@
+//! What may follow an attempt: "not run" only with proof, a second run only where it may be.
+
+use kumquatkeel_core::serving::{AttemptEnd, CallKind, Recovery, after_attempt};
+use proptest::prelude::*;
+use rstest::rstest;
+
+const KINDS: [CallKind; 3] = [CallKind::Idempotent, CallKind::NonIdempotent, CallKind::Stream];
+const ENDS: [AttemptEnd; 4] = [
+    AttemptEnd::NotSent,
+    AttemptEnd::NotRun,
+    AttemptEnd::Failed,
+    AttemptEnd::Lost,
+];
+
+#[rstest]
+#[case(CallKind::NonIdempotent, AttemptEnd::Lost, Recovery::Fail)]
+#[case(CallKind::NonIdempotent, AttemptEnd::Failed, Recovery::PassFailure)]
+#[case(CallKind::NonIdempotent, AttemptEnd::NotRun, Recovery::Resend)]
+#[case(CallKind::Stream, AttemptEnd::Lost, Recovery::Fail)]
+#[case(CallKind::Stream, AttemptEnd::NotSent, Recovery::Resend)]
+#[case(CallKind::Idempotent, AttemptEnd::Lost, Recovery::Resend)]
+#[case(CallKind::Idempotent, AttemptEnd::Failed, Recovery::Resend)]
+fn a_first_attempt_with_a_target_left(
+    #[case] kind: CallKind,
+    #[case] end: AttemptEnd,
+    #[case] expected: Recovery,
+) {
+    assert_eq!(after_attempt(kind, end, false, 1), expected);
+}
+
+proptest! {
+    /// Plays attempts until the request ends and counts the runs that may have taken place.
+    #[test]
+    fn no_order_of_failures_runs_a_request_twice_or_denies_a_run(
+        kind in 0_usize..3,
+        ends in proptest::collection::vec(0_usize..4, 1..6),
+        attempts in 1_u8..4,
+    ) {
+        let kind = KINDS[kind];
+        let mut runs = 0;
+        for (sent, end) in ends.into_iter().enumerate() {
+            let end = ENDS[end];
+            let ran = runs > 0;
+            runs += usize::from(matches!(end, AttemptEnd::Failed | AttemptEnd::Lost));
+            let left = attempts.saturating_sub(sent as u8 + 1);
+            match after_attempt(kind, end, ran, left) {
+                Recovery::Resend => {
+                    prop_assert!(left > 0);
+                    prop_assert!(runs == 0 || kind == CallKind::Idempotent);
+                }
+                Recovery::Reject => {
+                    prop_assert_eq!(runs, 0, "told that it has not run");
+                    break;
+                }
+                Recovery::PassFailure | Recovery::Fail => break,
+            }
+        }
+        prop_assert!(runs <= 1 || kind == CallKind::Idempotent);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/serving_state.rs
@@ -0,0 +1,241 @@
+//! Routes, graceful stops, quotas, adapters, meters: the small decisions of the serving daemons.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquatkeel_core::serving::{
+    AdapterKey, AdapterStep, CallKind, ClientLimits, DemandMeter, DrainPhase, DrainPlan,
+    EngineReport, EngineState, FailureMeter, PaceMeter, ResidentModel, RetryQuota, Route,
+    RouteMatch, RouteShare, RouteTable, ServingConfig, TargetId, has_adapter_room,
+    next_adapter_step,
+};
+use kumquatkeel_types::Timestamp;
+use proptest::prelude::*;
+use rstest::rstest;
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn route(name: &str, host: &str, prefix: &str) -> Arc<Route> {
+    Arc::new(Route {
+        name: Arc::from(name),
+        host: Arc::from(host),
+        prefix: Arc::from(prefix),
+        kind: CallKind::Idempotent,
+        deadline: Duration::from_secs(3),
+        objective: Duration::from_millis(300),
+        gap: None,
+        priority: 0,
+        attempts: 1,
+        resumable: false,
+        shares: vec![RouteShare {
+            service: Arc::from("s"),
+            weight: 1.0,
+        }],
+    })
+}
+
+fn config(routes: Vec<Arc<Route>>) -> ServingConfig {
+    ServingConfig {
+        version: 1,
+        routes,
+        services: BTreeMap::new(),
+        limits: ClientLimits {
+            header_bytes: 16_384,
+            body_bytes: 1 << 20,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        },
+    }
+}
+
+#[rstest]
+#[case("a.example", "/x/y/1", Some("long"))]
+#[case("a.example", "/x/z", Some("short"))]
+#[case("A.EXAMPLE:80", "/x/", Some("short"))]
+#[case("a.example", "/x", None)]
+#[case("b.example", "/x/y/1", Some("other"))]
+#[case("c.example", "/x/", None)]
+fn the_longest_prefix_of_the_host_wins(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] expected: Option<&str>,
+) {
+    let table = RouteTable::new(&config(vec![
+        route("short", "a.example", "/x/"),
+        route("long", "a.example", "/x/y/"),
+        route("other", "b.example", "/"),
+    ]));
+    let found = match table.find(host, path) {
+        RouteMatch::Found(route) => Some(route.name.to_string()),
+        RouteMatch::Unknown => None,
+    };
+    assert_eq!(found.as_deref(), expected);
+}
+
+#[rstest]
+#[case("x/", false)]
+#[case("/x", false)]
+#[case("/x/", true)]
+fn a_prefix_begins_and_ends_with_a_slash(#[case] prefix: &str, #[case] valid: bool) {
+    let checked = config(vec![route("r", "a.example", prefix)]).check();
+    assert_eq!(checked.is_ok(), valid);
+    if let Err(error) = checked {
+        assert_eq!(error.field, "routes.r");
+    }
+}
+
+/// Callers keep sending on open connections after the stop was asked for.
+#[test]
+fn a_stop_serves_then_closes_then_ends_within_the_grace_period() {
+    let plan = DrainPlan::new(Duration::from_secs(8));
+    let phase = |millis, open| plan.phase(Duration::from_millis(millis), open);
+    assert_eq!(phase(0, 0), DrainPhase::Serving);
+    assert_eq!(phase(2_000, 3), DrainPhase::Serving);
+    assert_eq!(phase(5_000, 3), DrainPhase::Closing);
+    assert_eq!(phase(5_000, 0), DrainPhase::Exit);
+    assert_eq!(phase(7_900, 3), DrainPhase::Exit);
+}
+
+proptest! {
+    #[test]
+    fn what_is_taken_late_is_over_before_the_exit(elapsed in 0_u64..9_000, takes in 0_u64..9_000) {
+        let plan = DrainPlan::new(Duration::from_secs(8));
+        let (elapsed, takes) = (Duration::from_millis(elapsed), Duration::from_millis(takes));
+        if plan.admits(elapsed, takes) && elapsed > Duration::from_secs(3) {
+            prop_assert_ne!(plan.phase(elapsed + takes, 1), DrainPhase::Exit);
+            prop_assert!(elapsed + takes < plan.last_answers());
+        }
+    }
+
+    /// All entries resend as much as they may, at any times: the window's budget holds.
+    #[test]
+    fn resends_of_all_entries_stay_within_the_budget(
+        steps in proptest::collection::vec((0_usize..3, any::<bool>(), 0_u64..400), 1..400),
+    ) {
+        let window = Duration::from_secs(10);
+        let (ratio, slack) = (0.2, 30.0);
+        let mut quotas: Vec<RetryQuota> =
+            (0..3).map(|_| RetryQuota::new(ratio, slack, window)).collect();
+        let mut now = 0;
+        let mut requests = Vec::new();
+        let mut resends = Vec::new();
+        for (entry, resend, pause) in steps {
+            now += pause;
+            if !resend {
+                quotas[entry].request(at(now));
+                requests.push(now);
+            } else if quotas[entry].try_resend(at(now), 3) {
+                resends.push(now);
+            }
+            let recent = |list: &[u64]| list.iter().filter(|t| now - **t <= 10_000).count() as f64;
+            prop_assert!(recent(&resends) <= ratio * recent(&requests) + slack);
+        }
+    }
+}
+
+fn holding(adapters: &[&str]) -> EngineReport {
+    EngineReport {
+        models: vec![ResidentModel {
+            name: Arc::from("m"),
+            adapters: adapters.iter().map(|a| Arc::from(*a)).collect(),
+        }],
+        ..EngineReport::default()
+    }
+}
+
+fn key(adapter: &str) -> AdapterKey {
+    (Arc::from("m"), Arc::from(adapter))
+}
+
+#[test]
+fn the_adapter_out_of_use_for_longest_makes_way() {
+    let report = holding(&["a", "b", "c"]);
+    let used = HashMap::from([(key("a"), at(9_000)), (key("b"), at(4_000)), (key("c"), at(6_000))]);
+    let step = next_adapter_step(&report, &key("d"), &used, 3, at(9_100));
+    assert_eq!(step, AdapterStep::Unload(key("b")));
+}
+
+/// An engine that is told to drop an adapter in use refuses the requests for it.
+#[test]
+fn an_adapter_in_use_stays() {
+    let report = holding(&["a", "b"]);
+    let used = HashMap::from([(key("a"), at(9_000)), (key("b"), at(8_900))]);
+    assert_eq!(next_adapter_step(&report, &key("c"), &used, 2, at(9_100)), AdapterStep::Full);
+    assert!(!has_adapter_room(&report, &used, 2, at(9_100)));
+    assert!(has_adapter_room(&report, &used, 2, at(11_000)));
+}
+
+#[test]
+fn an_adapter_is_loaded_only_beside_its_model_and_once() {
+    let mut report = holding(&["a"]);
+    let none = HashMap::new();
+    let step = |report: &EngineReport, key: &AdapterKey| {
+        next_adapter_step(report, key, &none, 4, at(0))
+    };
+    assert_eq!(step(&report, &key("a")), AdapterStep::Done);
+    assert_eq!(step(&report, &key("b")), AdapterStep::Load);
+    report.pending.push(key("b"));
+    assert_eq!(step(&report, &key("b")), AdapterStep::Done);
+    let absent = (Arc::from("other"), Arc::from("a"));
+    assert_eq!(step(&report, &absent), AdapterStep::ModelAbsent);
+}
+
+/// The agent falls silent and the engine with it: their machine stands still.
+#[test]
+fn a_machine_stands_still_when_agent_and_engine_are_silent() {
+    let engine = |reported, heard| EngineState {
+        reported: Some(at(reported)),
+        heard: Some(at(heard)),
+        interval: Duration::from_millis(200),
+        ..EngineState::default()
+    };
+    assert!(engine(1_000, 1_000).is_stalled(at(3_000)));
+    assert!(!engine(1_000, 2_900).is_stalled(at(3_000)), "the engine still answers");
+    assert!(!engine(2_900, 1_000).is_stalled(at(3_000)), "the agent still reports");
+    assert!(engine(1_000, 2_900).is_silent(at(3_000)));
+    assert!(!EngineState::default().is_stalled(at(60_000)), "never reported");
+}
+
+#[test]
+fn demand_follows_what_is_asked_for_and_fades() {
+    let model: Arc<str> = Arc::from("m");
+    let mut meter = DemandMeter::default();
+    meter.rates(at(0));
+    for step in 1..=100 {
+        meter.ask_for(&model, Duration::from_millis(50));
+        meter.rates(at(step * 100));
+    }
+    let rate = meter.rates(at(10_000))[0].rate_us as f64 / 1e6;
+    assert!((0.4..=0.55).contains(&rate), "half an engine: {rate}");
+    assert!(meter.rates(at(60_000)).is_empty());
+}
+
+#[test]
+fn the_pace_of_a_model_is_learned() {
+    let (fast, slow): (Arc<str>, Arc<str>) = (Arc::from("fast"), Arc::from("slow"));
+    let mut pace = PaceMeter::default();
+    for _ in 0..100 {
+        pace.record(&fast, 2_000, Duration::from_millis(30));
+        pace.record(&slow, 2_000, Duration::from_millis(200));
+    }
+    assert!(pace.prefill("fast", 1_000) < Duration::from_millis(20));
+    assert!(pace.prefill("slow", 1_000) > Duration::from_millis(90));
+}
+
+/// Some targets fail nearly half of their requests and pass their health checks.
+#[test]
+fn a_target_that_fails_now_and_then_gets_a_penalty() {
+    let (grey, sound) = (TargetId::from("grey"), TargetId::from("sound"));
+    let mut failures = FailureMeter::default();
+    for step in 0..60 {
+        failures.record(&grey, step % 2 == 0);
+        failures.record(&sound, step % 12 == 0);
+    }
+    assert!(failures.penalty(&grey) > Duration::from_millis(500));
+    assert_eq!(failures.penalty(&sound), Duration::ZERO);
+    failures.retain(|id| *id != grey);
+    assert_eq!(failures.penalty(&grey), Duration::ZERO);
+}
--- a/crates/serving/src/entry/daemon.rs
+++ b/crates/serving/src/entry/daemon.rs
@@ -113,6 +113,15 @@
         })
     }
 
+    /// Returns the address for callers, whose port the system may have chosen.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the system does not tell it.
+    pub fn frontend(&self) -> io::Result<SocketAddr> {
+        self.frontend.local_addr()
+    }
+
     /// Runs until the platform stops the process.
     pub async fn run(self, feed: Arc<dyn ObjectFeed>, mut signals: Signals) {
         let Self {
--- a/crates/serving/src/entry/exchange.rs
+++ b/crates/serving/src/entry/exchange.rs
@@ -151,6 +151,9 @@
             if let Some(model) = &self.request.model {
                 let work = state.pace.prefill(model, self.request.usage.prompt);
                 state.demand.ask_for(model, work);
+                let (entries, engines) = (state.entries(), state.table.ready(&self.service).len());
+                state.rates.set_fleet(entries, engines);
+                state.rates.offer(work, self.band(), now);
             }
         }
         let mut changed = self.shared.changed.subscribe();
@@ -280,7 +283,12 @@
         }
     }
 
-    fn terms<'a>(&'a self, state: &State, model: &'a str, prefill: Duration) -> DispatchTerms<'a> {
+    fn terms<'a>(
+        &'a self,
+        state: &'a State,
+        model: &'a str,
+        prefill: Duration,
+    ) -> DispatchTerms<'a> {
         let left = self.deadline.saturating_duration_since(Instant::now());
         let usage = self.request.usage;
         let spec = state.service(&self.service).and_then(|s| s.engine.as_ref());
@@ -295,6 +303,7 @@
             objective: self.objective_left(),
             patience: left.min(self.abandon_left()),
             band: self.band(),
+            rates: &state.rates,
             load_time: load_time + PLANNING_TIME,
             disk_load_time: disk_load_time + PLANNING_TIME,
         }
--- a/crates/serving/src/entry/state.rs
+++ b/crates/serving/src/entry/state.rs
@@ -7,7 +7,7 @@
 
 use kumquatkeel_core::retry::{AttemptResult, Ejector};
 use kumquatkeel_core::serving::{
-    AdapterKey, Backlog, DemandMeter, DrainPlan, EngineReport, EngineState, FailureMeter, PaceMeter, ResidentModel, RetryQuota,
+    AdapterKey, Backlog, BandRates, DemandMeter, DrainPlan, EngineReport, EngineState, FailureMeter, PaceMeter, ResidentModel, RetryQuota,
     RouteTable, ServiceSpec, ServingConfig, TableChange, Target, TargetId, TargetTable,
 };
 use kumquatkeel_daemon::clock::Clock;
@@ -85,6 +85,7 @@
     quotas: HashMap<Arc<str>, RetryQuota>,
     pub(super) demand: DemandMeter,
     pub(super) failures: FailureMeter,
+    pub(super) rates: BandRates,
     agents: HashMap<SocketAddr, AgentPeer>,
     entries: usize,
 }
@@ -114,6 +115,7 @@
                 quotas: HashMap::new(),
                 demand: DemandMeter::default(),
                 failures: FailureMeter::default(),
+                rates: BandRates::default(),
                 agents: HashMap::new(),
                 entries: 1,
             }),
