--- a/crates/core/src/serving/planner.rs
+++ b/crates/core/src/serving/planner.rs
@@ -29,7 +29,7 @@
 /// Cost of a model in demand that nobody holds, for each unit of demand.
 const ABSENT_DEMAND_COST: f64 = 12.0;
 /// Cost of a model that is asked for and that nobody holds.
-const ASKED_FOR_COST: f64 = 0.3;
+const ASKED_FOR_COST: f64 = 0.12;
 /// Share of the cost that remains where an engine could load the model from its own copy.
 const CACHED_COST_SHARE: f64 = 0.5;
 /// Demand above which a model counts as asked for, in engines.
