--- a/crates/core/src/serving/engine.rs
+++ b/crates/core/src/serving/engine.rs
@@ -10,6 +10,9 @@
 const SILENT_BEATS: f64 = 3.25;
 /// Reports of an agent that are missing when its machine may stand still.
 const STALLED_BEATS: f64 = 5.0;
+/// Silence of an agent that is enough whatever its pause between reports; callers leave a stream
+/// without a first event after three seconds or so.
+const MAX_SILENCE: Duration = Duration::from_millis(1_900);
 /// Silence of an engine that shows, with that of its agent, that their machine stands still.
 const STALLED_AFTER: Duration = Duration::from_millis(1_000);
 
@@ -197,7 +200,8 @@
     }
 
     fn misses(&self, beats: f64, now: Timestamp) -> bool {
-        self.age(now).is_some_and(|age| age >= self.interval.mul_f64(beats))
+        let limit = self.interval.mul_f64(beats).min(MAX_SILENCE);
+        self.age(now).is_some_and(|age| age >= limit)
     }
 
     /// Returns the age of the report.
--- a/crates/core/tests/serving_state.rs
+++ b/crates/core/tests/serving_state.rs
@@ -196,6 +196,10 @@
     assert!(!engine(1_000, 2_900).is_stalled(at(3_000)), "the engine still answers");
     assert!(!engine(2_900, 1_000).is_stalled(at(3_000)), "the agent still reports");
     assert!(engine(1_000, 2_900).is_silent(at(3_000)));
+    // An entry in another region hears reports more rarely; its callers leave no later.
+    let mut remote = engine(1_000, 1_000);
+    remote.interval = Duration::from_millis(800);
+    assert!(remote.is_stalled(at(3_000)));
     assert!(!EngineState::default().is_stalled(at(60_000)), "never reported");
 }
 
--- a/crates/serving/src/agent/peers.rs
+++ b/crates/serving/src/agent/peers.rs
@@ -15,7 +15,7 @@
 /// Pause that each entry adds, so that a large fleet is told less often.
 const BEAT_PER_ENTRY: Duration = Duration::from_millis(15);
 /// How much less often an entry in another region is told, as the link is thin and paid.
-const REMOTE_FACTOR: u32 = 4;
+const REMOTE_FACTOR: u32 = 2;
 /// How long an entry counts after its last beat.
 const ENTRY_LIFE: Duration = Duration::from_millis(2_500);
 /// How long an agent counts after its last beat.
