--- a/crates/core/src/placement/limiter.rs
+++ b/crates/core/src/placement/limiter.rs
@@ -14,15 +14,17 @@
     ///
     /// `loading` counts the loads in progress over all data centres. A new planner starts without
     /// credit, so that taking over the lease gives the weight store no second burst.
-    pub(crate) fn grant(&mut self, now: Timestamp, loading: usize, flight: u16, rate: f64) -> usize {
+    pub(crate) fn grant(
+        &mut self,
+        now: Timestamp,
+        loading: usize,
+        flight: u16,
+        rate: f64,
+    ) -> usize {
         let elapsed = self.last.map_or(0.0, |last| now.since(last).as_secs_f64());
         self.last = Some(now);
         let flight = flight.max(1);
-        let rate = if rate.is_finite() {
-            rate.max(0.0)
-        } else {
-            0.0
-        };
+        let rate = if rate.is_finite() { rate.max(0.0) } else { 0.0 };
         self.tokens = (self.tokens + elapsed * rate).min(f64::from(flight));
         let free = usize::from(flight).saturating_sub(loading);
         free.min(self.tokens as usize)
--- a/crates/core/src/placement/round.rs
+++ b/crates/core/src/placement/round.rs
@@ -6,8 +6,8 @@
 use kumquatkeel_types::Timestamp;
 use kumquatkeel_types::message::OrderAction;
 
-use super::board::{Board, Keep, UnloadCheck};
 use super::LoadLimiter;
+use super::board::{Board, Keep, UnloadCheck};
 use super::model_row::{CopyState, Want};
 use super::pending::{CopyKey, Pending};
 use super::{PlanInput, PlannedOrder};
@@ -192,7 +192,12 @@
         let unseen = self.state.pending.loads().count();
         let policy = &self.input.document.policy;
         let loading = self.input.loading + unseen;
-        let mut grant = (self.state.limiter).grant(self.input.now, loading, policy.load_flight, policy.load_rate);
+        let mut grant = (self.state.limiter).grant(
+            self.input.now,
+            loading,
+            policy.load_flight,
+            policy.load_rate,
+        );
         for key in self.intents_by_urgency() {
             if grant == 0 {
                 break;
--- a/crates/core/src/serving/config.rs
+++ b/crates/core/src/serving/config.rs
@@ -161,7 +161,11 @@
             if route.shares.is_empty() {
                 return Err(fault("no service is named"));
             }
-            if route.shares.iter().any(|s| s.weight.is_nan() || s.weight < 0.0) {
+            if route
+                .shares
+                .iter()
+                .any(|s| s.weight.is_nan() || s.weight < 0.0)
+            {
                 return Err(fault("a weight is negative"));
             }
         }
--- a/crates/core/src/serving/dispatch.rs
+++ b/crates/core/src/serving/dispatch.rs
@@ -126,7 +126,11 @@
     let best = |band: Band| {
         let predicted = |i: usize| (predict(&candidates[i], terms, band), i);
         let ranked = |(time, i): (Duration, usize)| (time + candidates[i].penalty, time, i);
-        holders.iter().filter(open).map(|i| ranked(predicted(*i))).min()
+        holders
+            .iter()
+            .filter(open)
+            .map(|i| ranked(predicted(*i)))
+            .min()
     };
     let timely = terms.objective.mul_f64(TIMELY_SHARE);
     let found = best(terms.band).filter(|(_, time, _)| *time <= timely);
@@ -178,12 +182,19 @@
 fn predict(candidate: &Candidate<'_>, terms: &DispatchTerms<'_>, band: Band) -> Duration {
     let engine = candidate.engine;
     let report = &engine.report;
-    let mut time = candidate.link + engine.ahead(band).mul_f64(terms.rates.factor(band)) + terms.prefill + FIRST_STEP;
+    let mut time = candidate.link
+        + engine.ahead(band).mul_f64(terms.rates.factor(band))
+        + terms.prefill
+        + FIRST_STEP;
     if report.kv_total > 0 && report.kv_used + terms.tokens > report.kv_total {
         time += FULL_PENALTY;
     }
     if needs_adapter(candidate, terms) {
-        time += if report.adapter_room { ADAPTER_LOAD } else { ADAPTER_WAIT };
+        time += if report.adapter_room {
+            ADAPTER_LOAD
+        } else {
+            ADAPTER_WAIT
+        };
     }
     time
 }
@@ -194,8 +205,14 @@
 }
 
 fn absent_model(candidates: &[Candidate<'_>], terms: &DispatchTerms<'_>) -> Choice {
-    let cached = candidates.iter().any(|c| c.engine.report.is_cached(terms.model));
-    let load_time = if cached { terms.disk_load_time } else { terms.load_time };
+    let cached = candidates
+        .iter()
+        .any(|c| c.engine.report.is_cached(terms.model));
+    let load_time = if cached {
+        terms.disk_load_time
+    } else {
+        terms.load_time
+    };
     let loading = candidates.iter().filter_map(|c| {
         let progress = c.engine.report.loading.as_ref();
         progress.filter(|p| &*p.model == terms.model)
--- a/crates/core/src/serving/engine.rs
+++ b/crates/core/src/serving/engine.rs
@@ -14,7 +14,7 @@
 /// without a first event after three seconds or so.
 const MAX_SILENCE: Duration = Duration::from_millis(1_900);
 /// Silence of an engine that shows, with that of its agent, that their machine stands still.
-const STALLED_AFTER: Duration = Duration::from_millis(1_000);
+const STALLED_AFTER: Duration = Duration::from_secs(1);
 
 /// A model that an engine holds, with its adapters.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -104,11 +104,11 @@
 #[serde(rename_all = "snake_case")]
 pub struct Backlog {
     /// Work of the first band.
-    pub first_us: u64,
+    pub first: u64,
     /// Work of the urgent band.
-    pub urgent_us: u64,
+    pub urgent: u64,
     /// Work of the deferred band.
-    pub deferred_us: u64,
+    pub deferred: u64,
 }
 
 impl Backlog {
@@ -126,9 +126,9 @@
     /// Returns the work ahead of a new request of a band.
     pub const fn ahead(self, band: Band) -> Duration {
         let micros = match band {
-            Band::First => self.first_us,
-            Band::Urgent => self.first_us + self.urgent_us,
-            Band::Deferred => self.first_us + self.urgent_us + self.deferred_us,
+            Band::First => self.first,
+            Band::Urgent => self.first + self.urgent,
+            Band::Deferred => self.first + self.urgent + self.deferred,
         };
         Duration::from_micros(micros)
     }
@@ -137,9 +137,9 @@
     #[must_use]
     pub const fn plus(self, other: Self) -> Self {
         Self {
-            first_us: self.first_us + other.first_us,
-            urgent_us: self.urgent_us + other.urgent_us,
-            deferred_us: self.deferred_us + other.deferred_us,
+            first: self.first + other.first,
+            urgent: self.urgent + other.urgent,
+            deferred: self.deferred + other.deferred,
         }
     }
 
@@ -147,17 +147,17 @@
     #[must_use]
     pub const fn minus(self, part: Self) -> Self {
         Self {
-            first_us: self.first_us.saturating_sub(part.first_us),
-            urgent_us: self.urgent_us.saturating_sub(part.urgent_us),
-            deferred_us: self.deferred_us.saturating_sub(part.deferred_us),
+            first: self.first.saturating_sub(part.first),
+            urgent: self.urgent.saturating_sub(part.urgent),
+            deferred: self.deferred.saturating_sub(part.deferred),
         }
     }
 
     const fn band(&mut self, band: Band) -> &mut u64 {
         match band {
-            Band::First => &mut self.first_us,
-            Band::Urgent => &mut self.urgent_us,
-            Band::Deferred => &mut self.deferred_us,
+            Band::First => &mut self.first,
+            Band::Urgent => &mut self.urgent,
+            Band::Deferred => &mut self.deferred,
         }
     }
 }
--- a/crates/core/src/serving/eviction.rs
+++ b/crates/core/src/serving/eviction.rs
@@ -33,48 +33,53 @@
     ModelAbsent,
 }
 
-/// Decides the next step towards holding `wanted`, given when each adapter was last wanted.
-pub fn next_adapter_step(
-    report: &EngineReport,
-    wanted: &AdapterKey,
-    used: &HashMap<AdapterKey, Timestamp>,
-    slots: u32,
-    now: Timestamp,
-) -> AdapterStep {
-    let (model, adapter) = wanted;
-    if report.holds_adapter(model, adapter) || report.pending.contains(wanted) {
-        return AdapterStep::Done;
-    }
-    if !report.holds(model) {
-        return AdapterStep::ModelAbsent;
+/// When entries last named each adapter.
+#[derive(Debug, Clone, Default)]
+pub struct AdapterUse {
+    last: HashMap<AdapterKey, Timestamp>,
+}
+
+impl AdapterUse {
+    /// Notes that an adapter is in use or wanted.
+    pub fn note(&mut self, adapter: AdapterKey, now: Timestamp) {
+        self.last.insert(adapter, now);
     }
-    if report.adapter_count() < slots as usize {
-        return AdapterStep::Load;
+
+    /// Decides the next step towards holding `wanted` in one of `slots` places.
+    pub fn next_step(
+        &self,
+        report: &EngineReport,
+        wanted: &AdapterKey,
+        slots: u32,
+        now: Timestamp,
+    ) -> AdapterStep {
+        let (model, adapter) = wanted;
+        if report.holds_adapter(model, adapter) || report.pending.contains(wanted) {
+            return AdapterStep::Done;
+        }
+        if !report.holds(model) {
+            return AdapterStep::ModelAbsent;
+        }
+        if report.adapter_count() < slots as usize {
+            return AdapterStep::Load;
+        }
+        self.least_used(report, now)
+            .map_or(AdapterStep::Full, AdapterStep::Unload)
     }
-    least_used(report, used, now).map_or(AdapterStep::Full, AdapterStep::Unload)
-}
 
-/// Says whether an adapter that is not held could be loaded at once.
-pub fn has_adapter_room(
-    report: &EngineReport,
-    used: &HashMap<AdapterKey, Timestamp>,
-    slots: u32,
-    now: Timestamp,
-) -> bool {
-    report.adapter_count() < slots as usize || least_used(report, used, now).is_some()
-}
+    /// Says whether an adapter that is not held could be loaded at once.
+    pub fn has_room(&self, report: &EngineReport, slots: u32, now: Timestamp) -> bool {
+        report.adapter_count() < slots as usize || self.least_used(report, now).is_some()
+    }
 
-/// Returns the adapter that has been out of use for longest.
-fn least_used(
-    report: &EngineReport,
-    used: &HashMap<AdapterKey, Timestamp>,
-    now: Timestamp,
-) -> Option<AdapterKey> {
-    let held = report.models.iter().flat_map(|m| {
-        let key = |adapter: &Arc<str>| (m.name.clone(), adapter.clone());
-        m.adapters.iter().map(key)
-    });
-    let last = |key: &AdapterKey| used.get(key).copied();
-    let idle = held.filter(|key| last(key).is_none_or(|at| now.since(at) >= IN_USE));
-    idle.min_by_key(|key| last(key).unwrap_or(Timestamp::ZERO))
+    /// Returns the adapter that has been out of use for longest.
+    fn least_used(&self, report: &EngineReport, now: Timestamp) -> Option<AdapterKey> {
+        let held = report.models.iter().flat_map(|m| {
+            let key = |adapter: &Arc<str>| (m.name.clone(), adapter.clone());
+            m.adapters.iter().map(key)
+        });
+        let last = |key: &AdapterKey| self.last.get(key).copied();
+        let idle = held.filter(|key| last(key).is_none_or(|at| now.since(at) >= IN_USE));
+        idle.min_by_key(|key| last(key).unwrap_or(Timestamp::ZERO))
+    }
 }
--- a/crates/core/src/serving/failures.rs
+++ b/crates/core/src/serving/failures.rs
@@ -13,7 +13,7 @@
 /// Share of failures that any target may show.
 const TOLERATED: f64 = 0.15;
 /// Time that a target that always fails is worse than one that never does.
-const FULL_PENALTY: Duration = Duration::from_millis(3_000);
+const FULL_PENALTY: Duration = Duration::from_secs(3);
 
 /// Follows each target's share of failures.
 #[derive(Debug, Clone, Default)]
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -27,7 +27,7 @@
 pub use dispatch::{Candidate, Choice, DispatchTerms, RefusalReason, choose_engine, choose_plain};
 pub use drain::{DrainPhase, DrainPlan};
 pub use engine::{Backlog, Band, EngineReport, EngineState, LoadProgress, ResidentModel};
-pub use eviction::{AdapterKey, AdapterStep, has_adapter_room, next_adapter_step};
+pub use eviction::{AdapterKey, AdapterStep, AdapterUse};
 pub use failures::FailureMeter;
 pub use overtaking::BandRates;
 pub use pace::PaceMeter;
--- a/crates/core/src/serving/planner.rs
+++ b/crates/core/src/serving/planner.rs
@@ -21,7 +21,7 @@
 /// How far ahead the gain of a copy counts; demand moves on by then.
 const HORIZON: Duration = Duration::from_secs(12);
 /// Half-life of the demand against which a rise shows.
-const BASE_HALF_LIFE: Duration = Duration::from_millis(5_000);
+const BASE_HALF_LIFE: Duration = Duration::from_secs(5);
 /// How much of a rise is expected to follow within the time of a load.
 const RISE_FACTOR: f64 = 1.0;
 /// Cost of a model that nobody holds, whatever its demand.
@@ -111,7 +111,11 @@
 
 impl Planner {
     /// Plans one round.
-    pub fn round(&mut self, input: &PlannerInput<'_>, settings: PlannerSettings) -> Vec<LoadCommand> {
+    pub fn round(
+        &mut self,
+        input: &PlannerInput<'_>,
+        settings: PlannerSettings,
+    ) -> Vec<LoadCommand> {
         let now = input.now;
         let expected = self.extrapolate(input);
         let input = &PlannerInput {
@@ -123,7 +127,11 @@
             !shown && now.since(*at) < COMMAND_TIMEOUT
         });
         let mut slots = self.slots(input);
-        let loading = input.engines.values().filter(|r| r.loading.is_some()).count();
+        let loading = input
+            .engines
+            .values()
+            .filter(|r| r.loading.is_some())
+            .count();
         let loading = loading + self.sent.len();
         let (flight, rate) = (settings.load_flight, settings.load_rate);
         let mut grant = self.limiter.grant(now, loading, flight, rate);
@@ -157,7 +165,8 @@
         let last = self.updated.replace(input.now).unwrap_or(input.now);
         let elapsed = input.now.since(last).as_secs_f64();
         let keep = 0.5_f64.powf(elapsed / BASE_HALF_LIFE.as_secs_f64());
-        self.base.retain(|model, _| input.demand.contains_key(model));
+        self.base
+            .retain(|model, _| input.demand.contains_key(model));
         let rise = |(model, demand): (&Arc<str>, &f64)| {
             let base = self.base.entry(model.clone()).or_insert(*demand);
             *base = *base * keep + demand * (1.0 - keep);
@@ -189,7 +198,6 @@
         };
         input.engines.iter().map(slot).collect()
     }
-
 }
 
 /// The engines and the demand as one step of a round sees them.
@@ -267,8 +275,14 @@
     /// new copy serves; those of a model with less demand a copy than the new one has always may go.
     fn may_evict(&self, evict: &[Arc<str>], index: usize, model: &ModelSpec) -> bool {
         let serving = |name: &Arc<str>, without: Option<usize>| {
-            let others = self.slots.iter().enumerate().filter(|(i, _)| Some(*i) != without);
-            others.filter(|(_, slot)| slot.serving.contains(name)).count()
+            let others = self
+                .slots
+                .iter()
+                .enumerate()
+                .filter(|(i, _)| Some(*i) != without);
+            others
+                .filter(|(_, slot)| slot.serving.contains(name))
+                .count()
         };
         let pressure = self.demand(&model.name) / serving(&model.name, None).max(1) as f64;
         evict.iter().all(|name| {
@@ -291,27 +305,40 @@
     /// it back soon.
     fn absent_cost(&self, model: &Arc<str>) -> f64 {
         let demand = self.demand(model);
-        let asked = if demand > ASKED_FOR { ASKED_FOR_COST } else { 0.0 };
+        let asked = if demand > ASKED_FOR {
+            ASKED_FOR_COST
+        } else {
+            0.0
+        };
         let cost = ABSENT_COST + asked + ABSENT_DEMAND_COST * demand;
         let cached = self.slots.iter().any(|s| s.cached.contains(model));
-        if cached { cost * CACHED_COST_SHARE } else { cost }
+        if cached {
+            cost * CACHED_COST_SHARE
+        } else {
+            cost
+        }
     }
 
     /// Says whether an engine other than `index` serves a model now; a copy that is still being
     /// loaded serves nobody for seconds.
     fn serves_beside(&self, model: &Arc<str>, index: usize) -> bool {
         let others = self.slots.iter().enumerate().filter(|(i, _)| *i != index);
-        others.map(|(_, slot)| slot).any(|slot| slot.serving.contains(model))
+        others
+            .map(|(_, slot)| slot)
+            .any(|slot| slot.serving.contains(model))
     }
 
     /// Returns by how much a move lowers the sum of squared engine loads and absent models.
     fn gain(&self, index: usize, model: &Arc<str>, evict: &[Arc<str>]) -> f64 {
         let before = |m: &Arc<str>| self.count(m);
-        let after = |m: &Arc<str>| {
-            before(m) + usize::from(m == model) - usize::from(evict.contains(m))
-        };
+        let after =
+            |m: &Arc<str>| before(m) + usize::from(m == model) - usize::from(evict.contains(m));
         let share = |m: &Arc<str>, count: usize| {
-            if count == 0 { 0.0 } else { self.demand(m) / count as f64 }
+            if count == 0 {
+                0.0
+            } else {
+                self.demand(m) / count as f64
+            }
         };
         let mut gain = 0.0;
         for (i, slot) in self.slots.iter().enumerate() {
@@ -342,7 +369,11 @@
 /// Returns the cost of an engine's load: its square, and beyond saturation its tangent, so that a
 /// model in great demand is never better held nowhere.
 fn load_cost(load: f64) -> f64 {
-    if load <= 1.0 { load * load } else { 2.0 * load - 1.0 }
+    if load <= 1.0 {
+        load * load
+    } else {
+        2.0 * load - 1.0
+    }
 }
 
 /// Returns the memory that a model takes with the adapters that may come to it, in megabytes.
@@ -353,7 +384,10 @@
 /// Lists the sets of held models that may make way, smallest first.
 fn evictions(slot: &Slot, model: &ModelSpec, spec: &EngineSpec) -> Vec<Vec<Arc<str>>> {
     let size = |name: &Arc<str>| {
-        let known = spec.models.get(name).map(|m| footprint(m, spec.adapter_slots));
+        let known = spec
+            .models
+            .get(name)
+            .map(|m| footprint(m, spec.adapter_slots));
         known.unwrap_or(spec.weights_mb)
     };
     let used: f64 = slot.held.iter().map(size).sum();
--- a/crates/core/src/serving/table.rs
+++ b/crates/core/src/serving/table.rs
@@ -17,7 +17,7 @@
 /// seconds.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
 /// How long after an outage removals may still be lapses that happened within it.
-const OUTAGE_TAIL: Duration = Duration::from_millis(2_000);
+const OUTAGE_TAIL: Duration = Duration::from_secs(2);
 
 /// One change of the list.
 #[derive(Debug, Clone, PartialEq)]
@@ -64,7 +64,10 @@
     pub fn replace(&mut self, targets: Vec<Target>, now: Timestamp) -> bool {
         let mut changed = false;
         let known: Vec<TargetId> = self.entries.keys().cloned().collect();
-        for id in known.into_iter().filter(|id| !targets.iter().any(|t| t.id == *id)) {
+        for id in known
+            .into_iter()
+            .filter(|id| !targets.iter().any(|t| t.id == *id))
+        {
             changed |= self.remove(&id, now);
         }
         for target in targets {
--- a/crates/core/tests/serving_dispatch.rs
+++ b/crates/core/tests/serving_dispatch.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use kumquatkeel_core::serving::{
-    Backlog, Band, BandRates, Candidate, Choice, DispatchTerms, EngineReport, EngineState, RefusalReason,
-    ResidentModel, choose_engine, choose_plain,
+    Backlog, Band, BandRates, Candidate, Choice, DispatchTerms, EngineReport, EngineState,
+    RefusalReason, ResidentModel, choose_engine, choose_plain,
 };
 use kumquatkeel_types::Timestamp;
 use rand::{RngExt, SeedableRng};
@@ -67,36 +67,64 @@
     ];
     let candidates: Vec<_> = engines.iter().map(candidate).collect();
     let choice = choose_engine(&candidates, &terms());
-    assert!(matches!(choice, Choice::Send { index: 1, band: Band::Urgent, .. }));
+    assert!(matches!(
+        choice,
+        Choice::Send {
+            index: 1,
+            band: Band::Urgent,
+            ..
+        }
+    ));
 }
 
 #[test]
 fn the_first_rank_does_not_wait_for_the_second() {
-    let engines = [busy(Band::Urgent, Duration::from_millis(2_000))];
+    let engines = [busy(Band::Urgent, Duration::from_secs(2))];
     let candidates: Vec<_> = engines.iter().map(candidate).collect();
     let first = DispatchTerms {
         band: Band::First,
         ..terms()
     };
     let choice = choose_engine(&candidates, &first);
-    assert!(matches!(choice, Choice::Send { band: Band::First, .. }), "{choice:?}");
+    assert!(
+        matches!(
+            choice,
+            Choice::Send {
+                band: Band::First,
+                ..
+            }
+        ),
+        "{choice:?}"
+    );
 }
 
 #[test]
 fn what_cannot_be_in_time_is_deferred() {
-    let engines = [busy(Band::Urgent, Duration::from_millis(1_000))];
+    let engines = [busy(Band::Urgent, Duration::from_secs(1))];
     let candidates: Vec<_> = engines.iter().map(candidate).collect();
     let choice = choose_engine(&candidates, &terms());
-    assert!(matches!(choice, Choice::Send { band: Band::Deferred, .. }), "{choice:?}");
+    assert!(
+        matches!(
+            choice,
+            Choice::Send {
+                band: Band::Deferred,
+                ..
+            }
+        ),
+        "{choice:?}"
+    );
 }
 
 #[test]
 fn what_would_outlive_its_caller_is_refused_at_once() {
-    let engines = [busy(Band::Urgent, Duration::from_millis(5_000))];
+    let engines = [busy(Band::Urgent, Duration::from_secs(5))];
     let candidates: Vec<_> = engines.iter().map(candidate).collect();
     let choice = choose_engine(&candidates, &terms());
     let reason = RefusalReason::Overload;
-    assert!(matches!(choice, Choice::Refuse { reason: r, .. } if r == reason), "{choice:?}");
+    assert!(
+        matches!(choice, Choice::Refuse { reason: r, .. } if r == reason),
+        "{choice:?}"
+    );
 }
 
 #[test]
@@ -104,20 +132,32 @@
     let engines = [holder(&[]), busy(Band::Urgent, Duration::from_millis(300))];
     let mut candidates: Vec<_> = engines.iter().map(candidate).collect();
     candidates[0].avoided = true;
-    assert!(matches!(choose_engine(&candidates, &terms()), Choice::Send { index: 1, .. }));
+    assert!(matches!(
+        choose_engine(&candidates, &terms()),
+        Choice::Send { index: 1, .. }
+    ));
     candidates[1].avoided = true;
-    assert!(matches!(choose_engine(&candidates, &terms()), Choice::Send { index: 0, .. }));
+    assert!(matches!(
+        choose_engine(&candidates, &terms()),
+        Choice::Send { index: 0, .. }
+    ));
 }
 
 #[test]
 fn an_adapter_is_loaded_where_the_wait_is_shortest() {
-    let engines = [busy(Band::Urgent, Duration::from_millis(500)), holder(&["other"])];
+    let engines = [
+        busy(Band::Urgent, Duration::from_millis(500)),
+        holder(&["other"]),
+    ];
     let candidates: Vec<_> = engines.iter().map(candidate).collect();
     let adapted = DispatchTerms {
         adapter: Some("a1"),
         ..terms()
     };
-    assert_eq!(choose_engine(&candidates, &adapted), Choice::LoadAdapter { index: 1 });
+    assert_eq!(
+        choose_engine(&candidates, &adapted),
+        Choice::LoadAdapter { index: 1 }
+    );
 }
 
 #[rstest]
@@ -145,7 +185,10 @@
     let engines = [holder(&[]), holder(&[])];
     let mut candidates: Vec<_> = engines.iter().map(candidate).collect();
     candidates[0].penalty = Duration::from_millis(900);
-    assert!(matches!(choose_plain(&candidates, &[6, 6]), Choice::Send { index: 1, .. }));
+    assert!(matches!(
+        choose_plain(&candidates, &[6, 6]),
+        Choice::Send { index: 1, .. }
+    ));
 }
 
 /// One request of a replay.
@@ -182,7 +225,11 @@
     let mut arrivals = Vec::new();
     let mut now = 0.0;
     while now < 15.0 {
-        let load = if (5.0..10.0).contains(&now) { factor } else { 0.6 };
+        let load = if (5.0..10.0).contains(&now) {
+            factor
+        } else {
+            0.6
+        };
         let mean = 0.09 / (ENGINES as f64 * load);
         now += -mean * (1.0 - rng.random::<f64>()).ln();
         arrivals.push(Arrival {
@@ -195,7 +242,10 @@
 }
 
 /// Plays arrivals against engines that each run one prefill at a time, by band and then by age.
-fn replay(arrivals: &[Arrival], mut choose: impl FnMut(&[EngineState], Arrival) -> Option<(usize, Band)>) -> Served {
+fn replay(
+    arrivals: &[Arrival],
+    mut choose: impl FnMut(&[EngineState], Arrival) -> Option<(usize, Band)>,
+) -> Served {
     let mut queues: Vec<Vec<Waiting>> = vec![Vec::new(); ENGINES];
     let mut free = [0.0_f64; ENGINES];
     let mut served = Served::default();
@@ -223,7 +273,9 @@
 
 fn run_engine(queue: &mut Vec<Waiting>, free: &mut f64, until: f64, served: &mut Served) {
     while *free < until && !queue.is_empty() {
-        let next = (0..queue.len()).min_by_key(|i| (queue[*i].band, *i)).unwrap();
+        let next = (0..queue.len())
+            .min_by_key(|i| (queue[*i].band, *i))
+            .unwrap();
         let Waiting { arrival, .. } = queue.remove(next);
         let start = free.max(arrival.at);
         // Callers leave before their first token after this long.
@@ -242,9 +294,14 @@
 
 fn engine_view(queue: &[Waiting], running: f64) -> EngineState {
     let mut engine = holder(&[]);
-    engine.own.add(Duration::from_secs_f64(running.max(0.0)), Band::First);
+    engine
+        .own
+        .add(Duration::from_secs_f64(running.max(0.0)), Band::First);
     for waiting in queue {
-        engine.own.add(Duration::from_secs_f64(waiting.arrival.prefill), waiting.band);
+        engine.own.add(
+            Duration::from_secs_f64(waiting.arrival.prefill),
+            waiting.band,
+        );
     }
     engine.running = queue.len() as u32;
     engine
@@ -257,7 +314,11 @@
 ) -> Option<(usize, Band)> {
     let candidates: Vec<_> = engines.iter().map(candidate).collect();
     let now = Timestamp::from_micros((arrival.at * 1e6) as u64);
-    let band = if arrival.first_rank { Band::First } else { Band::Urgent };
+    let band = if arrival.first_rank {
+        Band::First
+    } else {
+        Band::Urgent
+    };
     rates.offer(Duration::from_secs_f64(arrival.prefill), band, now);
     let terms = DispatchTerms {
         rates: &*rates,
@@ -276,7 +337,9 @@
 fn replay_predicted(arrivals: &[Arrival]) -> Served {
     let mut rates = BandRates::default();
     rates.set_fleet(1, ENGINES);
-    replay(arrivals, |engines, arrival| by_prediction(&mut rates, engines, arrival))
+    replay(arrivals, |engines, arrival| {
+        by_prediction(&mut rates, engines, arrival)
+    })
 }
 
 /// The policy before: the engine with the fewest requests, all in one band, nothing refused.
@@ -296,11 +359,20 @@
         let loads = [0.8, 0.9, 1.0, 1.1, 1.2];
         let goodput = |load: f64| replay_predicted(&flash_crowd(seed, load)).useful;
         let peak = loads.into_iter().map(goodput).fold(0.0, f64::max);
-        assert!(new.useful >= 0.9 * peak, "seed {seed}: {new:?}, peak {peak}");
+        assert!(
+            new.useful >= 0.9 * peak,
+            "seed {seed}: {new:?}, peak {peak}"
+        );
         assert!(new.useful > old.useful, "seed {seed}: {new:?} {old:?}");
         let share = |s: &Served, rank: usize| s.in_time[rank] as f64 / s.asked[rank] as f64;
-        assert!(share(&new, 0) >= 0.9, "seed {seed}: the first rank is served: {new:?}");
-        assert!(share(&new, 0) > share(&old, 0), "seed {seed}: {new:?} {old:?}");
+        assert!(
+            share(&new, 0) >= 0.9,
+            "seed {seed}: the first rank is served: {new:?}"
+        );
+        assert!(
+            share(&new, 0) > share(&old, 0),
+            "seed {seed}: {new:?} {old:?}"
+        );
     }
 }
 
--- a/crates/core/tests/serving_planner.rs
+++ b/crates/core/tests/serving_planner.rs
@@ -6,8 +6,7 @@
 
 use kumquatkeel_core::serving::{
     EngineReport, EngineSpec, LoadCommand, LoadProgress, ModelSpec, Planner, PlannerInput,
-    PlannerSettings,
-    ResidentModel, TargetId,
+    PlannerSettings, ResidentModel, TargetId,
 };
 use kumquatkeel_types::Timestamp;
 use proptest::prelude::*;
@@ -57,7 +56,9 @@
 }
 
 fn demand(rows: &[(&str, f64)]) -> HashMap<Arc<str>, f64> {
-    rows.iter().map(|(name, rate)| (Arc::from(*name), *rate)).collect()
+    rows.iter()
+        .map(|(name, rate)| (Arc::from(*name), *rate))
+        .collect()
 }
 
 fn plan(
@@ -74,7 +75,12 @@
         spec,
     };
     // A new planner starts without credit for loads.
-    assert!(planner.round(&input, settings).iter().all(|c| is_cached(engines, c)));
+    assert!(
+        planner
+            .round(&input, settings)
+            .iter()
+            .all(|c| is_cached(engines, c))
+    );
     input.now = Timestamp::from_millis(1_000);
     planner.round(&input, settings)
 }
@@ -91,7 +97,10 @@
     for rate in [0.5, 1.0, 4.0, 16.0, 64.0] {
         let engines = fleet(&[&["rare"], &["rare"], &[]]);
         let commands = plan(&engines, &spec, &demand(&[("hot", rate)]), SETTINGS);
-        assert!(commands.iter().any(|c| &*c.model == "hot"), "demand {rate}: {commands:?}");
+        assert!(
+            commands.iter().any(|c| &*c.model == "hot"),
+            "demand {rate}: {commands:?}"
+        );
     }
 }
 
@@ -116,7 +125,12 @@
 fn a_rare_model_in_demand_is_loaded_from_nowhere() {
     let spec = spec(&[("hot", 90.0), ("rare", 90.0)]);
     let engines = fleet(&[&["hot"], &["hot"]]);
-    let commands = plan(&engines, &spec, &demand(&[("hot", 0.6), ("rare", 0.01)]), SETTINGS);
+    let commands = plan(
+        &engines,
+        &spec,
+        &demand(&[("hot", 0.6), ("rare", 0.01)]),
+        SETTINGS,
+    );
     assert!(commands.iter().any(|c| &*c.model == "rare"));
 }
 
@@ -124,7 +138,12 @@
 fn a_balanced_fleet_is_left_alone() {
     let spec = spec(&[("a", 90.0), ("b", 90.0)]);
     let engines = fleet(&[&["a", "b"], &["a", "b"]]);
-    let commands = plan(&engines, &spec, &demand(&[("a", 0.5), ("b", 0.5)]), SETTINGS);
+    let commands = plan(
+        &engines,
+        &spec,
+        &demand(&[("a", 0.5), ("b", 0.5)]),
+        SETTINGS,
+    );
     assert_eq!(commands, []);
 }
 
--- a/crates/core/tests/serving_request.rs
+++ b/crates/core/tests/serving_request.rs
@@ -4,7 +4,11 @@
 use proptest::prelude::*;
 use rstest::rstest;
 
-const KINDS: [CallKind; 3] = [CallKind::Idempotent, CallKind::NonIdempotent, CallKind::Stream];
+const KINDS: [CallKind; 3] = [
+    CallKind::Idempotent,
+    CallKind::NonIdempotent,
+    CallKind::Stream,
+];
 const ENDS: [AttemptEnd; 4] = [
     AttemptEnd::NotSent,
     AttemptEnd::NotRun,
--- a/crates/core/tests/serving_state.rs
+++ b/crates/core/tests/serving_state.rs
@@ -1,14 +1,13 @@
 //! Routes, graceful stops, quotas, adapters, meters: the small decisions of the serving daemons.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use kumquatkeel_core::serving::{
-    AdapterKey, AdapterStep, CallKind, ClientLimits, DemandMeter, DrainPhase, DrainPlan,
-    EngineReport, EngineState, FailureMeter, PaceMeter, ResidentModel, RetryQuota, Route,
-    RouteMatch, RouteShare, RouteTable, ServingConfig, TargetId, has_adapter_room,
-    next_adapter_step,
+    AdapterKey, AdapterStep, AdapterUse, CallKind, ClientLimits, DemandMeter, DrainPhase,
+    DrainPlan, EngineReport, EngineState, FailureMeter, PaceMeter, ResidentModel, RetryQuota,
+    Route, RouteMatch, RouteShare, RouteTable, ServingConfig, TargetId,
 };
 use kumquatkeel_types::Timestamp;
 use proptest::prelude::*;
@@ -150,11 +149,19 @@
     (Arc::from("m"), Arc::from(adapter))
 }
 
+fn used(rows: &[(&str, u64)]) -> AdapterUse {
+    let mut used = AdapterUse::default();
+    for (adapter, millis) in rows {
+        used.note(key(adapter), at(*millis));
+    }
+    used
+}
+
 #[test]
 fn the_adapter_out_of_use_for_longest_makes_way() {
     let report = holding(&["a", "b", "c"]);
-    let used = HashMap::from([(key("a"), at(9_000)), (key("b"), at(4_000)), (key("c"), at(6_000))]);
-    let step = next_adapter_step(&report, &key("d"), &used, 3, at(9_100));
+    let used = used(&[("a", 9_000), ("b", 4_000), ("c", 6_000)]);
+    let step = used.next_step(&report, &key("d"), 3, at(9_100));
     assert_eq!(step, AdapterStep::Unload(key("b")));
 }
 
@@ -162,19 +169,20 @@
 #[test]
 fn an_adapter_in_use_stays() {
     let report = holding(&["a", "b"]);
-    let used = HashMap::from([(key("a"), at(9_000)), (key("b"), at(8_900))]);
-    assert_eq!(next_adapter_step(&report, &key("c"), &used, 2, at(9_100)), AdapterStep::Full);
-    assert!(!has_adapter_room(&report, &used, 2, at(9_100)));
-    assert!(has_adapter_room(&report, &used, 2, at(11_000)));
+    let used = used(&[("a", 9_000), ("b", 8_900)]);
+    assert_eq!(
+        used.next_step(&report, &key("c"), 2, at(9_100)),
+        AdapterStep::Full
+    );
+    assert!(!used.has_room(&report, 2, at(9_100)));
+    assert!(used.has_room(&report, 2, at(11_000)));
 }
 
 #[test]
 fn an_adapter_is_loaded_only_beside_its_model_and_once() {
     let mut report = holding(&["a"]);
-    let none = HashMap::new();
-    let step = |report: &EngineReport, key: &AdapterKey| {
-        next_adapter_step(report, key, &none, 4, at(0))
-    };
+    let none = AdapterUse::default();
+    let step = |report: &EngineReport, key: &AdapterKey| none.next_step(report, key, 4, at(0));
     assert_eq!(step(&report, &key("a")), AdapterStep::Done);
     assert_eq!(step(&report, &key("b")), AdapterStep::Load);
     report.pending.push(key("b"));
@@ -193,14 +201,23 @@
         ..EngineState::default()
     };
     assert!(engine(1_000, 1_000).is_stalled(at(3_000)));
-    assert!(!engine(1_000, 2_900).is_stalled(at(3_000)), "the engine still answers");
-    assert!(!engine(2_900, 1_000).is_stalled(at(3_000)), "the agent still reports");
+    assert!(
+        !engine(1_000, 2_900).is_stalled(at(3_000)),
+        "the engine still answers"
+    );
+    assert!(
+        !engine(2_900, 1_000).is_stalled(at(3_000)),
+        "the agent still reports"
+    );
     assert!(engine(1_000, 2_900).is_silent(at(3_000)));
     // An entry in another region hears reports more rarely; its callers leave no later.
     let mut remote = engine(1_000, 1_000);
     remote.interval = Duration::from_millis(800);
     assert!(remote.is_stalled(at(3_000)));
-    assert!(!EngineState::default().is_stalled(at(60_000)), "never reported");
+    assert!(
+        !EngineState::default().is_stalled(at(60_000)),
+        "never reported"
+    );
 }
 
 #[test]
--- a/crates/core/tests/serving_table.rs
+++ b/crates/core/tests/serving_table.rs
@@ -19,7 +19,11 @@
 }
 
 fn ready(table: &TargetTable) -> Vec<&str> {
-    table.ready("assist").iter().map(|t| t.id.as_str()).collect()
+    table
+        .ready("assist")
+        .iter()
+        .map(|t| t.id.as_str())
+        .collect()
 }
 
 fn at(millis: u64) -> Timestamp {
--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use kumquatkeel_core::serving::{
-    Backlog, EngineReport, EngineSpec, LoadCommand, Planner, PlannerInput, PlannerSettings, ServingConfig,
-    TableChange, Target, TargetId, TargetTable,
+    Backlog, EngineReport, EngineSpec, LoadCommand, Planner, PlannerInput, PlannerSettings,
+    ServingConfig, TableChange, Target, TargetId, TargetTable,
 };
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_types::Timestamp;
@@ -39,7 +39,7 @@
 /// Pause between two log lines on the plan.
 const PLAN_LOG: Duration = Duration::from_secs(2);
 /// A gap between two steps that shows that the process was paused.
-const PAUSE: Duration = Duration::from_millis(1_000);
+const PAUSE: Duration = Duration::from_secs(1);
 /// Share of the weight store's rate that the planner uses.
 const LOAD_RATE_SHARE: f64 = 0.9;
 
@@ -78,7 +78,7 @@
     born: u64,
     report: Option<EngineReport>,
     beat: Option<EngineReport>,
-    agent_beat: Timestamp,
+    told_agents: Timestamp,
     round: Timestamp,
     logged: Timestamp,
     engine_lost: bool,
@@ -122,7 +122,7 @@
             born: 0,
             report: None,
             beat: None,
-            agent_beat: Timestamp::ZERO,
+            told_agents: Timestamp::ZERO,
             round: Timestamp::ZERO,
             logged: Timestamp::ZERO,
             engine_lost: false,
@@ -240,13 +240,21 @@
 
     /// Returns the incarnation beside this agent as the platform lists it.
     fn target(&self) -> Option<Arc<Target>> {
-        let here = self.table.all().filter(|t| t.address == self.settings.target);
+        let here = self
+            .table
+            .all()
+            .filter(|t| t.address == self.settings.target);
         here.max_by_key(|t| t.born).cloned()
     }
 
     fn spec(&self) -> Option<&EngineSpec> {
         let target = self.target()?;
-        self.config.as_ref()?.services.get(&target.service)?.engine.as_ref()
+        self.config
+            .as_ref()?
+            .services
+            .get(&target.service)?
+            .engine
+            .as_ref()
     }
 
     async fn step(&mut self) {
@@ -327,8 +335,9 @@
         };
         let shown = self.orders.publish(report, self.spec(), now);
         let news = self.beat.as_ref().is_none_or(|last| differs(last, &shown));
-        let stamp = self.stamp.next();
-        let cached = (news || stamp.count % CACHED_EVERY == 0).then(|| shown.cached.clone());
+        let stamp = self.stamp.advance();
+        let cached =
+            (news || stamp.count.is_multiple_of(CACHED_EVERY)).then(|| shown.cached.clone());
         let mut beat = AgentBeat {
             stamp,
             target: target.id.clone(),
@@ -345,20 +354,24 @@
         for entry in self.peers.due_entries(now, news) {
             beat.others = entry.others;
             beat.interval_ms = entry.interval.as_millis() as u16;
-            self.gossip.send(entry.address, &Datagram::Agent(beat.clone()));
+            self.gossip
+                .send(entry.address, &Datagram::Agent(beat.clone()));
         }
         if news {
             self.beat = Some(shown);
         }
-        if now.since(self.agent_beat) >= AGENT_BEAT {
+        if now.since(self.told_agents) >= AGENT_BEAT {
             let own = self.settings.gossip;
-            let agents = self.table.all().map(|t| SocketAddr::new(t.address.ip(), own.port()));
+            let agents = self
+                .table
+                .all()
+                .map(|t| SocketAddr::new(t.address.ip(), own.port()));
             beat.interval_ms = AGENT_BEAT.as_millis() as u16;
             beat.cached = self.report.as_ref().map(|r| r.cached.clone());
             for agent in agents.filter(|a| *a != own) {
                 self.gossip.send(agent, &Datagram::Agent(beat.clone()));
             }
-            self.agent_beat = now;
+            self.told_agents = now;
         }
     }
 
--- a/crates/serving/src/agent/orders.rs
+++ b/crates/serving/src/agent/orders.rs
@@ -9,8 +9,7 @@
 use std::time::Duration;
 
 use kumquatkeel_core::serving::{
-    AdapterKey, AdapterStep, EngineReport, EngineSpec, LoadCommand, LoadProgress, has_adapter_room,
-    next_adapter_step,
+    AdapterKey, AdapterStep, AdapterUse, EngineReport, EngineSpec, LoadCommand, LoadProgress,
 };
 use kumquatkeel_types::Timestamp;
 
@@ -36,7 +35,7 @@
 pub(super) struct Orders {
     pending: Option<Pending>,
     wants: HashMap<AdapterKey, Timestamp>,
-    used: HashMap<AdapterKey, Timestamp>,
+    used: AdapterUse,
     /// The last accepted order's expected count, and when it was accepted.
     accepted: Option<(u64, Timestamp)>,
 }
@@ -58,14 +57,14 @@
 
     /// Notes that an adapter is wanted.
     pub(super) fn want(&mut self, adapter: AdapterKey, now: Timestamp) {
-        self.used.insert(adapter.clone(), now);
+        self.used.note(adapter.clone(), now);
         self.wants.insert(adapter, now);
     }
 
     /// Notes that entries use adapters.
     pub(super) fn note_use(&mut self, adapters: &[AdapterKey], now: Timestamp) {
         for adapter in adapters {
-            self.used.insert(adapter.clone(), now);
+            self.used.note(adapter.clone(), now);
         }
     }
 
@@ -106,11 +105,16 @@
     }
 
     /// Describes the engine to others: models on their way out are not held any more.
-    pub(super) fn publish(&self, report: &EngineReport, spec: Option<&EngineSpec>, now: Timestamp) -> EngineReport {
+    pub(super) fn publish(
+        &self,
+        report: &EngineReport,
+        spec: Option<&EngineSpec>,
+        now: Timestamp,
+    ) -> EngineReport {
         let mut shown = report.clone();
         let slots = spec.map_or(0, |s| s.adapter_slots);
         // An engine that loads or unloads a model refuses orders for adapters meanwhile.
-        shown.adapter_room = !report.busy && has_adapter_room(report, &self.used, slots, now);
+        shown.adapter_room = !report.busy && self.used.has_room(report, slots, now);
         let Some(pending) = &self.pending else {
             return shown;
         };
@@ -119,7 +123,11 @@
         if !report.holds(&command.model) {
             let model = spec.and_then(|s| s.models.get(&command.model));
             let load = model.map_or(Duration::from_secs(8), |m| {
-                if pending.from_store { m.load } else { m.disk_load }
+                if pending.from_store {
+                    m.load
+                } else {
+                    m.disk_load
+                }
             });
             let since = pending.started.unwrap_or(now);
             let left = load.saturating_sub(now.since(since)).as_millis() as u32;
@@ -139,12 +147,11 @@
     ) -> Option<EngineOrder> {
         let wanted: Vec<AdapterKey> = self.wants.keys().cloned().collect();
         for key in wanted {
-            let evicted = (self.pending.as_ref())
-                .is_some_and(|p| p.command.evict.contains(&key.0));
+            let evicted = (self.pending.as_ref()).is_some_and(|p| p.command.evict.contains(&key.0));
             let step = if evicted {
                 AdapterStep::ModelAbsent
             } else {
-                next_adapter_step(report, &key, &self.used, spec.adapter_slots, now)
+                self.used.next_step(report, &key, spec.adapter_slots, now)
             };
             let order = |load: bool, (model, adapter): AdapterKey| EngineOrder {
                 load,
@@ -209,7 +216,11 @@
         })
         .sum();
     // Adapters on their way may be of any model.
-    let largest = spec.models.values().map(|m| m.adapter_mb).fold(0.0, f64::max);
+    let largest = spec
+        .models
+        .values()
+        .map(|m| m.adapter_mb)
+        .fold(0.0, f64::max);
     let pending = largest * report.pending.len() as f64;
     match (held, size(model)) {
         (Some(held), Some(new)) => held + pending + new <= spec.weights_mb,
--- a/crates/serving/src/agent/peers.rs
+++ b/crates/serving/src/agent/peers.rs
@@ -58,7 +58,12 @@
 
 impl Peers {
     /// Takes in an entry's beat; returns whether it is newer than the last.
-    pub(super) fn hear_entry(&mut self, from: SocketAddr, beat: &EntryBeat, now: Timestamp) -> bool {
+    pub(super) fn hear_entry(
+        &mut self,
+        from: SocketAddr,
+        beat: &EntryBeat,
+        now: Timestamp,
+    ) -> bool {
         let known = self.entries.get(&from);
         if known.is_some_and(|e| !beat.stamp.follows(e.stamp)) {
             return false;
@@ -116,7 +121,11 @@
         let total = (self.entries.values()).fold(Backlog::default(), |sum, e| sum.plus(e.backlog));
         let mut due = Vec::new();
         for (address, entry) in &mut self.entries {
-            let interval = if entry.remote { pause * REMOTE_FACTOR } else { pause };
+            let interval = if entry.remote {
+                pause * REMOTE_FACTOR
+            } else {
+                pause
+            };
             let waits = entry.told.is_some_and(|told| now.since(told) < interval);
             if waits && !news {
                 continue;
--- a/crates/serving/src/entry/answer.rs
+++ b/crates/serving/src/entry/answer.rs
@@ -14,7 +14,9 @@
 
 /// Wraps whole bytes as a body.
 pub(super) fn whole(bytes: impl Into<Bytes>) -> AnswerBody {
-    Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
 }
 
 /// Answers with a status and a short text.
--- a/crates/serving/src/entry/attempt.rs
+++ b/crates/serving/src/entry/attempt.rs
@@ -122,13 +122,12 @@
     let sent = Instant::now();
     let mut kept = pool.take(plan.careful);
     let (lease, response) = loop {
-        let mut lease = match kept.take() {
-            Some(lease) => lease,
-            None => {
-                let left = plan.deadline.saturating_duration_since(Instant::now());
-                (pool.connect(left).await)
-                    .map_err(|e| AttemptFailure::new(AttemptEnd::NotSent, e.to_string()))?
-            }
+        let mut lease = if let Some(lease) = kept.take() {
+            lease
+        } else {
+            let left = plan.deadline.saturating_duration_since(Instant::now());
+            (pool.connect(left).await)
+                .map_err(|e| AttemptFailure::new(AttemptEnd::NotSent, e.to_string()))?
         };
         let reused = lease.connection.reused;
         match lease.connection.send(request(), plan.deadline).await {
@@ -153,7 +152,9 @@
     sent: Instant,
 ) -> Result<Answer, AttemptFailure> {
     let (parts, body) = response.into_parts();
-    let head = shared.dialect.read_answer(parts.status, &parts.headers, &outgoing.attempt);
+    let head = shared
+        .dialect
+        .read_answer(parts.status, &parts.headers, &outgoing.attempt);
     let success = match head {
         AnswerHead::Success => true,
         AnswerHead::Failure => false,
@@ -185,5 +186,5 @@
 pub(super) async fn read_whole(body: Incoming, deadline: Instant) -> Option<Bytes> {
     let collected = Limited::new(body, MAX_WHOLE_ANSWER).collect();
     let body = timeout_at(deadline, collected).await.ok()?;
-    body.ok().map(|b| b.to_bytes())
+    body.ok().map(http_body_util::Collected::to_bytes)
 }
--- a/crates/serving/src/entry/daemon.rs
+++ b/crates/serving/src/entry/daemon.rs
@@ -7,26 +7,23 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONNECTION, CONTENT_LENGTH, HOST};
-use http::{HeaderValue, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
-use kumquatkeel_core::serving::{DrainPhase, DrainPlan, Route, RouteMatch, Target};
+use kumquatkeel_core::serving::{DrainPhase, DrainPlan, Target};
 use rand::RngExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, MissedTickBehavior, interval, timeout_at};
+use tokio::time::{Instant, MissedTickBehavior, interval};
 
-use super::answer::{AnswerBody, not_run, plain};
-use super::attempt::Outgoing;
-use super::exchange::Exchange;
-use super::state::{Active, Shared};
+use super::handler;
+use super::state::Shared;
 use crate::feed::{FeedEvent, follow};
 use crate::gossip::{Datagram, EntryBeat, Gossip, Stamp};
 use crate::metrics::Instruments;
 use crate::net::{ServeOptions, serve_connection, small_server};
-use crate::port::{Dialect, FeedKind, ObjectFeed, ReadMode, RequestFault};
+use crate::port::{Dialect, FeedKind, ObjectFeed, ReadMode};
 use crate::shutdown::{ProcessSignal, Signals};
 
 /// Shortest pause between two beats to the agents.
@@ -37,8 +34,6 @@
 const SWEEP: Duration = Duration::from_millis(500);
 /// Pause between two checks of a graceful stop.
 const DRAIN_CHECK: Duration = Duration::from_millis(100);
-/// When a caller should return to an entry that has no configuration yet.
-const BOOT_RETRY: Duration = Duration::from_millis(500);
 /// Limits before the first configuration.
 const BOOT_LIMITS: ServeOptions = ServeOptions {
     header_bytes: 16 * 1024,
@@ -105,7 +100,9 @@
         let readiness = TcpListener::bind(settings.readiness).await?;
         let shared = Arc::new(Shared::new(settings, dialect, instruments));
         let ready = shared.clone();
-        tokio::spawn(small_server(readiness, move |request, _| is_ready(&ready, request)));
+        tokio::spawn(small_server(readiness, move |request, _| {
+            is_ready(&ready, request)
+        }));
         Ok(Self {
             shared,
             gossip,
@@ -131,7 +128,12 @@
         } = self;
         let (sender, events) = mpsc::channel(16);
         for kind in [FeedKind::Config, FeedKind::Targets] {
-            tokio::spawn(follow(feed.clone(), kind, ReadMode::Linearizable, sender.clone()));
+            tokio::spawn(follow(
+                feed.clone(),
+                kind,
+                ReadMode::Linearizable,
+                sender.clone(),
+            ));
         }
         tokio::spawn(learn(shared.clone(), events));
         tokio::spawn(hear(shared.clone(), gossip.clone()));
@@ -139,11 +141,8 @@
         tokio::spawn(sweep(shared.clone()));
         let (closing, closed) = watch::channel(false);
         tokio::spawn(accept(shared.clone(), gossip, frontend, closed));
-        loop {
-            match signals.next().await {
-                ProcessSignal::Reload => log::info!("reload: nothing of the entry's changes"),
-                ProcessSignal::Stop => break,
-            }
+        while signals.next().await == ProcessSignal::Reload {
+            log::info!("reload: nothing of the entry's changes");
         }
         drain(&shared, &closing).await;
         log::info!(instance:% = shared.settings.instance; "stopped");
@@ -228,14 +227,17 @@
     let targets: Vec<Arc<Target>> = state.table.all().cloned().collect();
     let mut agents = 0;
     for target in &targets {
-        if state.service(&target.service).is_none_or(|s| s.engine.is_none()) {
+        if state
+            .service(&target.service)
+            .is_none_or(|s| s.engine.is_none())
+        {
             continue;
         }
         agents += 1;
         let agent = shared.settings.agent_of(target);
         let planner = state.is_planner(agent, now);
         let beat = EntryBeat {
-            stamp: stamp.next(),
+            stamp: stamp.advance(),
             backlog: state.own_work(&target.id),
             adapters: state.take_adapters(&target.id),
             remote: shared.is_remote(&target.data_centre),
@@ -290,141 +292,18 @@
     let options = {
         let mut state = shared.lock();
         state.open += 1;
-        state.active.as_ref().map_or(BOOT_LIMITS, |active| ServeOptions {
-            header_bytes: active.config.limits.header_bytes,
-            idle: active.config.limits.idle_timeout,
-        })
+        state
+            .active
+            .as_ref()
+            .map_or(BOOT_LIMITS, |active| ServeOptions {
+                header_bytes: active.config.limits.header_bytes,
+                idle: active.config.limits.idle_timeout,
+            })
     };
     let service = {
         let shared = shared.clone();
-        service_fn(move |request| handle(shared.clone(), gossip.clone(), request))
+        service_fn(move |request| handler::handle(shared.clone(), gossip.clone(), request))
     };
     serve_connection(stream, options, service, closing).await;
     shared.lock().open -= 1;
 }
-
-async fn handle(
-    shared: Arc<Shared>,
-    gossip: Arc<Gossip>,
-    request: Request<Incoming>,
-) -> io::Result<Response<AnswerBody>> {
-    let mut response = respond(&shared, gossip, request).await?;
-    if shared.draining.borrow().is_some() {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
-    }
-    Ok(response)
-}
-
-/// A request that a route allows.
-struct Admitted {
-    route: Arc<Route>,
-    service: Arc<str>,
-    active: Arc<Active>,
-}
-
-async fn respond(
-    shared: &Arc<Shared>,
-    gossip: Arc<Gossip>,
-    request: Request<Incoming>,
-) -> io::Result<Response<AnswerBody>> {
-    let arrival = Instant::now();
-    let Admitted {
-        route,
-        service,
-        active,
-    } = match admit(shared, &request) {
-        Ok(admitted) => admitted,
-        Err(response) => return Ok(response),
-    };
-    let caller = match shared.dialect.read_request(request.headers()) {
-        Ok(caller) => caller,
-        Err(fault) => return Ok(bad_request(&fault)),
-    };
-    let (parts, body) = request.into_parts();
-    let limit = active.config.limits.body_bytes;
-    let too_large = parts.headers.get(CONTENT_LENGTH).is_some_and(|length| {
-        let length = length.to_str().ok().and_then(|l| l.parse::<usize>().ok());
-        length.is_some_and(|l| l > limit)
-    });
-    if too_large {
-        return Ok(plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"));
-    }
-    let patience = caller.patience.unwrap_or(route.deadline).min(route.deadline);
-    let body = Limited::new(body, limit).collect();
-    let body = match timeout_at(arrival + patience, body).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            return Ok(plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"));
-        }
-        Ok(Err(error)) => return Err(io::Error::other(error)),
-        Err(_) => return Ok(plain(StatusCode::REQUEST_TIMEOUT, "the body came too slowly\n")),
-    };
-    let uri = parts.uri.path_and_query().map_or_else(Uri::default, |p| Uri::from(p.clone()));
-    let outgoing = Outgoing {
-        attempt: caller.attempt.clone(),
-        method: parts.method,
-        uri,
-        headers: parts.headers,
-        body,
-    };
-    let (route, version) = ((route, service), active.config.version);
-    let exchange =
-        Exchange::new(shared.clone(), gossip, route, caller, outgoing, (arrival, version));
-    exchange.run().await
-}
-
-fn admit(
-    shared: &Shared,
-    request: &Request<Incoming>,
-) -> Result<Admitted, Response<AnswerBody>> {
-    let active = shared.lock().active.clone();
-    let Some(active) = active else {
-        log::info!("refused: no configuration yet");
-        return Err(not_run("not configured yet\n", BOOT_RETRY));
-    };
-    let host = (request.uri().host())
-        .or_else(|| request.headers().get(HOST).and_then(|h| h.to_str().ok()));
-    let Some(host) = host else {
-        return Err(plain(StatusCode::BAD_REQUEST, "no host\n"));
-    };
-    match active.routes.find(host, request.uri().path()) {
-        RouteMatch::Found(route) => {
-            let Some(service) = draw_service(&route) else {
-                return Err(not_run("the route has no service\n", BOOT_RETRY));
-            };
-            Ok(Admitted {
-                route,
-                service,
-                active,
-            })
-        }
-        RouteMatch::Unknown => {
-            let version = active.config.version;
-            log::info!(config = version, host, path = request.uri().path(); "no route");
-            Err(plain(StatusCode::NOT_FOUND, "no route\n"))
-        }
-    }
-}
-
-/// Draws a service of a route by weight.
-fn draw_service(route: &Route) -> Option<Arc<str>> {
-    if let [only] = route.shares.as_slice() {
-        return Some(only.service.clone());
-    }
-    let total: f64 = route.shares.iter().map(|s| s.weight).sum();
-    if total <= 0.0 {
-        return None;
-    }
-    let mut draw = rand::rng().random_range(0.0..total);
-    let found = route.shares.iter().find(|share| {
-        draw -= share.weight;
-        draw < 0.0
-    });
-    found.or(route.shares.last()).map(|s| s.service.clone())
-}
-
-fn bad_request(fault: &RequestFault) -> Response<AnswerBody> {
-    log::info!(fault:%; "bad request");
-    plain(StatusCode::BAD_REQUEST, "unreadable request\n")
-}
--- a/crates/serving/src/entry/exchange.rs
+++ b/crates/serving/src/entry/exchange.rs
@@ -6,9 +6,8 @@
 
 use http::{Response, StatusCode};
 use kumquatkeel_core::serving::{
-    AttemptEnd, Band, CallKind, CallerRequest, Candidate, Choice, DispatchTerms, DrainPlan, Recovery,
-    RefusalReason,
-    Route, Target, TargetId, after_attempt, choose_engine, choose_plain,
+    AttemptEnd, Band, CallKind, CallerRequest, Candidate, Choice, DispatchTerms, DrainPlan,
+    Recovery, RefusalReason, Route, Target, TargetId, after_attempt, choose_engine, choose_plain,
 };
 use tokio::time::{Instant, timeout_at};
 
@@ -147,7 +146,9 @@
         {
             let now = self.shared.now();
             let mut state = self.shared.lock();
-            state.quota(&self.service, &self.shared.settings).request(now);
+            state
+                .quota(&self.service, &self.shared.settings)
+                .request(now);
             if let Some(model) = &self.request.model {
                 let work = state.pace.prefill(model, self.request.usage.prompt);
                 state.demand.ask_for(model, work);
@@ -193,7 +194,9 @@
             let left = self.route.attempts.saturating_sub(self.runs);
             let allowed = left > 0 && {
                 let mut state = self.shared.lock();
-                state.quota(&self.service, &self.shared.settings).try_resend(now, entries)
+                state
+                    .quota(&self.service, &self.shared.settings)
+                    .try_resend(now, entries)
             };
             log::info!(
                 request:% = self.request.attempt, reason, last_event:serde, allowed;
@@ -238,10 +241,15 @@
         for target in &ready {
             state.engine(target, now);
         }
-        let untried: Vec<Arc<Target>> =
-            (ready.iter()).filter(|t| !self.tried.contains(&t.id)).cloned().collect();
+        let untried: Vec<Arc<Target>> = (ready.iter())
+            .filter(|t| !self.tried.contains(&t.id))
+            .cloned()
+            .collect();
         let targets = if untried.is_empty() { ready } else { untried };
-        let engines: Vec<_> = targets.iter().map(|t| state.engine(t, now).clone()).collect();
+        let engines: Vec<_> = targets
+            .iter()
+            .map(|t| state.engine(t, now).clone())
+            .collect();
         let candidates: Vec<Candidate<'_>> = (targets.iter().zip(&engines))
             .map(|(target, engine)| Candidate {
                 engine,
@@ -250,16 +258,13 @@
                 avoided: state.is_avoided(&target.id, now),
             })
             .collect();
-        let (choice, prefill) = match &self.request.model {
-            Some(model) => {
-                let prefill = state.pace.prefill(model, self.request.usage.prompt);
-                let terms = self.terms(&state, model, prefill);
-                (choose_engine(&candidates, &terms), prefill)
-            }
-            None => {
-                let slots: Vec<u32> = targets.iter().map(|t| t.slots).collect();
-                (choose_plain(&candidates, &slots), Duration::ZERO)
-            }
+        let (choice, prefill) = if let Some(model) = &self.request.model {
+            let prefill = state.pace.prefill(model, self.request.usage.prompt);
+            let terms = self.terms(&state, model, prefill);
+            (choose_engine(&candidates, &terms), prefill)
+        } else {
+            let slots: Vec<u32> = targets.iter().map(|t| t.slots).collect();
+            (choose_plain(&candidates, &slots), Duration::ZERO)
         };
         drop(state);
         match choice {
@@ -337,7 +342,8 @@
             adapter: (model.clone(), adapter.clone()),
         };
         log::debug!(request:% = self.request.attempt, target_id:% = target.id; "adapter wanted");
-        self.gossip.send(agent, &crate::gossip::Datagram::Want(want));
+        self.gossip
+            .send(agent, &crate::gossip::Datagram::Want(want));
     }
 
     fn plan(
@@ -352,7 +358,11 @@
         let left = self.deadline.saturating_duration_since(now);
         let repeatable = self.route.kind == CallKind::Idempotent;
         let more = repeatable && self.runs + 1 < self.route.attempts;
-        let wait = if more { left.min(self.route.objective * REPEAT_FACTOR) } else { left };
+        let wait = if more {
+            left.min(self.route.objective * REPEAT_FACTOR)
+        } else {
+            left
+        };
         log::info!(
             request:% = self.request.attempt, route:% = self.route.name, target_id:% = target.id,
             config = self.version, report_age_ms = age.map(millis), predicted_ms = millis(predicted),
@@ -450,7 +460,9 @@
                 *response.headers_mut() = headers;
                 return self.recover(&failure, Some(response));
             }
-            self.shared.instruments.first_byte(answer.predicted, answer.sent.elapsed());
+            self.shared
+                .instruments
+                .first_byte(answer.predicted, answer.sent.elapsed());
             self.finish("served");
             Response::new(whole(body))
         };
@@ -482,7 +494,9 @@
         );
         match recovery {
             Recovery::Resend => None,
-            Recovery::Reject => Some(self.refuse(RefusalReason::NoTarget, Duration::from_millis(200))),
+            Recovery::Reject => {
+                Some(self.refuse(RefusalReason::NoTarget, Duration::from_millis(200)))
+            }
             Recovery::PassFailure if passed.is_some() => {
                 self.finish("target_failed");
                 passed
--- /dev/null
+++ b/crates/serving/src/entry/handler.rs
@@ -0,0 +1,173 @@
+//! From a caller's request to an exchange: route, headers, body, limits.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::header::{CONNECTION, CONTENT_LENGTH, HOST};
+use http::{HeaderValue, Request, Response, StatusCode, Uri};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use kumquatkeel_core::serving::{Route, RouteMatch};
+use rand::RngExt;
+use tokio::time::{Instant, timeout_at};
+
+use super::answer::{AnswerBody, not_run, plain};
+use super::attempt::Outgoing;
+use super::exchange::Exchange;
+use super::state::{Active, Shared};
+use crate::gossip::Gossip;
+use crate::port::RequestFault;
+
+/// When a caller should return to an entry that has no configuration yet.
+const BOOT_RETRY: Duration = Duration::from_millis(500);
+
+/// Serves one request of a caller.
+pub(super) async fn handle(
+    shared: Arc<Shared>,
+    gossip: Arc<Gossip>,
+    request: Request<Incoming>,
+) -> io::Result<Response<AnswerBody>> {
+    let mut response = respond(&shared, gossip, request).await?;
+    if shared.draining.borrow().is_some() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    Ok(response)
+}
+
+/// A request that a route allows.
+struct Admitted {
+    route: Arc<Route>,
+    service: Arc<str>,
+    active: Arc<Active>,
+}
+
+async fn respond(
+    shared: &Arc<Shared>,
+    gossip: Arc<Gossip>,
+    request: Request<Incoming>,
+) -> io::Result<Response<AnswerBody>> {
+    let arrival = Instant::now();
+    let Admitted {
+        route,
+        service,
+        active,
+    } = match admit(shared, &request) {
+        Ok(admitted) => admitted,
+        Err(response) => return Ok(*response),
+    };
+    let caller = match shared.dialect.read_request(request.headers()) {
+        Ok(caller) => caller,
+        Err(fault) => return Ok(bad_request(fault)),
+    };
+    let (parts, body) = request.into_parts();
+    let limit = active.config.limits.body_bytes;
+    let too_large = parts.headers.get(CONTENT_LENGTH).is_some_and(|length| {
+        let length = length.to_str().ok().and_then(|l| l.parse::<usize>().ok());
+        length.is_some_and(|l| l > limit)
+    });
+    if too_large {
+        return Ok(plain(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "the body is too large\n",
+        ));
+    }
+    let patience = caller
+        .patience
+        .unwrap_or(route.deadline)
+        .min(route.deadline);
+    let body = Limited::new(body, limit).collect();
+    let body = match timeout_at(arrival + patience, body).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            return Ok(plain(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "the body is too large\n",
+            ));
+        }
+        Ok(Err(error)) => return Err(io::Error::other(error)),
+        Err(_) => {
+            return Ok(plain(
+                StatusCode::REQUEST_TIMEOUT,
+                "the body came too slowly\n",
+            ));
+        }
+    };
+    let uri = parts
+        .uri
+        .path_and_query()
+        .map_or_else(Uri::default, |p| Uri::from(p.clone()));
+    let outgoing = Outgoing {
+        attempt: caller.attempt.clone(),
+        method: parts.method,
+        uri,
+        headers: parts.headers,
+        body,
+    };
+    let (route, version) = ((route, service), active.config.version);
+    let exchange = Exchange::new(
+        shared.clone(),
+        gossip,
+        route,
+        caller,
+        outgoing,
+        (arrival, version),
+    );
+    exchange.run().await
+}
+
+fn admit(
+    shared: &Shared,
+    request: &Request<Incoming>,
+) -> Result<Admitted, Box<Response<AnswerBody>>> {
+    let active = shared.lock().active.clone();
+    let Some(active) = active else {
+        log::info!("refused: no configuration yet");
+        return Err(Box::new(not_run("not configured yet\n", BOOT_RETRY)));
+    };
+    let host = (request.uri().host())
+        .or_else(|| request.headers().get(HOST).and_then(|h| h.to_str().ok()));
+    let Some(host) = host else {
+        return Err(Box::new(plain(StatusCode::BAD_REQUEST, "no host\n")));
+    };
+    match active.routes.find(host, request.uri().path()) {
+        RouteMatch::Found(route) => {
+            let Some(service) = draw_service(&route) else {
+                return Err(Box::new(not_run("the route has no service\n", BOOT_RETRY)));
+            };
+            Ok(Admitted {
+                route,
+                service,
+                active,
+            })
+        }
+        RouteMatch::Unknown => {
+            let version = active.config.version;
+            log::info!(config = version, host, path = request.uri().path(); "no route");
+            Err(Box::new(plain(StatusCode::NOT_FOUND, "no route\n")))
+        }
+    }
+}
+
+/// Draws a service of a route by weight.
+fn draw_service(route: &Route) -> Option<Arc<str>> {
+    if let [only] = route.shares.as_slice() {
+        return Some(only.service.clone());
+    }
+    let total: f64 = route.shares.iter().map(|s| s.weight).sum();
+    if total <= 0.0 {
+        return None;
+    }
+    let mut draw = rand::rng().random_range(0.0..total);
+    let found = route.shares.iter().find(|share| {
+        draw -= share.weight;
+        draw < 0.0
+    });
+    found.or(route.shares.last()).map(|s| s.service.clone())
+}
+
+fn bad_request(fault: RequestFault) -> Response<AnswerBody> {
+    log::info!(fault:%; "bad request");
+    plain(StatusCode::BAD_REQUEST, "unreadable request\n")
+}
--- a/crates/serving/src/entry/mod.rs
+++ b/crates/serving/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod daemon;
 mod exchange;
+mod handler;
 mod relay;
 mod state;
 mod work;
--- a/crates/serving/src/entry/state.rs
+++ b/crates/serving/src/entry/state.rs
@@ -7,8 +7,9 @@
 
 use kumquatkeel_core::retry::{AttemptResult, Ejector};
 use kumquatkeel_core::serving::{
-    AdapterKey, Backlog, BandRates, DemandMeter, DrainPlan, EngineReport, EngineState, FailureMeter, PaceMeter, ResidentModel, RetryQuota,
-    RouteTable, ServiceSpec, ServingConfig, TableChange, Target, TargetId, TargetTable,
+    AdapterKey, Backlog, BandRates, DemandMeter, DrainPlan, EngineReport, EngineState,
+    FailureMeter, PaceMeter, ResidentModel, RetryQuota, RouteTable, ServiceSpec, ServingConfig,
+    TableChange, Target, TargetId, TargetTable,
 };
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_types::Timestamp;
@@ -140,7 +141,12 @@
         loop {
             tokio::time::sleep(STALL_CHECK).await;
             let now = self.now();
-            if self.lock().engines.get(id).is_some_and(|e| e.is_stalled(now)) {
+            if self
+                .lock()
+                .engines
+                .get(id)
+                .is_some_and(|e| e.is_stalled(now))
+            {
                 return;
             }
         }
@@ -223,7 +229,9 @@
         let wakes = engine.report.models != beat.report.models
             || engine.report.pending != beat.report.pending
             || engine.report.loading.is_some() != beat.report.loading.is_some();
-        let cached = beat.cached.unwrap_or_else(|| std::mem::take(&mut engine.report.cached));
+        let cached = beat
+            .cached
+            .unwrap_or_else(|| std::mem::take(&mut engine.report.cached));
         engine.report = EngineReport {
             cached,
             ..beat.report
@@ -265,7 +273,9 @@
 
     /// Returns the work sent to a target.
     pub(super) fn own_work(&self, id: &TargetId) -> Backlog {
-        self.engines.get(id).map_or_else(Backlog::default, |e| e.own)
+        self.engines
+            .get(id)
+            .map_or_else(Backlog::default, |e| e.own)
     }
 
     /// Counts a request that uses an adapter at a target.
@@ -317,7 +327,11 @@
     }
 
     /// Returns the retry quota of a service.
-    pub(super) fn quota(&mut self, service: &Arc<str>, settings: &EntrySettings) -> &mut RetryQuota {
+    pub(super) fn quota(
+        &mut self,
+        service: &Arc<str>,
+        settings: &EntrySettings,
+    ) -> &mut RetryQuota {
         let new = || {
             let window = settings.retry_window;
             RetryQuota::new(settings.retry_ratio, settings.retry_slack, window)
--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -12,7 +12,7 @@
 /// How long one watch call waits. A watch may hear nothing of changes although its connection is
 /// sound, so it must end well within the deployment's bounds for a configuration to be in force and
 /// for a leaving target to be out of use.
-const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+const WATCH_WAIT: Duration = Duration::from_secs(2);
 /// Pause after a change of the configuration, so that changes in series come in one call.
 const CONFIG_PAUSE: Duration = Duration::from_millis(250);
 /// Pause after a change of the targets, which change all the time in a large fleet. A target that
@@ -91,7 +91,12 @@
                     if batch.items.is_empty() {
                         continue;
                     }
-                    if self.events.send(FeedEvent::Changes(batch.items)).await.is_err() {
+                    if self
+                        .events
+                        .send(FeedEvent::Changes(batch.items))
+                        .await
+                        .is_err()
+                    {
                         return false;
                     }
                     let pause = match self.kind {
--- a/crates/serving/src/gossip.rs
+++ b/crates/serving/src/gossip.rs
@@ -29,7 +29,7 @@
 impl Stamp {
     /// Returns the stamp of the next datagram.
     #[must_use]
-    pub fn next(&mut self) -> Self {
+    pub fn advance(&mut self) -> Self {
         self.count += 1;
         *self
     }
--- a/crates/serving/src/logging.rs
+++ b/crates/serving/src/logging.rs
@@ -51,7 +51,9 @@
             return;
         }
         let mut line = Map::new();
-        let time = std::time::SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
+        let time = std::time::SystemTime::UNIX_EPOCH
+            .elapsed()
+            .unwrap_or_default();
         line.insert("time_ms".to_owned(), (time.as_millis() as u64).into());
         line.insert("level".to_owned(), record.level().as_str().into());
         line.insert("daemon".to_owned(), (&*self.daemon).into());
@@ -119,7 +121,9 @@
     if log::set_logger(logger).is_err() {
         return;
     }
-    let level = std::env::var(LOG_VARIABLE).ok().and_then(|text| text.parse().ok());
+    let level = std::env::var(LOG_VARIABLE)
+        .ok()
+        .and_then(|text| text.parse().ok());
     log::set_max_level(level.unwrap_or(LevelFilter::Info));
     let writer = std::thread::Builder::new().name("log".to_owned());
     if let Err(error) = writer.spawn(move || logger.write_lines()) {
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -107,6 +107,8 @@
     let mut response = Response::new(Full::from(body));
     *response.status_mut() = status;
     let kind = http::HeaderValue::from_static(METRICS_CONTENT_TYPE);
-    response.headers_mut().insert(http::header::CONTENT_TYPE, kind);
+    response
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, kind);
     response
 }
--- a/crates/serving/src/net/connection.rs
+++ b/crates/serving/src/net/connection.rs
@@ -21,7 +21,7 @@
 pub type RequestBody = Full<Bytes>;
 
 /// Bytes in flight that a silent peer may leave unacknowledged.
-const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
+const USER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Idle time before the first keep-alive probe, and the pause between probes.
 const KEEPALIVE: Duration = Duration::from_secs(1);
 /// Largest head of an answer, in bytes.
@@ -73,8 +73,8 @@
     let builder = builder.max_buf_size(HEAD_BYTES);
     let busy = Busy::default();
     let stream = TokioIo::new(AbortStream::new(stream, busy.clone()));
-    let (sender, driver) = (builder.handshake(stream).await)
-        .map_err(|e| CallError::Lost(e.to_string()))?;
+    let (sender, driver) =
+        (builder.handshake(stream).await).map_err(|e| CallError::Lost(e.to_string()))?;
     tokio::spawn(async move {
         // The exchange that was in progress sees the same error.
         let _ = driver.await;
@@ -92,7 +92,9 @@
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
-    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE).with_interval(KEEPALIVE);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE);
     socket.set_tcp_keepalive(&keepalive.with_retries(2))
 }
 
@@ -124,15 +126,20 @@
             if self.sender.ready().await.is_err() {
                 return Err(CallError::NotSent);
             }
-            self.sender.try_send_request(request).await.map_err(|mut e| {
-                if e.take_message().is_some() {
-                    CallError::NotSent
-                } else {
-                    CallError::Lost(e.into_error().to_string())
-                }
-            })
+            self.sender
+                .try_send_request(request)
+                .await
+                .map_err(|mut e| {
+                    if e.take_message().is_some() {
+                        CallError::NotSent
+                    } else {
+                        CallError::Lost(e.into_error().to_string())
+                    }
+                })
         };
-        timeout_at(deadline, sent).await.unwrap_or(Err(CallError::Timeout))
+        timeout_at(deadline, sent)
+            .await
+            .unwrap_or(Err(CallError::Timeout))
     }
 }
 
--- a/crates/serving/src/net/pool.rs
+++ b/crates/serving/src/net/pool.rs
@@ -20,8 +20,8 @@
 impl Default for PoolLimits {
     fn default() -> Self {
         Self {
-            idle: Duration::from_millis(4_000),
-            careful_idle: Duration::from_millis(4_000),
+            idle: Duration::from_secs(4),
+            careful_idle: Duration::from_secs(4),
             connect: Duration::from_millis(400),
         }
     }
@@ -55,7 +55,11 @@
 
     /// Takes the last used connection that is still fresh.
     pub fn take(self: &Arc<Self>, careful: bool) -> Option<Lease> {
-        let limit = if careful { self.limits.careful_idle } else { self.limits.idle };
+        let limit = if careful {
+            self.limits.careful_idle
+        } else {
+            self.limits.idle
+        };
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         while let Some(connection) = idle.pop() {
             if connection.is_ready() && connection.used.elapsed() <= limit {
@@ -88,7 +92,11 @@
     /// Keeps the connection for a later request; its answer has been read whole.
     pub fn keep(mut self) {
         self.connection.finish();
-        let mut idle = self.pool.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut idle = self
+            .pool
+            .idle
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
         idle.push(self.connection);
     }
 }
--- a/crates/serving/src/port.rs
+++ b/crates/serving/src/port.rs
@@ -7,9 +7,7 @@
 use async_trait::async_trait;
 use derive_more::{Display, Error};
 use http::{HeaderMap, StatusCode};
-use kumquatkeel_core::serving::{
-    CallerRequest, EngineReport, ServingConfig, Target, TargetId,
-};
+use kumquatkeel_core::serving::{CallerRequest, EngineReport, ServingConfig, Target, TargetId};
 
 /// Says that a call to the platform or a target failed.
 #[derive(Debug, Clone, Display, Error)]
@@ -25,6 +23,18 @@
     pub history_gone: bool,
 }
 
+impl PortError {
+    /// Makes an error of a step at a peer.
+    pub fn new(step: &'static str, peer: SocketAddr, reason: impl Into<String>) -> Self {
+        Self {
+            step,
+            peer,
+            reason: reason.into(),
+            history_gone: false,
+        }
+    }
+}
+
 /// Which objects a feed carries.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
 pub enum FeedKind {
--- a/crates/serving/tests/cancel.rs
+++ b/crates/serving/tests/cancel.rs
@@ -25,7 +25,11 @@
         stream.read(&mut buffer).await.unwrap_or(0)
     });
     let mut connection = open(address, Duration::from_secs(1)).await.unwrap();
-    let request = || Request::post("/a/").body(Full::new(Bytes::from_static(b"body"))).unwrap();
+    let request = || {
+        Request::post("/a/")
+            .body(Full::new(Bytes::from_static(b"body")))
+            .unwrap()
+    };
     let deadline = Instant::now() + Duration::from_secs(10);
     for _ in 0..earlier {
         connection.send(request(), deadline).await.unwrap();
@@ -34,7 +38,10 @@
     assert!(timeout(Duration::from_millis(50), waiting).await.is_err());
     drop(connection);
     let end = timeout(Duration::from_secs(1), server).await;
-    assert_eq!(end.expect("the connection closes within a second").unwrap(), 0);
+    assert_eq!(
+        end.expect("the connection closes within a second").unwrap(),
+        0
+    );
 }
 
 #[tokio::test]
