--- a/crates/kumquatkeel/src/cli.rs
+++ b/crates/kumquatkeel/src/cli.rs
@@ -37,6 +37,11 @@
     /// Print a report.
     #[command(subcommand)]
     Report(Report),
+    /// Join log lines from standard input into the story of one request.
+    Explain {
+        /// The caller's id of the attempt.
+        request: String,
+    },
     /// Run the whole system with stand-ins in one process on loopback.
     Demo {
         /// Send sample calls, check their answers and stop.
--- a/crates/kumquatkeel/src/commands/mod.rs
+++ b/crates/kumquatkeel/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod burn;
 mod check;
 mod demo;
+mod explain;
 mod measure;
 mod stand_in;
 mod status;
@@ -18,6 +19,7 @@
         Command::Apply(args) => apply::run(args).await,
         Command::Status { entry, json } => status::run(&entry, json).await,
         Command::Report(Report::Burn(args)) => burn::run(args).await,
+        Command::Explain { request } => explain::run(&request),
         Command::Demo { once } => demo::run(once).await,
         Command::StandIn(which) => stand_in::run(which).await,
         Command::Measure(Measure::Policy(args)) => measure::policy(&args),
--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -21,6 +21,7 @@
 use crate::metrics::Instruments;
 use crate::port::{EnginePort, FeedItem, FeedKind, ObjectFeed, OrderReply, ReadMode};
 use crate::shutdown::{ProcessSignal, Signals};
+use crate::start::StartError;
 
 /// Pause between two reads of the engine's state.
 const POLL: Duration = Duration::from_millis(100);
@@ -93,11 +94,15 @@
     pub async fn start(
         settings: AgentSettings,
         engine: Arc<dyn EnginePort>,
-    ) -> Result<Self, Box<dyn std::error::Error>> {
-        let gossip = Gossip::bind(settings.gossip).await?;
-        let instruments = Instruments::start()?;
+    ) -> Result<Self, StartError> {
+        let gossip = Gossip::bind(settings.gossip).await;
+        let gossip =
+            gossip.map_err(StartError::at("bind the datagram address", settings.gossip))?;
+        let instruments =
+            Instruments::start().map_err(StartError::at("set up metrics", settings.gossip))?;
         if let Some(address) = settings.metrics {
-            instruments.serve(address).await?;
+            let bound = instruments.serve(address).await;
+            bound.map_err(StartError::at("bind the metrics address", address))?;
         }
         let clock = Clock::start();
         Ok(Self {
--- a/crates/serving/src/entry/daemon.rs
+++ b/crates/serving/src/entry/daemon.rs
@@ -25,6 +25,7 @@
 use crate::net::{ServeOptions, serve_connection, small_server};
 use crate::port::{Dialect, FeedKind, ObjectFeed, ReadMode};
 use crate::shutdown::{ProcessSignal, Signals};
+use crate::start::StartError;
 
 /// Shortest pause between two beats to the agents.
 const BEAT: Duration = Duration::from_millis(200);
@@ -90,14 +91,27 @@
     pub async fn start(
         settings: EntrySettings,
         dialect: Arc<dyn Dialect>,
-    ) -> Result<Self, Box<dyn std::error::Error>> {
-        let instruments = Instruments::start()?;
+    ) -> Result<Self, StartError> {
+        let instruments =
+            Instruments::start().map_err(StartError::at("set up metrics", settings.frontend))?;
         if let Some(address) = settings.metrics {
-            instruments.serve(address).await?;
+            let bound = instruments.serve(address).await;
+            bound.map_err(StartError::at("bind the metrics address", address))?;
         }
-        let gossip = Arc::new(Gossip::bind(settings.gossip).await?);
-        let frontend = TcpListener::bind(settings.frontend).await?;
-        let readiness = TcpListener::bind(settings.readiness).await?;
+        let gossip = Gossip::bind(settings.gossip).await;
+        let gossip =
+            gossip.map_err(StartError::at("bind the datagram address", settings.gossip))?;
+        let gossip = Arc::new(gossip);
+        let frontend = TcpListener::bind(settings.frontend).await;
+        let frontend = frontend.map_err(StartError::at(
+            "bind the callers' address",
+            settings.frontend,
+        ))?;
+        let readiness = TcpListener::bind(settings.readiness).await;
+        let readiness = readiness.map_err(StartError::at(
+            "bind the readiness address",
+            settings.readiness,
+        ))?;
         let shared = Arc::new(Shared::new(settings, dialect, instruments));
         let ready = shared.clone();
         tokio::spawn(small_server(readiness, move |request, _| {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod net;
 pub mod port;
 pub mod shutdown;
+pub mod start;
