--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -16,7 +16,7 @@
 
 use super::orders::Orders;
 use super::peers::Peers;
-use crate::feed::{FeedEvent, follow};
+use crate::feed::{FeedEvent, FollowTerms, follow};
 use crate::gossip::{AgentBeat, Datagram, Gossip, Stamp};
 use crate::metrics::Instruments;
 use crate::port::{EnginePort, FeedItem, FeedKind, ObjectFeed, OrderReply, ReadMode};
@@ -25,6 +25,8 @@
 
 /// Pause between two reads of the engine's state.
 const POLL: Duration = Duration::from_millis(100);
+/// How long a watch waits; an agent needs no fresher objects than its stale reads give.
+const WATCH_WAIT: Duration = Duration::from_secs(4);
 /// Pause while an order is to be given.
 const ORDER_POLL: Duration = Duration::from_millis(15);
 /// Beats between two that carry the list of cached models.
@@ -138,7 +140,12 @@
     pub async fn run(mut self, feed: Arc<dyn ObjectFeed>, mut signals: Signals) {
         let (sender, mut events) = mpsc::channel(16);
         for kind in [FeedKind::Config, FeedKind::Targets] {
-            tokio::spawn(follow(feed.clone(), kind, ReadMode::Stale, sender.clone()));
+            let terms = FollowTerms {
+                kind,
+                mode: ReadMode::Stale,
+                wait: WATCH_WAIT,
+            };
+            tokio::spawn(follow(feed.clone(), terms, sender.clone()));
         }
         let mut poll = interval(POLL);
         poll.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/serving/src/entry/daemon.rs
+++ b/crates/serving/src/entry/daemon.rs
@@ -19,7 +19,7 @@
 
 use super::handler;
 use super::state::Shared;
-use crate::feed::{FeedEvent, follow};
+use crate::feed::{FeedEvent, FollowTerms, follow};
 use crate::gossip::{Datagram, EntryBeat, Gossip, Stamp};
 use crate::metrics::Instruments;
 use crate::net::{ServeOptions, serve_connection, small_server};
@@ -58,6 +58,8 @@
     pub gossip: SocketAddr,
     /// The address for metrics.
     pub metrics: Option<SocketAddr>,
+    /// How long a watch of the store waits.
+    pub watch_wait: Duration,
     /// The time from a stop signal to the end.
     pub grace: Duration,
     /// Resends allowed for each request, over all entries.
@@ -142,12 +144,12 @@
         } = self;
         let (sender, events) = mpsc::channel(16);
         for kind in [FeedKind::Config, FeedKind::Targets] {
-            tokio::spawn(follow(
-                feed.clone(),
+            let terms = FollowTerms {
                 kind,
-                ReadMode::Linearizable,
-                sender.clone(),
-            ));
+                mode: ReadMode::Linearizable,
+                wait: shared.settings.watch_wait,
+            };
+            tokio::spawn(follow(feed.clone(), terms, sender.clone()));
         }
         tokio::spawn(learn(shared.clone(), events));
         tokio::spawn(hear(shared.clone(), gossip.clone()));
--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -9,10 +9,6 @@
 
 use crate::port::{FeedBatch, FeedItem, FeedKind, ObjectFeed, PortError, ReadMode};
 
-/// How long one watch call waits. A watch may hear nothing of changes although its connection is
-/// sound, so it must end well within the deployment's bounds for a configuration to be in force and
-/// for a leaving target to be out of use.
-const WATCH_WAIT: Duration = Duration::from_secs(2);
 /// Pause after a change of the configuration, so that changes in series come in one call.
 const CONFIG_PAUSE: Duration = Duration::from_millis(250);
 /// Pause after a change of the targets, which change all the time in a large fleet. A target that
@@ -34,17 +30,30 @@
     Failed(FeedKind),
 }
 
+/// What a follower follows, and how.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FollowTerms {
+    /// The kind of object.
+    pub kind: FeedKind,
+    /// Whether reads may be stale.
+    pub mode: ReadMode,
+    /// How long one watch call waits. A watch may hear nothing of changes although its connection
+    /// is sound, so it must end well within the deployment's bounds for a configuration to be in
+    /// force and for a leaving target to be out of use.
+    pub wait: Duration,
+}
+
 /// Follows one kind of object until the receiver is dropped.
 pub async fn follow(
     feed: Arc<dyn ObjectFeed>,
-    kind: FeedKind,
-    mode: ReadMode,
+    FollowTerms { kind, mode, wait }: FollowTerms,
     events: mpsc::Sender<FeedEvent>,
 ) {
     let mut follower = Follower {
         feed,
         kind,
         mode,
+        wait,
         events,
         backoff: MIN_BACKOFF,
         failed: false,
@@ -60,6 +69,7 @@
     feed: Arc<dyn ObjectFeed>,
     kind: FeedKind,
     mode: ReadMode,
+    wait: Duration,
     events: mpsc::Sender<FeedEvent>,
     backoff: Duration,
     failed: bool,
@@ -83,7 +93,7 @@
     /// Watches for changes; returns whether all objects must be read again.
     async fn changes(&mut self, mut revision: u64) -> bool {
         loop {
-            let watch = self.feed.watch(self.kind, self.mode, revision, WATCH_WAIT);
+            let watch = self.feed.watch(self.kind, self.mode, revision, self.wait);
             match watch.await {
                 Ok(batch) => {
                     self.regained(batch.revision);
