--- a/crates/serving/src/entry/daemon.rs
+++ b/crates/serving/src/entry/daemon.rs
@@ -11,7 +11,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
-use kumquatkeel_core::serving::{DrainPhase, DrainPlan, Target};
+use kumquatkeel_core::serving::{Backlog, DrainPhase, DrainPlan, Target};
 use rand::RngExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
@@ -31,6 +31,8 @@
 const BEAT: Duration = Duration::from_millis(200);
 /// Pause that each agent adds, so that a large fleet is told less often.
 const BEAT_PER_AGENT: Duration = Duration::from_millis(8);
+/// Pause between two beats to an agent in another region with nothing to tell.
+const REMOTE_IDLE_BEAT: Duration = Duration::from_millis(1_200);
 /// Pause between two sweeps of connections and lapsed targets.
 const SWEEP: Duration = Duration::from_millis(500);
 /// Pause between two checks of a graceful stop.
@@ -259,6 +261,11 @@
             remote: shared.is_remote(&target.data_centre),
             demand: if planner { demand.clone() } else { Vec::new() },
         };
+        let idle = beat.backlog == Backlog::default() && beat.adapters.is_empty() && !planner;
+        if beat.remote && idle && !state.is_due(agent, REMOTE_IDLE_BEAT, now) {
+            continue;
+        }
+        state.told(agent, now);
         gossip.send(agent, &Datagram::Entry(beat));
     }
     agents
--- a/crates/serving/src/entry/exchange.rs
+++ b/crates/serving/src/entry/exchange.rs
@@ -253,7 +253,7 @@
         let candidates: Vec<Candidate<'_>> = (targets.iter().zip(&engines))
             .map(|(target, engine)| Candidate {
                 engine,
-                link: shared.link(&target.data_centre),
+                link: path_time(&shared, &state, target),
                 penalty: state.failures.penalty(&target.id),
                 avoided: state.is_avoided(&target.id, now),
             })
@@ -583,6 +583,16 @@
     }
 }
 
+/// Returns the path cost of a target; a new connection takes one round trip more.
+fn path_time(shared: &Shared, state: &State, target: &Target) -> Duration {
+    let link = shared.link(&target.data_centre);
+    if state.is_connected(&target.id) {
+        link
+    } else {
+        link * 2
+    }
+}
+
 fn millis(duration: Duration) -> u64 {
     duration.as_millis() as u64
 }
--- a/crates/serving/src/entry/state.rs
+++ b/crates/serving/src/entry/state.rs
@@ -88,6 +88,8 @@
     pub(super) failures: FailureMeter,
     pub(super) rates: BandRates,
     agents: HashMap<SocketAddr, AgentPeer>,
+    /// When each agent was last told.
+    told: HashMap<SocketAddr, Timestamp>,
     entries: usize,
 }
 
@@ -118,6 +120,7 @@
                 failures: FailureMeter::default(),
                 rates: BandRates::default(),
                 agents: HashMap::new(),
+                told: HashMap::new(),
                 entries: 1,
             }),
         }
@@ -309,6 +312,11 @@
         pool.or_insert_with(new).clone()
     }
 
+    /// Says whether a connection to a target is kept.
+    pub(super) fn is_connected(&self, id: &TargetId) -> bool {
+        self.pools.get(id).is_some_and(|pool| pool.has_idle())
+    }
+
     /// Drops connections that have been idle for too long.
     pub(super) fn prune_pools(&self) {
         for pool in self.pools.values() {
@@ -344,6 +352,17 @@
         self.entries
     }
 
+    /// Says whether the last beat to an agent was at least `pause` ago.
+    pub(super) fn is_due(&self, agent: SocketAddr, pause: Duration, now: Timestamp) -> bool {
+        let told = self.told.get(&agent);
+        told.is_none_or(|at| now.since(*at) >= pause)
+    }
+
+    /// Notes a beat to an agent.
+    pub(super) fn told(&mut self, agent: SocketAddr, now: Timestamp) {
+        self.told.insert(agent, now);
+    }
+
     /// Says whether the agent at this address plans placement.
     pub(super) fn is_planner(&self, agent: SocketAddr, now: Timestamp) -> bool {
         let peer = self.agents.get(&agent);
--- a/crates/serving/src/net/pool.rs
+++ b/crates/serving/src/net/pool.rs
@@ -20,8 +20,8 @@
 impl Default for PoolLimits {
     fn default() -> Self {
         Self {
-            idle: Duration::from_secs(4),
-            careful_idle: Duration::from_secs(4),
+            idle: Duration::from_secs(10),
+            careful_idle: Duration::from_secs(8),
             connect: Duration::from_millis(400),
         }
     }
@@ -53,6 +53,13 @@
         }
     }
 
+    /// Says whether a kept connection is likely to be there.
+    pub fn has_idle(&self) -> bool {
+        let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.last()
+            .is_some_and(|c| c.is_ready() && c.used.elapsed() <= self.limits.careful_idle)
+    }
+
     /// Takes the last used connection that is still fresh.
     pub fn take(self: &Arc<Self>, careful: bool) -> Option<Lease> {
         let limit = if careful {
