--- a/crates/core/src/serving/dispatch.rs
+++ b/crates/core/src/serving/dispatch.rs
@@ -74,7 +74,7 @@
     pub patience: Duration,
     /// The band in which the request meets its objective.
     pub band: Band,
-    /// The work that callers offer lately.
+    /// The work sent lately, by band.
     pub rates: &'a BandRates,
     /// The expected time until an engine could have loaded the model from the weight store.
     pub load_time: Duration,
--- a/crates/core/tests/serving_dispatch.rs
+++ b/crates/core/tests/serving_dispatch.rs
@@ -319,7 +319,6 @@
     } else {
         Band::Urgent
     };
-    rates.offer(Duration::from_secs_f64(arrival.prefill), band, now);
     let terms = DispatchTerms {
         rates: &*rates,
         prefill: Duration::from_secs_f64(arrival.prefill),
@@ -329,7 +328,10 @@
         ..terms()
     };
     match choose_engine(&candidates, &terms) {
-        Choice::Send { index, band, .. } => Some((index, band)),
+        Choice::Send { index, band, .. } => {
+            rates.record(Duration::from_secs_f64(arrival.prefill), band, now);
+            Some((index, band))
+        }
         _ => None,
     }
 }
--- a/crates/serving/src/entry/exchange.rs
+++ b/crates/serving/src/entry/exchange.rs
@@ -126,9 +126,6 @@
             if let Some(model) = &self.request.model {
                 let work = state.pace.prefill(model, self.request.usage.prompt);
                 state.demand.ask_for(model, work);
-                let (entries, engines) = (state.entries(), state.table.ready(&self.service).len());
-                state.rates.set_fleet(entries, engines);
-                state.rates.offer(work, self.band(), now);
             }
         }
         let mut changed = self.shared.changed.subscribe();
--- a/crates/serving/src/entry/selection.rs
+++ b/crates/serving/src/entry/selection.rs
@@ -103,6 +103,11 @@
             let slots: Vec<u32> = targets.iter().map(|t| t.slots).collect();
             (choose_plain(&candidates, &slots), Duration::ZERO)
         };
+        if let Choice::Send { band, .. } = choice {
+            let (entries, engines) = (state.entries(), targets.len());
+            state.rates.set_fleet(entries, engines);
+            state.rates.record(prefill, band, now);
+        }
         drop(state);
         match choice {
             Choice::Refuse {
@@ -223,7 +228,7 @@
     }
 
     /// Returns the band in which the request meets its objective.
-    pub(super) fn band(&self) -> Band {
+    fn band(&self) -> Band {
         match self.route.priority {
             _ if self.route.objective >= INTERACTIVE => Band::Deferred,
             0 => Band::First,
