fix(core): count an adapter's memory before it is ordered; orders are a decision of the core

Cause: a property test over lost and late orders found an adapter ordered beyond weights_mb. Change: one function gives the memory in use. Orders moved from the agent to the core, planning rounds to a module of their own.

--- a/crates/serving/src/agent/orders.rs
+++ b/crates/core/src/serving/orders.rs
@@ -1,4 +1,4 @@
-//! Orders to the engine beside the agent.
+//! Orders to an engine by the agent beside it.
 //!
 //! Every order names the number of orders that the engine has accepted, as read just before. An
 //! order that is carried out late, after a newer one, is therefore refused by the engine, and what
@@ -8,12 +8,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kumquatkeel_core::serving::{
-    AdapterKey, AdapterStep, AdapterUse, EngineReport, EngineSpec, LoadCommand, LoadProgress,
-};
 use kumquatkeel_types::Timestamp;
 
-use crate::port::EngineOrder;
+use super::config::EngineSpec;
+use super::engine::{EngineReport, LoadProgress};
+use super::eviction::{AdapterKey, AdapterStep, AdapterUse};
+use super::planner::LoadCommand;
 
 /// How long a command may take before it is given up.
 const COMMAND_LIFE: Duration = Duration::from_secs(20);
@@ -22,6 +22,19 @@
 /// How long an accepted order may take to show in the engine's count of orders.
 const ACCEPTED_LIFE: Duration = Duration::from_secs(2);
 
+/// An order to an engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineOrder {
+    /// Whether to load or to unload.
+    pub load: bool,
+    /// The model.
+    pub model: Arc<str>,
+    /// The adapter of the model, or the model itself.
+    pub adapter: Option<Arc<str>>,
+    /// The number of orders that the engine must have accepted before.
+    pub expected: u64,
+}
+
 #[derive(Debug, Clone)]
 struct Pending {
     command: LoadCommand,
@@ -32,7 +45,7 @@
 
 /// What the agent still has to order.
 #[derive(Debug, Default)]
-pub(super) struct Orders {
+pub struct Orders {
     pending: Option<Pending>,
     wants: HashMap<AdapterKey, Timestamp>,
     used: AdapterUse,
@@ -42,7 +55,7 @@
 
 impl Orders {
     /// Takes in a command; an older one in progress goes first.
-    pub(super) fn command(&mut self, command: LoadCommand, now: Timestamp) -> bool {
+    pub fn command(&mut self, command: LoadCommand, now: Timestamp) -> bool {
         if self.pending.is_some() {
             return false;
         }
@@ -56,35 +69,35 @@
     }
 
     /// Notes that an adapter is wanted.
-    pub(super) fn want(&mut self, adapter: AdapterKey, now: Timestamp) {
+    pub fn want(&mut self, adapter: AdapterKey, now: Timestamp) {
         self.used.note(adapter.clone(), now);
         self.wants.insert(adapter, now);
     }
 
     /// Notes that entries use adapters.
-    pub(super) fn note_use(&mut self, adapters: &[AdapterKey], now: Timestamp) {
+    pub fn note_use(&mut self, adapters: &[AdapterKey], now: Timestamp) {
         for adapter in adapters {
             self.used.note(adapter.clone(), now);
         }
     }
 
     /// Notes that the engine has accepted an order.
-    pub(super) fn accepted(&mut self, order: &EngineOrder, now: Timestamp) {
+    pub fn accepted(&mut self, order: &EngineOrder, now: Timestamp) {
         self.accepted = Some((order.expected, now));
     }
 
     /// Forgets everything, as when another incarnation of the engine has started.
-    pub(super) fn reset(&mut self) {
+    pub fn reset(&mut self) {
         *self = Self::default();
     }
 
     /// Says whether anything is left to order.
-    pub(super) fn is_idle(&self) -> bool {
+    pub fn is_idle(&self) -> bool {
         self.pending.is_none() && self.wants.is_empty()
     }
 
     /// Returns the next order, given the engine's state.
-    pub(super) fn next(
+    pub fn next(
         &mut self,
         report: &EngineReport,
         spec: &EngineSpec,
@@ -105,7 +118,7 @@
     }
 
     /// Describes the engine to others: models on their way out are not held any more.
-    pub(super) fn publish(
+    pub fn publish(
         &self,
         report: &EngineReport,
         spec: Option<&EngineSpec>,
@@ -160,7 +173,13 @@
                 expected: report.order_seq,
             };
             match step {
-                AdapterStep::Load => return Some(order(true, key)),
+                AdapterStep::Load if fits_adapter(report, spec, &key.0) => {
+                    return Some(order(true, key));
+                }
+                AdapterStep::Load => {
+                    log::warn!(model:% = key.0, adapter:% = key.1; "no memory for the adapter");
+                    self.wants.remove(&key);
+                }
                 AdapterStep::Unload(old) => return Some(order(false, old)),
                 AdapterStep::Full => {}
                 AdapterStep::Done if report.pending.contains(&key) => {}
@@ -208,22 +227,28 @@
 
 /// Says whether the engine's memory holds one more model beside what it has.
 fn fits(report: &EngineReport, spec: &EngineSpec, model: &str) -> bool {
-    let size = |name: &str| spec.models.get(name).map(|m| m.weights_mb);
+    let size = spec.models.get(model).map(|m| m.weights_mb);
+    size.zip(used_mb(report, spec))
+        .is_some_and(|(new, used)| used + new <= spec.weights_mb)
+}
+
+/// Says whether the engine's memory holds one more adapter of a model beside what it has.
+fn fits_adapter(report: &EngineReport, spec: &EngineSpec, model: &str) -> bool {
+    let size = spec.models.get(model).map(|m| m.adapter_mb);
+    size.zip(used_mb(report, spec))
+        .is_some_and(|(new, used)| used + new <= spec.weights_mb)
+}
+
+/// Returns the memory that models and adapters take, or `None` if one of them is not known.
+fn used_mb(report: &EngineReport, spec: &EngineSpec) -> Option<f64> {
     let held: Option<f64> = (report.models.iter())
-        .map(|m| {
-            let adapter_mb = spec.models.get(&m.name)?.adapter_mb;
-            Some(size(&m.name)? + adapter_mb * m.adapters.len() as f64)
+        .map(|held| {
+            let model = spec.models.get(&held.name)?;
+            Some(model.weights_mb + model.adapter_mb * held.adapters.len() as f64)
         })
         .sum();
     // Adapters on their way may be of any model.
-    let largest = spec
-        .models
-        .values()
-        .map(|m| m.adapter_mb)
-        .fold(0.0, f64::max);
-    let pending = largest * report.pending.len() as f64;
-    match (held, size(model)) {
-        (Some(held), Some(new)) => held + pending + new <= spec.weights_mb,
-        _ => false,
-    }
+    let sizes = spec.models.values().map(|m| m.adapter_mb);
+    let pending = sizes.fold(0.0, f64::max) * report.pending.len() as f64;
+    held.map(|held| held + pending)
 }
--- /dev/null
+++ b/crates/core/tests/serving_orders.rs
@@ -0,0 +1,192 @@
+//! Orders to an engine that loses, delays and refuses them: its memory is never overcommitted.
+
+use std::collections::{BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquatkeel_core::serving::{
+    EngineOrder, EngineReport, EngineSpec, LoadCommand, ModelSpec, Orders, ResidentModel, TargetId,
+};
+use kumquatkeel_types::Timestamp;
+use proptest::prelude::*;
+
+const SIZES: [(&str, f64); 4] = [("m0", 65.0), ("m1", 72.7), ("m2", 72.7), ("m3", 34.3)];
+const MEMORY: f64 = 180.0;
+const PLACES: u32 = 3;
+const ADAPTER_MB: f64 = 2.0;
+
+fn spec() -> EngineSpec {
+    let model = |(name, weights_mb): &(&str, f64)| {
+        let name: Arc<str> = Arc::from(*name);
+        let spec = ModelSpec {
+            name: name.clone(),
+            weights_mb: *weights_mb,
+            load: Duration::from_secs(6),
+            disk_load: Duration::from_secs(1),
+            adapters: 10,
+            adapter_mb: ADAPTER_MB,
+        };
+        (name, spec)
+    };
+    EngineSpec {
+        slots: 64,
+        kv_tokens: 1,
+        weights_mb: MEMORY,
+        adapter_slots: PLACES,
+        load_rate: 1.0,
+        models: SIZES.iter().map(model).collect(),
+    }
+}
+
+/// An engine that carries out orders at once if their expected count is right.
+#[derive(Debug, Default)]
+struct Engine {
+    models: Vec<(Arc<str>, BTreeSet<Arc<str>>)>,
+    seq: u64,
+}
+
+impl Engine {
+    fn report(&self) -> EngineReport {
+        let resident = |(name, adapters): &(Arc<str>, BTreeSet<Arc<str>>)| ResidentModel {
+            name: name.clone(),
+            adapters: adapters.iter().cloned().collect(),
+        };
+        EngineReport {
+            models: self.models.iter().map(resident).collect(),
+            order_seq: self.seq,
+            ..EngineReport::default()
+        }
+    }
+
+    fn carry_out(&mut self, order: &EngineOrder) {
+        if order.expected != self.seq {
+            return;
+        }
+        self.seq += 1;
+        let held = self
+            .models
+            .iter_mut()
+            .find(|(name, _)| *name == order.model);
+        match (&order.adapter, held) {
+            (None, None) if order.load => {
+                self.models.push((order.model.clone(), BTreeSet::new()));
+            }
+            (None, Some(_)) if !order.load => {
+                self.models.retain(|(name, _)| *name != order.model);
+            }
+            (Some(adapter), Some((_, adapters))) if order.load => {
+                adapters.insert(adapter.clone());
+            }
+            (Some(adapter), Some((_, adapters))) => {
+                adapters.remove(adapter);
+            }
+            _ => {}
+        }
+    }
+
+    fn memory(&self) -> f64 {
+        let size = |name: &str| SIZES.iter().find(|(n, _)| *n == name).unwrap().1;
+        let model = |(name, adapters): &(Arc<str>, BTreeSet<Arc<str>>)| {
+            size(name) + ADAPTER_MB * adapters.len() as f64
+        };
+        self.models.iter().map(model).sum()
+    }
+
+    fn adapters(&self) -> usize {
+        self.models.iter().map(|(_, adapters)| adapters.len()).sum()
+    }
+}
+
+fn command(model: usize, evict: &[Arc<str>]) -> LoadCommand {
+    LoadCommand {
+        target: TargetId::from("e"),
+        model: Arc::from(SIZES[model].0),
+        evict: evict.to_vec(),
+    }
+}
+
+proptest! {
+    /// Any planner's commands, adapters wanted at any time, answers lost, orders carried out late.
+    #[test]
+    fn no_order_of_events_overcommits_the_engine(
+        steps in proptest::collection::vec((0_u8..6, 0_usize..4, 0_usize..10, 0_u64..900), 1..200),
+    ) {
+        let spec = spec();
+        let mut engine = Engine::default();
+        let mut orders = Orders::default();
+        let mut late: VecDeque<EngineOrder> = VecDeque::new();
+        let mut now = 0;
+        for (step, model, adapter, pause) in steps {
+            now += pause;
+            let at = Timestamp::from_millis(now);
+            match step {
+                0 => {
+                    let evict: Vec<Arc<str>> =
+                        engine.models.iter().take(adapter % 3).map(|m| m.0.clone()).collect();
+                    orders.command(command(model, &evict), at);
+                }
+                1 => {
+                    let key = (Arc::from(SIZES[model].0), Arc::from(format!("a{adapter}")));
+                    orders.want(key, at);
+                }
+                2 => {
+                    if let Some(order) = late.pop_front() {
+                        engine.carry_out(&order);
+                    }
+                }
+                _ => {
+                    if let Some(order) = orders.next(&engine.report(), &spec, at) {
+                        if step == 3 {
+                            // No answer; it is carried out later, perhaps after newer orders.
+                            late.push_back(order);
+                        } else {
+                            engine.carry_out(&order);
+                            orders.accepted(&order, at);
+                        }
+                    }
+                }
+            }
+            prop_assert!(engine.memory() <= MEMORY, "{engine:?}");
+            prop_assert!(engine.adapters() <= PLACES as usize, "{engine:?}");
+        }
+    }
+}
+
+#[test]
+fn a_model_makes_way_before_the_next_is_loaded() {
+    let spec = spec();
+    let mut engine = Engine::default();
+    for model in ["m0", "m1"] {
+        engine.models.push((Arc::from(model), BTreeSet::new()));
+    }
+    let mut orders = Orders::default();
+    assert!(orders.command(command(2, &[Arc::from("m1")]), Timestamp::ZERO));
+    assert!(
+        !orders.command(command(3, &[]), Timestamp::ZERO),
+        "one command at a time"
+    );
+    let shown = orders.publish(&engine.report(), Some(&spec), Timestamp::ZERO);
+    assert!(
+        !shown.holds("m1"),
+        "a model on its way out gets no more work"
+    );
+    assert_eq!(shown.loading.map(|l| l.model), Some(Arc::from("m2")));
+    for _ in 0..3 {
+        if let Some(order) = orders.next(&engine.report(), &spec, Timestamp::ZERO) {
+            engine.carry_out(&order);
+            orders.accepted(&order, Timestamp::ZERO);
+        }
+    }
+    let held: Vec<&str> = engine.models.iter().map(|(name, _)| &**name).collect();
+    assert_eq!(held, ["m0", "m2"]);
+    assert!(orders.is_idle());
+}
+
+#[test]
+fn a_busy_engine_gets_no_order() {
+    let mut report = Engine::default().report();
+    report.busy = true;
+    let mut orders = Orders::default();
+    orders.command(command(0, &[]), Timestamp::ZERO);
+    assert_eq!(orders.next(&report, &spec(), Timestamp::ZERO), None);
+}
--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -1,20 +1,18 @@
 //! The agent's loop.
 
-use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use kumquatkeel_core::serving::{
-    Backlog, EngineReport, EngineSpec, LoadCommand, Planner, PlannerInput, PlannerSettings,
-    ServingConfig, TableChange, Target, TargetId, TargetTable,
+    Backlog, EngineReport, EngineSpec, LoadCommand, Orders, Planner, ServingConfig, TableChange,
+    Target, TargetTable,
 };
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_types::Timestamp;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
 
-use super::orders::Orders;
 use super::peers::Peers;
 use crate::feed::{FeedEvent, FollowTerms, follow};
 use crate::gossip::{AgentBeat, Datagram, Gossip, Stamp};
@@ -33,18 +31,8 @@
 const CACHED_EVERY: u64 = 8;
 /// Pause between two beats to other agents.
 const AGENT_BEAT: Duration = Duration::from_millis(500);
-/// Pause between two planning rounds.
-const ROUND: Duration = Duration::from_millis(250);
-/// How long an agent listens before it may plan.
-const LISTEN: Duration = Duration::from_millis(900);
-/// How long a new planner gathers the entries' demand before its first round.
-const GATHER: Duration = Duration::from_millis(600);
-/// Pause between two log lines on the plan.
-const PLAN_LOG: Duration = Duration::from_secs(2);
 /// A gap between two steps that shows that the process was paused.
 const PAUSE: Duration = Duration::from_secs(1);
-/// Share of the weight store's rate that the planner uses.
-const LOAD_RATE_SHARE: f64 = 0.9;
 
 /// What an agent is told at start.
 #[derive(Debug, Clone)]
@@ -63,28 +51,28 @@
 
 /// An agent.
 pub struct Agent {
-    settings: AgentSettings,
-    engine: Arc<dyn EnginePort>,
-    gossip: Gossip,
-    instruments: Instruments,
-    clock: Clock,
-    stamp: Stamp,
-    config: Option<Arc<ServingConfig>>,
-    revision: u64,
-    table: TargetTable,
-    peers: Peers,
-    orders: Orders,
-    planner: Planner,
-    planning: bool,
-    planning_since: Timestamp,
-    listening: Timestamp,
-    born: u64,
-    report: Option<EngineReport>,
-    beat: Option<EngineReport>,
-    told_agents: Timestamp,
-    round: Timestamp,
-    logged: Timestamp,
-    engine_lost: bool,
+    pub(super) settings: AgentSettings,
+    pub(super) engine: Arc<dyn EnginePort>,
+    pub(super) gossip: Gossip,
+    pub(super) instruments: Instruments,
+    pub(super) clock: Clock,
+    pub(super) stamp: Stamp,
+    pub(super) config: Option<Arc<ServingConfig>>,
+    pub(super) revision: u64,
+    pub(super) table: TargetTable,
+    pub(super) peers: Peers,
+    pub(super) orders: Orders,
+    pub(super) planner: Planner,
+    pub(super) planning: bool,
+    pub(super) planning_since: Timestamp,
+    pub(super) listening: Timestamp,
+    pub(super) born: u64,
+    pub(super) report: Option<EngineReport>,
+    pub(super) beat: Option<EngineReport>,
+    pub(super) told_agents: Timestamp,
+    pub(super) round: Timestamp,
+    pub(super) logged: Timestamp,
+    pub(super) engine_lost: bool,
 }
 
 impl Agent {
@@ -243,7 +231,7 @@
         }
     }
 
-    fn accept(&mut self, command: LoadCommand, now: Timestamp) {
+    pub(super) fn accept(&mut self, command: LoadCommand, now: Timestamp) {
         let model = command.model.clone();
         let evict: Vec<String> = command.evict.iter().map(ToString::to_string).collect();
         let accepted = self.orders.command(command, now);
@@ -251,7 +239,7 @@
     }
 
     /// Returns the incarnation beside this agent as the platform lists it.
-    fn target(&self) -> Option<Arc<Target>> {
+    pub(super) fn target(&self) -> Option<Arc<Target>> {
         let here = self
             .table
             .all()
@@ -259,7 +247,7 @@
         here.max_by_key(|t| t.born).cloned()
     }
 
-    fn spec(&self) -> Option<&EngineSpec> {
+    pub(super) fn spec(&self) -> Option<&EngineSpec> {
         let target = self.target()?;
         self.config
             .as_ref()?
@@ -386,84 +374,6 @@
             self.told_agents = now;
         }
     }
-
-    fn plan(&mut self) {
-        let now = self.clock.now();
-        if now.since(self.listening) < LISTEN || now.since(self.round) < ROUND {
-            return;
-        }
-        self.round = now;
-        let planning = self.peers.is_lowest(self.settings.gossip) && self.report.is_some();
-        if planning != self.planning {
-            log::info!(planning; "planner role");
-            self.planning = planning;
-            self.planning_since = now;
-            self.planner = Planner::default();
-        }
-        if planning && now.since(self.planning_since) >= GATHER {
-            self.plan_round(now);
-        }
-    }
-
-    fn plan_round(&mut self, now: Timestamp) {
-        let (Some(target), Some(spec)) = (self.target(), self.spec().cloned()) else {
-            return;
-        };
-        let mut engines: BTreeMap<TargetId, EngineReport> = self.peers.reports().collect();
-        if let Some(report) = &self.report {
-            let shown = self.orders.publish(report, Some(&spec), now);
-            engines.insert(target.id.clone(), shown);
-        }
-        let ready = self.table.ready(&target.service);
-        engines.retain(|id, _| ready.iter().any(|t| t.id == *id));
-        let settings = PlannerSettings {
-            load_rate: spec.load_rate * LOAD_RATE_SHARE,
-            load_flight: self.settings.load_flight,
-        };
-        let demand = self.peers.demand();
-        let input = PlannerInput {
-            now,
-            demand: &demand,
-            engines: &engines,
-            spec: &spec,
-        };
-        self.log_hottest(&demand, &engines);
-        for command in self.planner.round(&input, settings) {
-            let demand = demand.get(&command.model).copied().unwrap_or(0.0);
-            let evict: Vec<String> = command.evict.iter().map(ToString::to_string).collect();
-            log::info!(
-                target_id:% = command.target, model:% = command.model, evict:serde, demand,
-                engines = engines.len();
-                "planned load"
-            );
-            if command.target == target.id {
-                self.accept(command, now);
-            } else if let Some(agent) = self.peers.agent_of(&command.target) {
-                self.gossip.send(agent, &Datagram::Load(command));
-            }
-        }
-    }
-}
-
-impl Agent {
-    /// Logs now and then which engines hold the model in most demand.
-    fn log_hottest(
-        &mut self,
-        demand: &HashMap<Arc<str>, f64>,
-        engines: &BTreeMap<TargetId, EngineReport>,
-    ) {
-        let now = self.clock.now();
-        if now.since(self.logged) < PLAN_LOG {
-            return;
-        }
-        self.logged = now;
-        let Some((model, demand)) = demand.iter().max_by(|a, b| a.1.total_cmp(b.1)) else {
-            return;
-        };
-        let holders = engines.iter().filter(|(_, r)| r.holds(model));
-        let holders: Vec<&str> = holders.map(|(id, _)| id.as_str()).collect();
-        log::info!(model:%, demand, holders:serde, engines = engines.len(); "hottest model");
-    }
 }
 
 /// Says whether entries should hear of a change at once.
--- a/crates/serving/src/agent/mod.rs
+++ b/crates/serving/src/agent/mod.rs
@@ -4,7 +4,7 @@
 //! plan; two planners at a time cost loads, never safety.
 
 mod daemon;
-mod orders;
 mod peers;
+mod planning;
 
 pub use daemon::{Agent, AgentSettings};
--- a/crates/serving/src/port.rs
+++ b/crates/serving/src/port.rs
@@ -7,7 +7,9 @@
 use async_trait::async_trait;
 use derive_more::{Display, Error};
 use http::{HeaderMap, StatusCode};
-use kumquatkeel_core::serving::{CallerRequest, EngineReport, ServingConfig, Target, TargetId};
+use kumquatkeel_core::serving::{
+    CallerRequest, EngineOrder, EngineReport, ServingConfig, Target, TargetId,
+};
 
 /// Says that a call to the platform or a target failed.
 #[derive(Debug, Clone, Display, Error)]
@@ -165,19 +167,6 @@
     fn is_readiness(&self, path: &str) -> bool;
 }
 
-/// An order to an engine.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct EngineOrder {
-    /// Whether to load or to unload.
-    pub load: bool,
-    /// The model.
-    pub model: Arc<str>,
-    /// The adapter of the model, or the model itself.
-    pub adapter: Option<Arc<str>>,
-    /// The number of orders that the engine must have accepted before.
-    pub expected: u64,
-}
-
 /// What an engine says to an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum OrderReply {
