feat(serving): engines that start empty restore what they held

Cause: after a power loss every engine starts empty.

Now the agent has its engine load again what the last incarnation held, by the agent's own knowledge or by the platform's list, from copies on the machine only; the first batches after a list follow each other quickly. Loads to come are told as a list. One type takes in the feed's events for entries and agents.

--- a/crates/core/src/serving/dispatch.rs
+++ b/crates/core/src/serving/dispatch.rs
@@ -213,11 +213,11 @@
     } else {
         terms.load_time
     };
-    let loading = candidates.iter().filter_map(|c| {
-        let progress = c.engine.report.loading.as_ref();
-        progress.filter(|p| &*p.model == terms.model)
-    });
-    let left = loading.map(|p| u64::from(p.left_ms)).min();
+    let loads = candidates.iter().flat_map(|c| &c.engine.report.loading);
+    let left = loads
+        .filter(|load| &*load.model == terms.model)
+        .map(|load| u64::from(load.left_ms))
+        .min();
     let wait = left.map_or(load_time, Duration::from_millis);
     if wait + terms.prefill <= terms.patience.mul_f64(PATIENCE_SHARE) {
         return Choice::AwaitModel;
--- a/crates/core/src/serving/engine.rs
+++ b/crates/core/src/serving/engine.rs
@@ -26,7 +26,7 @@
     pub adapters: Vec<Arc<str>>,
 }
 
-/// A load that an engine carries out.
+/// A load that an engine carries out or is about to.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct LoadProgress {
@@ -46,8 +46,8 @@
     pub pending: Vec<(Arc<str>, Arc<str>)>,
     /// Whether an adapter that is not held could be loaded at once.
     pub adapter_room: bool,
-    /// The load in progress.
-    pub loading: Option<LoadProgress>,
+    /// The loads in progress and those that follow them.
+    pub loading: Vec<LoadProgress>,
     /// Models whose weights lie in the target's memory or on its disk.
     pub cached: Vec<Arc<str>>,
     /// Whether an order is being carried out.
--- a/crates/core/src/serving/orders.rs
+++ b/crates/core/src/serving/orders.rs
@@ -4,7 +4,7 @@
 //! order that is carried out late, after a newer one, is therefore refused by the engine, and what
 //! an order asks for is checked against exactly the state in which it takes effect.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,6 +19,10 @@
 const COMMAND_LIFE: Duration = Duration::from_secs(20);
 /// How long an adapter is wanted after the last request for it.
 const WANT_LIFE: Duration = Duration::from_secs(1);
+/// Load time of a model that the configuration does not name; the largest one's of the deployments.
+const UNKNOWN_LOAD: Duration = Duration::from_secs(8);
+/// The shortest time that is told of a load that is not over, in milliseconds.
+const MIN_LOAD_LEFT_MS: u32 = 50;
 /// How long an accepted order may take to show in the engine's count of orders.
 const ACCEPTED_LIFE: Duration = Duration::from_secs(2);
 
@@ -37,16 +41,31 @@
 
 #[derive(Debug, Clone)]
 struct Pending {
-    command: LoadCommand,
+    model: Arc<str>,
+    evict: Vec<Arc<str>>,
     since: Timestamp,
     started: Option<Timestamp>,
     from_store: bool,
 }
 
+impl Pending {
+    const fn new(model: Arc<str>, evict: Vec<Arc<str>>, since: Timestamp) -> Self {
+        Self {
+            model,
+            evict,
+            since,
+            started: None,
+            from_store: true,
+        }
+    }
+}
+
 /// What the agent still has to order.
 #[derive(Debug, Default)]
 pub struct Orders {
     pending: Option<Pending>,
+    /// Models that an earlier incarnation held, still to be loaded from the machine's own copies.
+    restores: VecDeque<Arc<str>>,
     wants: HashMap<AdapterKey, Timestamp>,
     used: AdapterUse,
     /// The last accepted order's expected count, and when it was accepted.
@@ -59,15 +78,19 @@
         if self.pending.is_some() {
             return false;
         }
-        self.pending = Some(Pending {
-            command,
-            since: now,
-            started: None,
-            from_store: true,
-        });
+        self.pending = Some(Pending::new(command.model, command.evict, now));
         true
     }
 
+    /// Loads again, in this order, what an earlier incarnation of the engine held.
+    ///
+    /// Only models with a copy on the machine are loaded, so that a restart of many engines does
+    /// not draw on the weight store.
+    pub fn restore(&mut self, models: Vec<Arc<str>>, report: &EngineReport) {
+        let local = models.into_iter().filter(|m| report.is_cached(m));
+        self.restores = local.collect();
+    }
+
     /// Notes that an adapter is wanted.
     pub fn want(&mut self, adapter: AdapterKey, now: Timestamp) {
         self.used.note(adapter.clone(), now);
@@ -93,7 +116,7 @@
 
     /// Says whether anything is left to order.
     pub fn is_idle(&self) -> bool {
-        self.pending.is_none() && self.wants.is_empty()
+        self.pending.is_none() && self.restores.is_empty() && self.wants.is_empty()
     }
 
     /// Returns the next order, given the engine's state.
@@ -113,6 +136,7 @@
         if report.busy {
             return None;
         }
+        self.next_restore(now);
         self.next_adapter(report, spec, now)
             .or_else(|| self.next_model(report, spec, now))
     }
@@ -128,28 +152,55 @@
         let slots = spec.map_or(0, |s| s.adapter_slots);
         // An engine that loads or unloads a model refuses orders for adapters meanwhile.
         shown.adapter_room = !report.busy && self.used.has_room(report, slots, now);
-        let Some(pending) = &self.pending else {
-            return shown;
+        if let Some(pending) = &self.pending {
+            shown.models.retain(|m| !pending.evict.contains(&m.name));
+        }
+        shown.loading = self.loads(report, spec, now);
+        shown
+    }
+
+    /// Lists the loads to come, each with the time until it is over.
+    fn loads(
+        &self,
+        report: &EngineReport,
+        spec: Option<&EngineSpec>,
+        now: Timestamp,
+    ) -> Vec<LoadProgress> {
+        let time = |model: &Arc<str>, from_store: bool| {
+            let model = spec.and_then(|s| s.models.get(model));
+            model.map_or(
+                UNKNOWN_LOAD,
+                |m| if from_store { m.load } else { m.disk_load },
+            )
         };
-        let command = &pending.command;
-        shown.models.retain(|m| !command.evict.contains(&m.name));
-        if !report.holds(&command.model) {
-            let model = spec.and_then(|s| s.models.get(&command.model));
-            let load = model.map_or(Duration::from_secs(8), |m| {
-                if pending.from_store {
-                    m.load
-                } else {
-                    m.disk_load
-                }
-            });
-            let since = pending.started.unwrap_or(now);
-            let left = load.saturating_sub(now.since(since)).as_millis() as u32;
-            shown.loading = Some(LoadProgress {
-                model: command.model.clone(),
-                left_ms: left.max(50),
+        let mut left = Duration::ZERO;
+        let mut loads = Vec::new();
+        let pending = self.pending.as_ref();
+        let restores = self.restores.iter().map(|model| (model, false, now));
+        let first = pending.map(|p| (&p.model, p.from_store, p.started.unwrap_or(now)));
+        for (model, from_store, since) in first.into_iter().chain(restores) {
+            if report.holds(model) {
+                continue;
+            }
+            left += time(model, from_store).saturating_sub(now.since(since));
+            loads.push(LoadProgress {
+                model: model.clone(),
+                left_ms: (left.as_millis() as u32).max(MIN_LOAD_LEFT_MS),
             });
         }
-        shown
+        loads
+    }
+
+    /// Takes the next model to restore, unless a command is in progress.
+    fn next_restore(&mut self, now: Timestamp) {
+        if self.pending.is_some() {
+            return;
+        }
+        if let Some(model) = self.restores.pop_front() {
+            let mut pending = Pending::new(model, Vec::new(), now);
+            pending.from_store = false;
+            self.pending = Some(pending);
+        }
     }
 
     fn next_adapter(
@@ -160,7 +211,7 @@
     ) -> Option<EngineOrder> {
         let wanted: Vec<AdapterKey> = self.wants.keys().cloned().collect();
         for key in wanted {
-            let evicted = (self.pending.as_ref()).is_some_and(|p| p.command.evict.contains(&key.0));
+            let evicted = (self.pending.as_ref()).is_some_and(|p| p.evict.contains(&key.0));
             let step = if evicted {
                 AdapterStep::ModelAbsent
             } else {
@@ -198,10 +249,9 @@
         now: Timestamp,
     ) -> Option<EngineOrder> {
         let pending = self.pending.as_mut()?;
-        let command = &pending.command;
-        let held = report.holds(&command.model);
+        let held = report.holds(&pending.model);
         if held || now.since(pending.since) > COMMAND_LIFE {
-            log::info!(model:% = command.model, held; "load command ended");
+            log::info!(model:% = pending.model, held; "load command ended");
             self.pending = None;
             return None;
         }
@@ -211,17 +261,17 @@
             adapter: None,
             expected: report.order_seq,
         };
-        if let Some(model) = command.evict.iter().find(|m| report.holds(m)) {
+        if let Some(model) = pending.evict.iter().find(|m| report.holds(m)) {
             return Some(order(false, model));
         }
-        if !fits(report, spec, &command.model) {
-            log::warn!(model:% = command.model; "load command dropped: no memory for the weights");
+        if !fits(report, spec, &pending.model) {
+            log::warn!(model:% = pending.model; "load command dropped: no memory for the weights");
             self.pending = None;
             return None;
         }
-        pending.from_store = !report.cached.contains(&command.model);
+        pending.from_store = !report.cached.contains(&pending.model);
         pending.started = Some(now);
-        Some(order(true, &command.model))
+        Some(order(true, &pending.model))
     }
 }
 
--- a/crates/core/src/serving/planner.rs
+++ b/crates/core/src/serving/planner.rs
@@ -130,7 +130,7 @@
         let loading = input
             .engines
             .values()
-            .filter(|r| r.loading.is_some())
+            .filter(|r| !r.loading.is_empty())
             .count();
         let loading = loading + self.sent.len();
         let (flight, rate) = (settings.load_flight, settings.load_rate);
@@ -180,10 +180,10 @@
         let slot = |(id, report): (&TargetId, &EngineReport)| {
             let serving: Vec<Arc<str>> = report.models.iter().map(|m| m.name.clone()).collect();
             let mut held = serving.clone();
-            let pending = report.loading.as_ref().map(|p| p.model.clone());
             let sent = self.sent.get(id).map(|(_, model)| model.clone());
-            let free = pending.is_none() && sent.is_none() && !report.busy;
-            for model in pending.into_iter().chain(sent) {
+            let free = report.loading.is_empty() && sent.is_none() && !report.busy;
+            let pending = report.loading.iter().map(|load| load.model.clone());
+            for model in pending.chain(sent) {
                 if !held.contains(&model) {
                     held.push(model);
                 }
--- a/crates/core/src/serving/table.rs
+++ b/crates/core/src/serving/table.rs
@@ -4,6 +4,7 @@
 //! An entry that vanishes while the list was away may only have lapsed, so it is kept for a short
 //! grace; any other removal counts at once.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -105,6 +106,21 @@
         self.entries.values().map(|e| &e.target)
     }
 
+    /// Returns what earlier incarnations at an address held by their last entries, the models with
+    /// the most copies anywhere first.
+    pub fn former_models(&self, address: SocketAddr, born: u64) -> Vec<Arc<str>> {
+        let former = self
+            .all()
+            .filter(|t| t.address == address && t.born < born)
+            .flat_map(|t| &t.models);
+        let mut models: Vec<Arc<str>> = former.cloned().collect();
+        models.sort();
+        models.dedup();
+        let copies = |model: &Arc<str>| self.all().filter(|t| t.models.contains(model)).count();
+        models.sort_by_cached_key(|model| Reverse(copies(model)));
+        models
+    }
+
     /// Finds a target by its id.
     pub fn get(&self, id: &TargetId) -> Option<&Arc<Target>> {
         self.entries.get(id).map(|e| &e.target)
--- a/crates/core/tests/serving_orders.rs
+++ b/crates/core/tests/serving_orders.rs
@@ -170,7 +170,8 @@
         !shown.holds("m1"),
         "a model on its way out gets no more work"
     );
-    assert_eq!(shown.loading.map(|l| l.model), Some(Arc::from("m2")));
+    let loading: Vec<Arc<str>> = shown.loading.into_iter().map(|l| l.model).collect();
+    assert_eq!(loading, [Arc::from("m2")]);
     for _ in 0..3 {
         if let Some(order) = orders.next(&engine.report(), &spec, Timestamp::ZERO) {
             engine.carry_out(&order);
@@ -190,3 +191,32 @@
     orders.command(command(0, &[]), Timestamp::ZERO);
     assert_eq!(orders.next(&report, &spec(), Timestamp::ZERO), None);
 }
+
+#[test]
+fn an_engine_that_lost_its_power_loads_again_only_what_its_machine_keeps() {
+    let spec = spec();
+    let mut engine = Engine::default();
+    let report = |engine: &Engine| EngineReport {
+        cached: vec![Arc::from("m3"), Arc::from("m0")],
+        ..engine.report()
+    };
+    let mut orders = Orders::default();
+    let former = ["m0", "m2", "m3"].map(Arc::from);
+    orders.restore(former.to_vec(), &report(&engine));
+
+    let shown = orders.publish(&report(&engine), Some(&spec), Timestamp::ZERO);
+    let told: Vec<(&str, u32)> = (shown.loading.iter())
+        .map(|load| (&*load.model, load.left_ms))
+        .collect();
+    assert_eq!(told, [("m0", 1_000), ("m3", 2_000)], "one after the other");
+
+    for _ in 0..6 {
+        if let Some(order) = orders.next(&report(&engine), &spec, Timestamp::ZERO) {
+            engine.carry_out(&order);
+            orders.accepted(&order, Timestamp::ZERO);
+        }
+    }
+    let held: Vec<&str> = engine.models.iter().map(|(name, _)| &**name).collect();
+    assert_eq!(held, ["m0", "m3"]);
+    assert!(orders.is_idle());
+}
--- a/crates/core/tests/serving_planner.rs
+++ b/crates/core/tests/serving_planner.rs
@@ -196,10 +196,10 @@
     let spec = spec(&[("hot", 100.0), ("rare", 100.0), ("other", 100.0)]);
     let mut engines = fleet(&[&["hot", "other"], &["other"]]);
     let loading = engines.get_mut(&TargetId::from("e1")).unwrap();
-    loading.loading = Some(LoadProgress {
+    loading.loading = vec![LoadProgress {
         model: Arc::from("hot"),
         left_ms: 5_000,
-    });
+    }];
     let rates = demand(&[("hot", 4.0), ("rare", 0.2), ("other", 0.0)]);
     for command in plan(&engines, &spec, &rates, SETTINGS) {
         assert!(!command.evict.contains(&Arc::from("hot")), "{command:?}");
--- a/crates/core/tests/serving_table.rs
+++ b/crates/core/tests/serving_table.rs
@@ -75,3 +75,24 @@
     assert_eq!(expired, [TargetId::from("gone")]);
     assert_eq!(ready(&table), ["back"]);
 }
+
+#[test]
+fn the_list_tells_what_earlier_incarnations_held_the_most_copied_model_first() {
+    let holder = |id: &str, port: u16, born: u64, models: &[&str]| Target {
+        models: models.iter().map(|m| Arc::from(*m)).collect(),
+        ..target(id, port, born)
+    };
+    let mut table = TargetTable::default();
+    let listed = vec![
+        holder("old", 1, 100, &["a-rare", "hot"]),
+        holder("beside", 2, 100, &["hot"]),
+        holder("new", 1, 200, &["z"]),
+    ];
+    table.replace(listed, at(0));
+    let address = ([10, 0, 0, 1], 1).into();
+    assert_eq!(
+        table.former_models(address, 200),
+        [Arc::from("hot"), Arc::from("a-rare")]
+    );
+    assert!(table.former_models(address, 100).is_empty());
+}
--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -5,8 +5,7 @@
 use std::time::Duration;
 
 use kumquatkeel_core::serving::{
-    Backlog, EngineReport, EngineSpec, LoadCommand, Orders, Planner, ServingConfig, TableChange,
-    Target, TargetTable,
+    Backlog, EngineReport, EngineSpec, LoadCommand, Orders, Planner, Target,
 };
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_types::Timestamp;
@@ -14,10 +13,11 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
 
 use super::peers::Peers;
-use crate::feed::{FeedEvent, FollowTerms, follow};
+use crate::feed::{FollowTerms, follow};
 use crate::gossip::{AgentBeat, Datagram, Gossip, Stamp};
 use crate::metrics::Instruments;
-use crate::port::{EnginePort, FeedItem, FeedKind, ObjectFeed, OrderReply, ReadMode};
+use crate::objects::KnownObjects;
+use crate::port::{EnginePort, FeedKind, ObjectFeed, OrderReply, ReadMode};
 use crate::shutdown::{ProcessSignal, Signals};
 use crate::start::StartError;
 
@@ -57,9 +57,7 @@
     pub(super) instruments: Instruments,
     pub(super) clock: Clock,
     pub(super) stamp: Stamp,
-    pub(super) config: Option<Arc<ServingConfig>>,
-    pub(super) revision: u64,
-    pub(super) table: TargetTable,
+    pub(super) objects: KnownObjects,
     pub(super) peers: Peers,
     pub(super) orders: Orders,
     pub(super) planner: Planner,
@@ -67,6 +65,10 @@
     pub(super) planning_since: Timestamp,
     pub(super) listening: Timestamp,
     pub(super) born: u64,
+    /// Whether this incarnation of the engine has been looked at for models to restore.
+    pub(super) restored: bool,
+    /// The models that the engine held last.
+    pub(super) held: Vec<Arc<str>>,
     pub(super) report: Option<EngineReport>,
     pub(super) beat: Option<EngineReport>,
     pub(super) told_agents: Timestamp,
@@ -105,9 +107,7 @@
                 incarnation: rand::random(),
                 count: 0,
             },
-            config: None,
-            revision: 0,
-            table: TargetTable::default(),
+            objects: KnownObjects::default(),
             peers: Peers::default(),
             orders: Orders::default(),
             planner: Planner::default(),
@@ -115,6 +115,8 @@
             planning_since: Timestamp::ZERO,
             listening: clock.now(),
             born: 0,
+            restored: false,
+            held: Vec::new(),
             report: None,
             beat: None,
             told_agents: Timestamp::ZERO,
@@ -145,7 +147,9 @@
                 _ = poll.tick() => self.step().await,
                 () = sleep_until(order_poll), if !idle => self.step().await,
                 (from, datagram) = self.gossip.receive() => self.hear(from, datagram).await,
-                Some(event) = events.recv() => self.learn(event),
+                Some(event) = events.recv() => {
+                    self.objects.take_in(event, self.clock.now());
+                }
                 signal = signals.next() => match signal {
                     ProcessSignal::Stop => break,
                     ProcessSignal::Reload => log::info!("reload: nothing of the agent's changes"),
@@ -169,44 +173,6 @@
         self.peers.forget_agents();
     }
 
-    fn learn(&mut self, event: FeedEvent) {
-        let now = self.clock.now();
-        match event {
-            FeedEvent::Failed(_) => self.table.store_failed(now),
-            FeedEvent::Snapshot(items) => {
-                let targets: Vec<Target> = (items.iter())
-                    .filter_map(|item| match item {
-                        FeedItem::Target(target) => Some(target.clone()),
-                        _ => None,
-                    })
-                    .collect();
-                if !targets.is_empty() {
-                    self.table.replace(targets, now);
-                }
-                self.take_in(items, now);
-            }
-            FeedEvent::Changes(items) => self.take_in(items, now),
-        }
-    }
-
-    fn take_in(&mut self, items: Vec<FeedItem>, now: Timestamp) {
-        for item in items {
-            match item {
-                FeedItem::Config { config, revision } if revision > self.revision => {
-                    self.revision = revision;
-                    self.config = Some(Arc::from(config));
-                }
-                FeedItem::Config { .. } | FeedItem::Unusable { .. } => {}
-                FeedItem::Target(target) => {
-                    self.table.apply(TableChange::Listed(target), now);
-                }
-                FeedItem::TargetRemoved(id) => {
-                    self.table.apply(TableChange::Removed(id), now);
-                }
-            }
-        }
-    }
-
     async fn hear(&mut self, from: SocketAddr, datagram: Datagram) {
         let now = self.clock.now();
         match datagram {
@@ -241,6 +207,7 @@
     /// Returns the incarnation beside this agent as the platform lists it.
     pub(super) fn target(&self) -> Option<Arc<Target>> {
         let here = self
+            .objects
             .table
             .all()
             .filter(|t| t.address == self.settings.target);
@@ -249,8 +216,8 @@
 
     pub(super) fn spec(&self) -> Option<&EngineSpec> {
         let target = self.target()?;
-        self.config
-            .as_ref()?
+        self.objects
+            .config()?
             .services
             .get(&target.service)?
             .engine
@@ -260,8 +227,9 @@
     async fn step(&mut self) {
         let now = self.clock.now();
         self.peers.expire(now);
-        self.table.expire(now);
+        self.objects.table.expire(now);
         self.read_engine().await;
+        self.restore();
         if !self.orders.is_idle() {
             self.give_order().await;
         }
@@ -279,6 +247,10 @@
                     log::info!(born = status.born; "engine incarnation");
                     self.born = status.born;
                     self.orders.reset();
+                    self.restored = false;
+                } else if !status.report.models.is_empty() {
+                    let held = status.report.models.iter().map(|m| m.name.clone());
+                    self.held = held.collect();
                 }
                 self.report = Some(status.report);
             }
@@ -291,6 +263,30 @@
         }
     }
 
+    /// Has an engine that started empty load what its predecessor held.
+    ///
+    /// The platform's list still names it, also when this process started at the same moment.
+    fn restore(&mut self) {
+        let Some(report) = self.report.as_ref().filter(|_| !self.restored) else {
+            return;
+        };
+        if self.target().is_none_or(|target| target.born != self.born) {
+            return;
+        }
+        self.restored = true;
+        if !report.models.is_empty() || !self.orders.is_idle() {
+            return;
+        }
+        let mut models = std::mem::take(&mut self.held);
+        if models.is_empty() {
+            let table = &self.objects.table;
+            models = table.former_models(self.settings.target, self.born);
+        }
+        let names: Vec<String> = models.iter().map(ToString::to_string).collect();
+        log::info!(born = self.born, models:serde = names; "engine started empty; restoring");
+        self.orders.restore(models, report);
+    }
+
     async fn give_order(&mut self) {
         let now = self.clock.now();
         let (Some(target), Some(spec)) = (self.target(), self.spec().cloned()) else {
@@ -363,6 +359,7 @@
         if now.since(self.told_agents) >= AGENT_BEAT {
             let own = self.settings.gossip;
             let agents = self
+                .objects
                 .table
                 .all()
                 .map(|t| SocketAddr::new(t.address.ip(), own.port()));
@@ -378,6 +375,8 @@
 
 /// Says whether entries should hear of a change at once.
 fn differs(last: &EngineReport, new: &EngineReport) -> bool {
-    let loading = |r: &EngineReport| r.loading.as_ref().map(|l| l.model.clone());
+    let loading = |r: &EngineReport| -> Vec<Arc<str>> {
+        r.loading.iter().map(|load| load.model.clone()).collect()
+    };
     last.models != new.models || loading(last) != loading(new)
 }
--- a/crates/serving/src/agent/planning.rs
+++ b/crates/serving/src/agent/planning.rs
@@ -50,7 +50,7 @@
             let shown = self.orders.publish(report, Some(&spec), now);
             engines.insert(target.id.clone(), shown);
         }
-        let ready = self.table.ready(&target.service);
+        let ready = self.objects.table.ready(&target.service);
         engines.retain(|id, _| ready.iter().any(|t| t.id == *id));
         let settings = PlannerSettings {
             load_rate: spec.load_rate * LOAD_RATE_SHARE,
--- a/crates/serving/src/entry/daemon.rs
+++ b/crates/serving/src/entry/daemon.rs
@@ -201,14 +201,7 @@
 
 async fn learn(shared: Arc<Shared>, mut events: mpsc::Receiver<FeedEvent>) {
     while let Some(event) = events.recv().await {
-        match event {
-            FeedEvent::Failed(_) => {
-                let now = shared.now();
-                shared.lock().table.store_failed(now);
-            }
-            FeedEvent::Snapshot(items) => shared.take_in(items, true),
-            FeedEvent::Changes(items) => shared.take_in(items, false),
-        }
+        shared.take_in(event);
     }
 }
 
@@ -242,7 +235,7 @@
     let now = shared.now();
     let mut state = shared.lock();
     let demand = state.demand.rates(now);
-    let targets: Vec<Arc<Target>> = state.table.all().cloned().collect();
+    let targets: Vec<Arc<Target>> = state.objects.table.all().cloned().collect();
     let mut agents = 0;
     for target in &targets {
         if state
@@ -278,7 +271,7 @@
         tick.tick().await;
         let now = shared.now();
         let mut state = shared.lock();
-        for id in state.table.expire(now) {
+        for id in state.objects.table.expire(now) {
             log::info!(target_id:% = id; "lapsed target did not return");
         }
         state.forget_gone();
--- a/crates/serving/src/entry/exchange.rs
+++ b/crates/serving/src/entry/exchange.rs
@@ -98,6 +98,7 @@
         let mut state = self.shared.lock();
         // The path cost of other regions counts bytes as time, so their samples say little.
         let near = state
+            .objects
             .table
             .get(target)
             .is_some_and(|t| !self.shared.is_remote(&t.data_centre));
--- a/crates/serving/src/entry/selection.rs
+++ b/crates/serving/src/entry/selection.rs
@@ -74,7 +74,7 @@
         let shared = self.shared.clone();
         let mut state = shared.lock();
         let now = shared.now();
-        let ready: Vec<Arc<Target>> = state.table.ready(&self.service).to_vec();
+        let ready: Vec<Arc<Target>> = state.objects.table.ready(&self.service).to_vec();
         for target in &ready {
             state.engine(target, now);
         }
--- a/crates/serving/src/entry/state.rs
+++ b/crates/serving/src/entry/state.rs
@@ -9,7 +9,7 @@
 use kumquatkeel_core::serving::{
     AdapterKey, Backlog, BandRates, DemandMeter, DrainPlan, EngineReport, EngineState,
     FailureMeter, PaceMeter, ResidentModel, RetryQuota, RouteTable, ServiceSpec, ServingConfig,
-    TableChange, Target, TargetId, TargetTable,
+    Target, TargetId,
 };
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_types::Timestamp;
@@ -17,10 +17,12 @@
 use tokio::time::Instant;
 
 use super::daemon::EntrySettings;
+use crate::feed::FeedEvent;
 use crate::gossip::{AgentBeat, Stamp};
 use crate::metrics::Instruments;
 use crate::net::{Pool, PoolLimits};
-use crate::port::{Dialect, FeedItem};
+use crate::objects::KnownObjects;
+use crate::port::Dialect;
 
 /// Round trip within a data centre.
 const LOCAL_LINK: Duration = Duration::from_millis(1);
@@ -38,9 +40,8 @@
 /// A configuration in force.
 #[derive(Debug)]
 pub(super) struct Active {
-    pub(super) config: ServingConfig,
+    pub(super) config: Arc<ServingConfig>,
     pub(super) routes: RouteTable,
-    pub(super) revision: u64,
 }
 
 /// State and collaborators of an entry.
@@ -74,7 +75,7 @@
 #[derive(Debug)]
 pub(super) struct State {
     pub(super) active: Option<Arc<Active>>,
-    pub(super) table: TargetTable,
+    pub(super) objects: KnownObjects,
     pub(super) ejector: Ejector<TargetId>,
     pub(super) pace: PaceMeter,
     /// Open connections of callers.
@@ -108,7 +109,7 @@
             changed: watch::Sender::new(0),
             state: Mutex::new(State {
                 active: None,
-                table: TargetTable::default(),
+                objects: KnownObjects::default(),
                 ejector: Ejector::default(),
                 pace: PaceMeter::default(),
                 open: 0,
@@ -187,21 +188,13 @@
         }
     }
 
-    /// Takes in objects of the feed.
-    pub(super) fn take_in(&self, items: Vec<FeedItem>, whole_list: bool) {
+    /// Takes in an event of the feed.
+    pub(super) fn take_in(&self, event: FeedEvent) {
         let now = self.now();
         let mut state = self.lock();
-        if whole_list && items.iter().any(|i| matches!(i, FeedItem::Target(_))) {
-            let targets = items.iter().filter_map(|item| match item {
-                FeedItem::Target(target) => Some(target.clone()),
-                _ => None,
-            });
-            let targets: Vec<Target> = targets.collect();
-            log::info!(targets = targets.len(); "target list read");
-            state.table.replace(targets, now);
-        }
-        for item in items {
-            state.apply(item, now);
+        if let Some(config) = state.objects.take_in(event, now) {
+            let routes = RouteTable::new(&config);
+            state.active = Some(Arc::new(Active { config, routes }));
         }
         state.forget_gone();
         drop(state);
@@ -225,13 +218,13 @@
             },
         );
         state.entries = usize::from(beat.entries.max(1));
-        if state.table.get(&beat.target).is_none() {
+        if state.objects.table.get(&beat.target).is_none() {
             return;
         }
         let engine = state.engines.entry(beat.target).or_default();
         let wakes = engine.report.models != beat.report.models
             || engine.report.pending != beat.report.pending
-            || engine.report.loading.is_some() != beat.report.loading.is_some();
+            || engine.report.loading.len() != beat.report.loading.len();
         let cached = beat
             .cached
             .unwrap_or_else(|| std::mem::take(&mut engine.report.cached));
@@ -374,42 +367,9 @@
         self.active.as_ref()?.config.services.get(name)
     }
 
-    fn apply(&mut self, item: FeedItem, now: Timestamp) {
-        match item {
-            FeedItem::Config { config, revision } => self.put_in_force(*config, revision),
-            FeedItem::Target(target) => {
-                let (id, state) = (target.id.clone(), target.state);
-                if self.table.apply(TableChange::Listed(target), now) {
-                    log::info!(target_id:% = id, state:serde; "target listed");
-                }
-            }
-            FeedItem::TargetRemoved(id) => {
-                let removed = self.table.apply(TableChange::Removed(id.clone()), now);
-                log::info!(target_id:% = id, removed; "target's entry is gone");
-            }
-            FeedItem::Unusable { name, reason } => {
-                log::warn!(object:% = name, reason; "object skipped");
-            }
-        }
-    }
-
-    /// Puts a configuration in force, unless a newer one already is.
-    fn put_in_force(&mut self, config: ServingConfig, revision: u64) {
-        let known = self.active.as_ref().map_or(0, |a| a.revision);
-        if revision <= known {
-            return;
-        }
-        let (version, routes) = (config.version, config.routes.len());
-        log::info!(version, revision, routes; "configuration in force");
-        self.active = Some(Arc::new(Active {
-            routes: RouteTable::new(&config),
-            config,
-            revision,
-        }));
-    }
-
+    /// Drops the accounts of targets that are not listed any more.
     pub(super) fn forget_gone(&mut self) {
-        let table = &self.table;
+        let table = &self.objects.table;
         self.engines.retain(|id, _| table.get(id).is_some());
         self.pools.retain(|id, _| table.get(id).is_some());
         self.adapters.retain(|id, _| table.get(id).is_some());
--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -14,6 +14,11 @@
 /// Pause after a change of the targets, which change all the time in a large fleet. A target that
 /// leaves must be out of use within the deployment's bound, which is several times this.
 const TARGETS_PAUSE: Duration = Duration::from_millis(900);
+/// Batches of changes after a list that are followed by a short pause: a process boots as many
+/// targets do, and each of them changes its entry then.
+const BOOT_BATCHES: u32 = 6;
+/// Pause after each of them.
+const BOOT_PAUSE: Duration = Duration::from_millis(150);
 /// First pause after a failed call.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls.
@@ -92,6 +97,7 @@
 
     /// Watches for changes; returns whether all objects must be read again.
     async fn changes(&mut self, mut revision: u64) -> bool {
+        let mut batches = 0;
         loop {
             let watch = self.feed.watch(self.kind, self.mode, revision, self.wait);
             match watch.await {
@@ -109,7 +115,9 @@
                     {
                         return false;
                     }
+                    batches += 1;
                     let pause = match self.kind {
+                        _ if batches <= BOOT_BATCHES => BOOT_PAUSE,
                         FeedKind::Config => CONFIG_PAUSE,
                         FeedKind::Targets => TARGETS_PAUSE,
                     };
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod net;
+pub mod objects;
 pub mod port;
 pub mod shutdown;
 pub mod start;
--- /dev/null
+++ b/crates/serving/src/objects.rs
@@ -0,0 +1,87 @@
+//! What a process knows of the platform's objects: the configuration in force and the targets.
+
+use std::sync::Arc;
+
+use kumquatkeel_core::serving::{ServingConfig, TableChange, Target, TargetTable};
+use kumquatkeel_types::Timestamp;
+
+use crate::feed::FeedEvent;
+use crate::port::FeedItem;
+
+/// The newest objects that the feed has brought.
+#[derive(Debug, Clone, Default)]
+pub struct KnownObjects {
+    /// The targets.
+    pub table: TargetTable,
+    config: Option<Arc<ServingConfig>>,
+    revision: u64,
+}
+
+impl KnownObjects {
+    /// Takes in an event of the feed; returns the configuration if a newer one is in force now.
+    ///
+    /// A configuration is never replaced by one with a lower revision.
+    pub fn take_in(&mut self, event: FeedEvent, now: Timestamp) -> Option<Arc<ServingConfig>> {
+        let revision = self.revision;
+        match event {
+            FeedEvent::Failed(_) => self.table.store_failed(now),
+            FeedEvent::Snapshot(items) => {
+                let mut targets = Vec::new();
+                for item in items {
+                    if let Some(target) = self.take_item(item, now) {
+                        targets.push(target);
+                    }
+                }
+                // A list without a usable target says nothing of those in use.
+                if !targets.is_empty() {
+                    log::info!(targets = targets.len(); "target list read");
+                    self.table.replace(targets, now);
+                }
+            }
+            FeedEvent::Changes(items) => {
+                for item in items {
+                    if let Some(target) = self.take_item(item, now) {
+                        self.list(target, now);
+                    }
+                }
+            }
+        }
+        (self.revision > revision).then(|| self.config.clone())?
+    }
+
+    /// Returns the configuration in force.
+    pub const fn config(&self) -> Option<&Arc<ServingConfig>> {
+        self.config.as_ref()
+    }
+
+    /// Takes in one object, unless it is a listed target, which is returned.
+    fn take_item(&mut self, item: FeedItem, now: Timestamp) -> Option<Target> {
+        match item {
+            FeedItem::Target(target) => return Some(target),
+            FeedItem::Config { config, revision } if revision > self.revision => {
+                let (version, routes) = (config.version, config.routes.len());
+                log::info!(version, revision, routes; "configuration in force");
+                self.revision = revision;
+                self.config = Some(Arc::from(config));
+            }
+            FeedItem::Config { revision, .. } => {
+                log::debug!(revision, known = self.revision; "older configuration ignored");
+            }
+            FeedItem::TargetRemoved(id) => {
+                let removed = self.table.apply(TableChange::Removed(id.clone()), now);
+                log::info!(target_id:% = id, removed; "target's entry is gone");
+            }
+            FeedItem::Unusable { name, reason } => {
+                log::warn!(object:% = name, reason; "object skipped");
+            }
+        }
+        None
+    }
+
+    fn list(&mut self, target: Target, now: Timestamp) {
+        let (id, state) = (target.id.clone(), target.state);
+        if self.table.apply(TableChange::Listed(target), now) {
+            log::info!(target_id:% = id, state:serde; "target listed");
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/tests/agent.rs
@@ -0,0 +1,220 @@
+//! An agent over loopback beside a scripted engine: restarts of the engine and of both.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use kumquatkeel_core::serving::{
+    ClientLimits, EngineOrder, EngineReport, EngineSpec, ModelSpec, ResidentModel, ServiceSpec,
+    ServingConfig, Target, TargetId, TargetState,
+};
+use kumquatkeel_serving::agent::{Agent, AgentSettings};
+use kumquatkeel_serving::port::{
+    EnginePort, FeedBatch, FeedItem, FeedKind, ObjectFeed, OrderReply, PortError, ReadMode,
+    TargetStatus,
+};
+use kumquatkeel_serving::shutdown::Signals;
+use tokio::time::{Instant, sleep};
+
+const SERVICE: &str = "assist";
+const BORN: u64 = 2_000;
+
+fn engine_address() -> SocketAddr {
+    ([127, 0, 0, 1], 9).into()
+}
+
+/// An engine that carries out a load at once.
+#[derive(Debug, Default)]
+struct Engine {
+    state: Mutex<(u64, EngineReport)>,
+    loads: Mutex<Vec<Arc<str>>>,
+}
+
+impl Engine {
+    /// Starts another incarnation, which holds nothing; copies of all models are on the disk.
+    fn restart(&self, born: u64) {
+        let cached = ["hot", "rare", "other"].map(Arc::from).to_vec();
+        let report = EngineReport {
+            cached,
+            ..EngineReport::default()
+        };
+        *self.state.lock().unwrap() = (born, report);
+    }
+
+    async fn wait_for_loads(&self, count: usize) -> Vec<Arc<str>> {
+        let end = Instant::now() + Duration::from_secs(5);
+        while self.loads.lock().unwrap().len() < count && Instant::now() < end {
+            sleep(Duration::from_millis(10)).await;
+        }
+        std::mem::take(&mut *self.loads.lock().unwrap())
+    }
+}
+
+#[async_trait]
+impl EnginePort for Engine {
+    async fn report(&self) -> Result<TargetStatus, PortError> {
+        let (born, report) = self.state.lock().unwrap().clone();
+        Ok(TargetStatus { born, report })
+    }
+
+    async fn order(&self, _: &TargetId, order: &EngineOrder) -> Result<OrderReply, PortError> {
+        let report = &mut self.state.lock().unwrap().1;
+        if order.expected != report.order_seq {
+            return Ok(OrderReply::Conflict);
+        }
+        report.order_seq += 1;
+        report.models.push(ResidentModel {
+            name: order.model.clone(),
+            adapters: Vec::new(),
+        });
+        self.loads.lock().unwrap().push(order.model.clone());
+        Ok(OrderReply::Accepted)
+    }
+}
+
+/// A store whose objects stay as they are.
+#[derive(Debug)]
+struct Objects {
+    targets: Mutex<Vec<Target>>,
+}
+
+#[async_trait]
+impl ObjectFeed for Objects {
+    async fn list(&self, kind: FeedKind, _: ReadMode) -> Result<FeedBatch, PortError> {
+        let items = match kind {
+            FeedKind::Config => vec![FeedItem::Config {
+                config: Box::new(config()),
+                revision: 1,
+            }],
+            FeedKind::Targets => {
+                let targets = self.targets.lock().unwrap().clone();
+                targets.into_iter().map(FeedItem::Target).collect()
+            }
+        };
+        Ok(FeedBatch { items, revision: 1 })
+    }
+
+    async fn watch(
+        &self,
+        kind: FeedKind,
+        mode: ReadMode,
+        _: u64,
+        _: Duration,
+    ) -> Result<FeedBatch, PortError> {
+        sleep(Duration::from_millis(50)).await;
+        self.list(kind, mode).await
+    }
+}
+
+fn config() -> ServingConfig {
+    let model = |name: &str| {
+        let name: Arc<str> = Arc::from(name);
+        let spec = ModelSpec {
+            name: name.clone(),
+            weights_mb: 70_000.0,
+            load: Duration::from_secs(6),
+            disk_load: Duration::from_secs(1),
+            adapters: 0,
+            adapter_mb: 40.0,
+        };
+        (name, spec)
+    };
+    let engine = EngineSpec {
+        slots: 64,
+        kv_tokens: 100_000,
+        weights_mb: 200_000.0,
+        adapter_slots: 8,
+        load_rate: 1.0,
+        models: ["hot", "rare", "other"].map(model).into(),
+    };
+    let service = ServiceSpec {
+        name: Arc::from(SERVICE),
+        connections: 100,
+        engine: Some(engine),
+    };
+    ServingConfig {
+        version: 1,
+        routes: Vec::new(),
+        services: [(service.name.clone(), service)].into(),
+        limits: ClientLimits {
+            header_bytes: 1,
+            body_bytes: 1,
+            header_timeout: Duration::from_secs(1),
+            idle_timeout: Duration::from_secs(1),
+        },
+    }
+}
+
+fn listed(id: &str, address: SocketAddr, born: u64, models: &[&str]) -> Target {
+    Target {
+        id: TargetId::from(id),
+        service: Arc::from(SERVICE),
+        address,
+        data_centre: Arc::from("a"),
+        slots: 64,
+        state: TargetState::Ready,
+        born,
+        models: models.iter().map(|m| Arc::from(*m)).collect(),
+    }
+}
+
+async fn start(engine: &Arc<Engine>, objects: &Arc<Objects>) {
+    let settings = AgentSettings {
+        instance: Arc::from("agent"),
+        gossip: ([127, 0, 0, 1], 0).into(),
+        metrics: None,
+        target: engine_address(),
+        load_flight: 1,
+    };
+    let agent = Agent::start(settings, engine.clone()).await.unwrap();
+    let signals = Signals::install().unwrap();
+    tokio::spawn(agent.run(objects.clone(), signals));
+}
+
+fn names(models: &[Arc<str>]) -> Vec<&str> {
+    models.iter().map(|m| &**m).collect()
+}
+
+/// All lose power: neither the agent nor its engine remembers anything, the platform's list does.
+#[tokio::test]
+async fn after_a_power_loss_an_engine_loads_what_the_list_says_it_held() {
+    let engine = Arc::new(Engine::default());
+    engine.restart(BORN);
+    let beside = ([127, 0, 0, 1], 10).into();
+    let objects = Arc::new(Objects {
+        targets: Mutex::new(vec![
+            listed("old", engine_address(), 1_000, &["rare", "hot"]),
+            listed("beside", beside, 1_000, &["hot"]),
+            listed("new", engine_address(), BORN, &[]),
+        ]),
+    });
+    start(&engine, &objects).await;
+    let loads = engine.wait_for_loads(2).await;
+    assert_eq!(
+        names(&loads),
+        ["hot", "rare"],
+        "and nothing that it did not hold"
+    );
+}
+
+/// Only the engine crashes: its agent knows better than the list what it held.
+#[tokio::test]
+async fn after_a_crash_an_engine_loads_what_its_agent_last_saw() {
+    let engine = Arc::new(Engine::default());
+    engine.restart(BORN);
+    let objects = Arc::new(Objects {
+        targets: Mutex::new(vec![
+            listed("old", engine_address(), 1_000, &["other"]),
+            listed("one", engine_address(), BORN, &[]),
+        ]),
+    });
+    start(&engine, &objects).await;
+    assert_eq!(names(&engine.wait_for_loads(1).await), ["other"]);
+    sleep(Duration::from_millis(300)).await;
+
+    engine.restart(BORN + 1);
+    let next = listed("two", engine_address(), BORN + 1, &[]);
+    objects.targets.lock().unwrap().push(next);
+    assert_eq!(names(&engine.wait_for_loads(1).await), ["other"]);
+}
--- a/crates/serving/tests/feed.rs
+++ b/crates/serving/tests/feed.rs
@@ -165,3 +165,27 @@
     let calls = *feed.calls.lock().unwrap();
     assert!((20..=60).contains(&calls), "{calls} calls in 20 s");
 }
+
+/// All targets restart together after a power loss, and each changes its entry within a second.
+#[tokio::test(start_paused = true)]
+async fn changes_just_after_a_list_come_without_a_long_pause() {
+    let batch = |revision| Say::Batch(vec![gone("t")], revision);
+    let feed = Scripted::new(vec![batch(1)], (2..8).map(batch).collect());
+    let start_time = Instant::now();
+    let mut events = start(&feed);
+    for _ in 0..5 {
+        next(&mut events).await;
+    }
+    assert!(start_time.elapsed() <= Duration::from_millis(750));
+}
+
+/// Targets of a large fleet change all the time; each call to the store has its price.
+#[tokio::test(start_paused = true)]
+async fn lasting_changes_come_in_batches() {
+    let batch = |revision| Say::Batch(vec![gone("t")], revision);
+    let feed = Scripted::new(vec![batch(1)], (2..60).map(batch).collect());
+    let _events = start(&feed);
+    sleep(Duration::from_secs(20)).await;
+    let calls = *feed.calls.lock().unwrap();
+    assert!(calls <= 32, "{calls} calls in 20 s");
+}
