feat(serving): entries count the work at engines just before they choose

Cause: an entry of a grown deployment knows the others' work at an engine as of 0.2 to 0.8 s ago, in which an engine reads several prompts; predicted first tokens were off by a factor of two to four for a tenth of the requests, and many came late at one engine while others were idle.

Now an entry tells an agent its work whenever it changes, and asks the agents of the three likeliest engines for the others' work just before it chooses. Requests that waited for a model wake apart. Beats say which incarnation they are about: entries told the work at an earlier one as if it were at the present.

--- a/crates/core/src/serving/dispatch.rs
+++ b/crates/core/src/serving/dispatch.rs
@@ -26,6 +26,10 @@
 const ADAPTER_LOAD: Duration = Duration::from_millis(40);
 /// Time until a place for an adapter is free, where all are in use.
 const ADAPTER_WAIT: Duration = Duration::from_millis(600);
+/// Engines whose work is counted before a choice.
+const COUNTED_ENGINES: usize = 3;
+/// Predictions that differ by less are about equal; a tenth of a typical prefill.
+const TIE_SPREAD: Duration = Duration::from_millis(10);
 /// The shortest time after which a refused caller should return.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -76,6 +80,9 @@
     pub band: Band,
     /// The work sent lately, by band.
     pub rates: &'a BandRates,
+    /// Drawn at random for each decision; orders engines that are about equal, so that entries that
+    /// decide together don't all choose the same.
+    pub draw: u64,
     /// The expected time until an engine could have loaded the model from the weight store.
     pub load_time: Duration,
     /// The same from a copy that the engine's machine keeps.
@@ -124,13 +131,8 @@
     let any_open = holders.iter().any(|i| !candidates[*i].avoided);
     let open = |i: &&usize| !any_open || !candidates[**i].avoided;
     let best = |band: Band| {
-        let predicted = |i: usize| (predict(&candidates[i], terms, band), i);
-        let ranked = |(time, i): (Duration, usize)| (time + candidates[i].penalty, time, i);
-        holders
-            .iter()
-            .filter(open)
-            .map(|i| ranked(predicted(*i)))
-            .min()
+        let ranked = |i: &usize| rank(&candidates[*i], terms, band, *i);
+        holders.iter().filter(open).map(ranked).min()
     };
     let timely = terms.objective.mul_f64(TIMELY_SHARE);
     let found = best(terms.band).filter(|(_, time, _)| *time <= timely);
@@ -155,6 +157,21 @@
     }
 }
 
+/// Lists the engines whose work is to be counted before a choice: the best as far as known.
+///
+/// Load pattern: many entries send to the same engines, and each knows the others' work only as of
+/// some hundred milliseconds ago, in which an engine reads several prompts.
+pub fn engines_to_count(candidates: &[Candidate<'_>], terms: &DispatchTerms<'_>) -> Vec<usize> {
+    let holders = (0..candidates.len()).filter(|i| {
+        let candidate = &candidates[*i];
+        !candidate.avoided && candidate.engine.report.holds(terms.model)
+    });
+    let mut best: Vec<usize> = holders.collect();
+    best.sort_by_cached_key(|i| rank(&candidates[*i], terms, terms.band, *i).0);
+    best.truncate(COUNTED_ENGINES);
+    best
+}
+
 /// Chooses a plain target by unfinished requests and path.
 ///
 /// `running` and `slots` describe each candidate in the same order.
@@ -179,6 +196,24 @@
     )
 }
 
+/// Ranks a candidate: by the time that decides, the predicted time and the index.
+fn rank(
+    candidate: &Candidate<'_>,
+    terms: &DispatchTerms<'_>,
+    band: Band,
+    index: usize,
+) -> (Duration, Duration, usize) {
+    let time = predict(candidate, terms, band);
+    let rank = time + candidate.penalty + tie_break(terms.draw, index);
+    (rank, time, index)
+}
+
+/// Returns a time below [`TIE_SPREAD`] that depends on the draw and the candidate.
+fn tie_break(draw: u64, index: usize) -> Duration {
+    let mixed = draw.rotate_left((index as u32 * 11) % 64);
+    TIE_SPREAD.mul_f64((mixed % 1_024) as f64 / 1_024.0)
+}
+
 fn predict(candidate: &Candidate<'_>, terms: &DispatchTerms<'_>, band: Band) -> Duration {
     let engine = candidate.engine;
     let report = &engine.report;
--- a/crates/core/src/serving/engine.rs
+++ b/crates/core/src/serving/engine.rs
@@ -171,8 +171,10 @@
     pub reported: Option<Timestamp>,
     /// Work that this entry has sent.
     pub own: Backlog,
-    /// Work that other entries have sent, as of the last report.
+    /// Work that other entries have sent, as last told by the agent.
     pub peers: Backlog,
+    /// When the agent last told it.
+    pub counted: Option<Timestamp>,
     /// Requests of this entry that are unfinished at the engine.
     pub running: u32,
     /// The pause between the agent's reports.
@@ -204,6 +206,11 @@
         self.age(now).is_some_and(|age| age >= limit)
     }
 
+    /// Says whether the other entries' work was told at or after `since`.
+    pub fn is_counted_since(&self, since: Timestamp) -> bool {
+        self.counted.is_some_and(|at| at >= since)
+    }
+
     /// Returns the age of the report.
     pub fn age(&self, now: Timestamp) -> Option<Duration> {
         self.reported.map(|at| now.since(at))
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -25,7 +25,9 @@
     ServingConfig,
 };
 pub use demand::{DemandMeter, ModelDemand};
-pub use dispatch::{Candidate, Choice, DispatchTerms, RefusalReason, choose_engine, choose_plain};
+pub use dispatch::{
+    Candidate, Choice, DispatchTerms, RefusalReason, choose_engine, choose_plain, engines_to_count,
+};
 pub use drain::{DrainPhase, DrainPlan};
 pub use engine::{Backlog, Band, EngineReport, EngineState, LoadProgress, ResidentModel};
 pub use eviction::{AdapterKey, AdapterStep, AdapterUse};
--- a/crates/core/src/serving/table.rs
+++ b/crates/core/src/serving/table.rs
@@ -101,6 +101,13 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the newest incarnation at each address, leaving ones included.
+    pub fn newest(&self) -> impl Iterator<Item = &Arc<Target>> {
+        let newest = self.newest_starts();
+        self.all()
+            .filter(move |t| newest.get(&t.address) == Some(&t.born))
+    }
+
     /// Returns all listed targets, leaving ones included.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Target>> {
         self.entries.values().map(|e| &e.target)
@@ -167,14 +174,19 @@
         true
     }
 
+    fn newest_starts(&self) -> HashMap<SocketAddr, u64> {
+        let mut newest = HashMap::new();
+        for target in self.all() {
+            let born: &mut u64 = newest.entry(target.address).or_default();
+            *born = target.born.max(*born);
+        }
+        newest
+    }
+
     /// Lists the usable targets. An address serves one incarnation at a time, so the newest one
     /// hides an older whose entry has not lapsed yet.
     fn index(&mut self) {
-        let mut newest: HashMap<SocketAddr, u64> = HashMap::new();
-        for entry in self.entries.values() {
-            let born = newest.entry(entry.target.address).or_default();
-            *born = entry.target.born.max(*born);
-        }
+        let newest = self.newest_starts();
         self.services.clear();
         for entry in self.entries.values() {
             let current = newest.get(&entry.target.address) == Some(&entry.target.born);
--- a/crates/core/tests/serving_dispatch.rs
+++ b/crates/core/tests/serving_dispatch.rs
@@ -47,6 +47,7 @@
     static CALM: LazyLock<BandRates> = LazyLock::new(BandRates::default);
     DispatchTerms {
         rates: &CALM,
+        draw: 0,
         model: MODEL,
         adapter: None,
         prefill: Duration::from_millis(100),
--- /dev/null
+++ b/crates/core/tests/serving_herd.rs
@@ -0,0 +1,112 @@
+//! Many entries send a crowd's requests within less time than their reports take.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquatkeel_core::serving::{
+    Backlog, Band, BandRates, Candidate, Choice, DispatchTerms, EngineReport, EngineState,
+    ResidentModel, choose_engine, engines_to_count,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+const MODEL: &str = "m";
+const PREFILL: Duration = Duration::from_millis(100);
+
+fn holder() -> EngineState {
+    let model = ResidentModel {
+        name: Arc::from(MODEL),
+        adapters: Vec::new(),
+    };
+    EngineState {
+        report: EngineReport {
+            models: vec![model],
+            ..EngineReport::default()
+        },
+        ..EngineState::default()
+    }
+}
+
+fn terms(rates: &BandRates, draw: u64) -> DispatchTerms<'_> {
+    DispatchTerms {
+        rates,
+        draw,
+        model: MODEL,
+        adapter: None,
+        prefill: PREFILL,
+        tokens: 2_000,
+        objective: Duration::from_secs(4),
+        patience: Duration::from_secs(8),
+        band: Band::Urgent,
+        load_time: Duration::from_secs(6),
+        disk_load_time: Duration::from_secs(1),
+    }
+}
+
+fn candidates(engines: &[EngineState]) -> Vec<Candidate<'_>> {
+    let candidate = |engine| Candidate {
+        engine,
+        link: Duration::from_millis(1),
+        penalty: Duration::ZERO,
+        avoided: false,
+    };
+    engines.iter().map(candidate).collect()
+}
+
+/// Lets each entry send one request; `reported` is what all believe of the others' work.
+fn requests_by_engine(entries: usize, reported: &[u64], counts: bool) -> Vec<usize> {
+    let rates = BandRates::default();
+    let mut draws = Pcg64::seed_from_u64(7);
+    let mut sent = vec![0; reported.len()];
+    let mut work = vec![Backlog::default(); reported.len()];
+    for _ in 0..entries {
+        let mut known = vec![holder(); reported.len()];
+        for (engine, millis) in known.iter_mut().zip(reported) {
+            engine
+                .peers
+                .add(Duration::from_millis(*millis), Band::Urgent);
+        }
+        let terms = terms(&rates, draws.random());
+        if counts {
+            for index in engines_to_count(&candidates(&known), &terms) {
+                known[index].peers = work[index];
+            }
+        }
+        let Choice::Send { index, .. } = choose_engine(&candidates(&known), &terms) else {
+            panic!("the request is not sent");
+        };
+        sent[index] += 1;
+        work[index].add(PREFILL, Band::Urgent);
+    }
+    sent
+}
+
+#[test]
+fn a_crowd_spreads_over_the_engines_although_their_reports_are_old() {
+    // The last report said that one engine had less to do than the others.
+    let reported = [300, 300, 0, 300, 300, 300];
+    let herd = requests_by_engine(24, &reported, false);
+    assert_eq!(herd[2], 24, "without counts all choose the same: {herd:?}");
+    let spread = requests_by_engine(24, &reported, true);
+    let most = spread.iter().max().unwrap();
+    assert!(*most <= 8, "at most twice the mean of 4: {spread:?}");
+}
+
+#[test]
+fn equal_engines_are_not_all_chosen_in_the_same_order() {
+    let spread = requests_by_engine(60, &[0; 6], false);
+    assert!(spread.iter().all(|sent| *sent > 0), "{spread:?}");
+}
+
+#[test]
+fn the_best_engines_as_far_as_known_are_counted() {
+    let rates = BandRates::default();
+    let mut engines = vec![holder(); 5];
+    for (engine, millis) in engines.iter_mut().zip([200, 50, 400, 900, 120]) {
+        engine
+            .peers
+            .add(Duration::from_millis(millis), Band::Urgent);
+    }
+    let asked = engines_to_count(&candidates(&engines), &terms(&rates, 0));
+    assert_eq!(asked, [1, 4, 0]);
+}
--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -1,11 +1,12 @@
 //! The agent's loop.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use kumquatkeel_core::serving::{
-    Backlog, EngineReport, EngineSpec, LoadCommand, Orders, Planner, Target,
+    Backlog, EngineReport, EngineSpec, LoadCommand, Orders, Planner, Target, TargetId,
 };
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_types::Timestamp;
@@ -14,7 +15,7 @@
 
 use super::peers::Peers;
 use crate::feed::{FollowTerms, follow};
-use crate::gossip::{AgentBeat, Datagram, Gossip, Stamp};
+use crate::gossip::{AgentBeat, Datagram, Gossip, Stamp, WorkCount, WorkQuery};
 use crate::metrics::Instruments;
 use crate::objects::KnownObjects;
 use crate::port::{EnginePort, FeedKind, ObjectFeed, OrderReply, ReadMode};
@@ -103,10 +104,7 @@
             gossip,
             instruments,
             clock,
-            stamp: Stamp {
-                incarnation: rand::random(),
-                count: 0,
-            },
+            stamp: Stamp::start(),
             objects: KnownObjects::default(),
             peers: Peers::default(),
             orders: Orders::default(),
@@ -126,6 +124,15 @@
         })
     }
 
+    /// Returns the address for datagrams, whose port the system may have chosen.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the system does not tell it.
+    pub fn gossip(&self) -> io::Result<SocketAddr> {
+        self.gossip.address()
+    }
+
     /// Runs until the platform stops the process.
     pub async fn run(mut self, feed: Arc<dyn ObjectFeed>, mut signals: Signals) {
         let (sender, mut events) = mpsc::channel(16);
@@ -176,20 +183,32 @@
     async fn hear(&mut self, from: SocketAddr, datagram: Datagram) {
         let now = self.clock.now();
         match datagram {
-            Datagram::Entry(beat) => {
+            Datagram::Entry(mut beat) => {
+                // A beat about an earlier incarnation only shows that the entry is there.
+                if !self.is_target(&beat.target) {
+                    beat.backlog = Backlog::default();
+                    beat.adapters.clear();
+                }
                 if self.peers.hear_entry(from, &beat, now) {
                     self.orders.note_use(&beat.adapters, now);
                 }
             }
+            Datagram::Note(note) => {
+                if self.is_target(&note.target) {
+                    self.peers.hear_work(from, &note, now);
+                }
+            }
+            Datagram::Query(query) => self.answer(from, query),
+            Datagram::Count(_) => log::debug!(peer:% = from; "datagram for an entry"),
             Datagram::Agent(beat) => self.peers.hear_agent(from, beat, now),
             Datagram::Want(want) => {
-                if self.target().is_some_and(|t| t.id == want.target) {
+                if self.is_target(&want.target) {
                     self.orders.want(want.adapter, now);
                     self.step().await;
                 }
             }
             Datagram::Load(command) => {
-                if self.target().is_some_and(|t| t.id == command.target) {
+                if self.is_target(&command.target) {
                     self.accept(command, now);
                     self.step().await;
                 }
@@ -197,6 +216,28 @@
         }
     }
 
+    /// Tells an entry that is about to choose how much work its request would meet.
+    fn answer(&self, from: SocketAddr, query: WorkQuery) {
+        let Some(report) = self.report.as_ref() else {
+            return;
+        };
+        if !self.is_target(&query.target) {
+            return;
+        }
+        let others = self.peers.count_work(from);
+        let count = WorkCount {
+            target: query.target,
+            others,
+            kv_used: report.kv_used,
+        };
+        self.gossip.send(from, &Datagram::Count(count));
+    }
+
+    /// Says whether an id is that of the incarnation beside this agent.
+    fn is_target(&self, id: &TargetId) -> bool {
+        self.target().is_some_and(|target| target.id == *id)
+    }
+
     pub(super) fn accept(&mut self, command: LoadCommand, now: Timestamp) {
         let model = command.model.clone();
         let evict: Vec<String> = command.evict.iter().map(ToString::to_string).collect();
--- a/crates/serving/src/agent/peers.rs
+++ b/crates/serving/src/agent/peers.rs
@@ -8,7 +8,7 @@
 use kumquatkeel_core::serving::{Backlog, EngineReport, ModelDemand, TargetId};
 use kumquatkeel_types::Timestamp;
 
-use crate::gossip::{AgentBeat, EntryBeat, Stamp};
+use crate::gossip::{AgentBeat, EntryBeat, Stamp, WorkNote};
 
 /// Shortest pause between two beats to an entry.
 const ENTRY_BEAT: Duration = Duration::from_millis(200);
@@ -80,6 +80,23 @@
         true
     }
 
+    /// Takes in the present work of an entry that is known.
+    pub(super) fn hear_work(&mut self, from: SocketAddr, note: &WorkNote, now: Timestamp) {
+        if let Some(entry) = self.entries.get_mut(&from)
+            && note.stamp.follows(entry.stamp)
+        {
+            entry.seen = now;
+            entry.stamp = note.stamp;
+            entry.backlog = note.backlog;
+        }
+    }
+
+    /// Counts the work of all entries but the one at `asker`.
+    pub(super) fn count_work(&self, asker: SocketAddr) -> Backlog {
+        let others = self.entries.iter().filter(|(entry, _)| **entry != asker);
+        others.fold(Backlog::default(), |sum, (_, e)| sum.plus(e.backlog))
+    }
+
     /// Takes in another agent's beat.
     pub(super) fn hear_agent(&mut self, from: SocketAddr, beat: AgentBeat, now: Timestamp) {
         let known = self.agents.get(&from);
--- a/crates/serving/src/entry/daemon.rs
+++ b/crates/serving/src/entry/daemon.rs
@@ -20,7 +20,7 @@
 use super::handler;
 use super::state::Shared;
 use crate::feed::{FeedEvent, FollowTerms, follow};
-use crate::gossip::{Datagram, EntryBeat, Gossip, Stamp};
+use crate::gossip::{Datagram, EntryBeat, Gossip};
 use crate::metrics::Instruments;
 use crate::net::{ServeOptions, serve_connection, small_server};
 use crate::port::{Dialect, FeedKind, ObjectFeed, ReadMode};
@@ -82,7 +82,6 @@
 /// An entry.
 pub struct Entry {
     shared: Arc<Shared>,
-    gossip: Arc<Gossip>,
     frontend: TcpListener,
 }
 
@@ -105,7 +104,6 @@
         let gossip = Gossip::bind(settings.gossip).await;
         let gossip =
             gossip.map_err(StartError::at("bind the datagram address", settings.gossip))?;
-        let gossip = Arc::new(gossip);
         let frontend = TcpListener::bind(settings.frontend).await;
         let frontend = frontend.map_err(StartError::at(
             "bind the callers' address",
@@ -116,16 +114,12 @@
             "bind the readiness address",
             settings.readiness,
         ))?;
-        let shared = Arc::new(Shared::new(settings, dialect, instruments));
+        let shared = Arc::new(Shared::new(settings, dialect, instruments, gossip));
         let ready = shared.clone();
         tokio::spawn(small_server(readiness, move |request, _| {
             is_ready(&ready, request)
         }));
-        Ok(Self {
-            shared,
-            gossip,
-            frontend,
-        })
+        Ok(Self { shared, frontend })
     }
 
     /// Returns the address for callers, whose port the system may have chosen.
@@ -139,11 +133,7 @@
 
     /// Runs until the platform stops the process.
     pub async fn run(self, feed: Arc<dyn ObjectFeed>, mut signals: Signals) {
-        let Self {
-            shared,
-            gossip,
-            frontend,
-        } = self;
+        let Self { shared, frontend } = self;
         let (sender, events) = mpsc::channel(16);
         for kind in [FeedKind::Config, FeedKind::Targets] {
             let terms = FollowTerms {
@@ -154,11 +144,11 @@
             tokio::spawn(follow(feed.clone(), terms, sender.clone()));
         }
         tokio::spawn(learn(shared.clone(), events));
-        tokio::spawn(hear(shared.clone(), gossip.clone()));
-        tokio::spawn(beat(shared.clone(), gossip.clone()));
+        tokio::spawn(hear(shared.clone()));
+        tokio::spawn(beat(shared.clone()));
         tokio::spawn(sweep(shared.clone()));
         let (closing, closed) = watch::channel(false);
-        tokio::spawn(accept(shared.clone(), gossip, frontend, closed));
+        tokio::spawn(accept(shared.clone(), frontend, closed));
         while signals.next().await == ProcessSignal::Reload {
             log::info!("reload: nothing of the entry's changes");
         }
@@ -205,25 +195,26 @@
     }
 }
 
-async fn hear(shared: Arc<Shared>, gossip: Arc<Gossip>) {
+async fn hear(shared: Arc<Shared>) {
     loop {
-        let (from, datagram) = gossip.receive().await;
+        let (from, datagram) = shared.gossip.receive().await;
         match datagram {
             Datagram::Agent(beat) => shared.hear_agent(from, beat),
-            Datagram::Entry(_) | Datagram::Want(_) | Datagram::Load(_) => {
+            Datagram::Count(count) => shared.hear_count(&count),
+            Datagram::Entry(_)
+            | Datagram::Want(_)
+            | Datagram::Load(_)
+            | Datagram::Note(_)
+            | Datagram::Query(_) => {
                 log::debug!(peer:% = from; "datagram for an agent");
             }
         }
     }
 }
 
-async fn beat(shared: Arc<Shared>, gossip: Arc<Gossip>) {
-    let mut stamp = Stamp {
-        incarnation: rand::random(),
-        count: 0,
-    };
+async fn beat(shared: Arc<Shared>) {
     loop {
-        let agents = send_beats(&shared, &gossip, &mut stamp);
+        let agents = send_beats(&shared);
         let pause = BEAT.max(BEAT_PER_AGENT * agents);
         let jitter = rand::rng().random_range(0.9..1.1);
         tokio::time::sleep(pause.mul_f64(jitter)).await;
@@ -231,11 +222,11 @@
 }
 
 /// Sends this entry's state to all agents; returns their number.
-fn send_beats(shared: &Shared, gossip: &Gossip, stamp: &mut Stamp) -> u32 {
+fn send_beats(shared: &Shared) -> u32 {
     let now = shared.now();
     let mut state = shared.lock();
     let demand = state.demand.rates(now);
-    let targets: Vec<Arc<Target>> = state.objects.table.all().cloned().collect();
+    let targets: Vec<Arc<Target>> = state.objects.table.newest().cloned().collect();
     let mut agents = 0;
     for target in &targets {
         if state
@@ -248,7 +239,8 @@
         let agent = shared.settings.agent_of(target);
         let planner = state.is_planner(agent, now);
         let beat = EntryBeat {
-            stamp: stamp.advance(),
+            stamp: state.stamp.advance(),
+            target: target.id.clone(),
             backlog: state.own_work(&target.id),
             adapters: state.take_adapters(&target.id),
             remote: shared.is_remote(&target.data_centre),
@@ -259,7 +251,7 @@
             continue;
         }
         state.told(agent, now);
-        gossip.send(agent, &Datagram::Entry(beat));
+        shared.gossip.send(agent, &Datagram::Entry(beat));
     }
     agents
 }
@@ -279,16 +271,11 @@
     }
 }
 
-async fn accept(
-    shared: Arc<Shared>,
-    gossip: Arc<Gossip>,
-    listener: TcpListener,
-    closing: watch::Receiver<bool>,
-) {
+async fn accept(shared: Arc<Shared>, listener: TcpListener, closing: watch::Receiver<bool>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let serving = serve(shared.clone(), gossip.clone(), stream, closing.clone());
+                let serving = serve(shared.clone(), stream, closing.clone());
                 tokio::spawn(serving);
             }
             Err(error) => {
@@ -299,12 +286,7 @@
     }
 }
 
-async fn serve(
-    shared: Arc<Shared>,
-    gossip: Arc<Gossip>,
-    stream: TcpStream,
-    closing: watch::Receiver<bool>,
-) {
+async fn serve(shared: Arc<Shared>, stream: TcpStream, closing: watch::Receiver<bool>) {
     let options = {
         let mut state = shared.lock();
         state.open += 1;
@@ -318,7 +300,7 @@
     };
     let service = {
         let shared = shared.clone();
-        service_fn(move |request| handler::handle(shared.clone(), gossip.clone(), request))
+        service_fn(move |request| handler::handle(shared.clone(), request))
     };
     serve_connection(stream, options, service, closing).await;
     shared.lock().open -= 1;
--- a/crates/serving/src/entry/exchange.rs
+++ b/crates/serving/src/entry/exchange.rs
@@ -15,7 +15,6 @@
 use super::relay::Relay;
 use super::selection::Next;
 use super::state::Shared;
-use crate::gossip::Gossip;
 
 /// Share of the caller's remaining time that a refusal may ask for.
 const RETRY_SHARE: f64 = 0.33;
@@ -23,7 +22,6 @@
 /// One request of a caller.
 pub(super) struct Exchange {
     pub(super) shared: Arc<Shared>,
-    pub(super) gossip: Arc<Gossip>,
     pub(super) route: Arc<Route>,
     pub(super) service: Arc<str>,
     pub(super) request: CallerRequest,
@@ -44,7 +42,6 @@
     /// Takes in a request that a route allows.
     pub(super) fn new(
         shared: Arc<Shared>,
-        gossip: Arc<Gossip>,
         (route, service): (Arc<Route>, Arc<str>),
         request: CallerRequest,
         outgoing: Outgoing,
@@ -54,7 +51,6 @@
         Self {
             deadline: arrival + route.deadline.min(patience),
             shared,
-            gossip,
             route,
             service,
             request,
@@ -138,6 +134,7 @@
                 return Ok(self.expire());
             }
             changed.mark_unchanged();
+            self.count_work().await;
             match self.next() {
                 Next::Refuse(reason, retry_after) => return Ok(self.refuse(reason, retry_after)),
                 Next::Wait(limit) => {
@@ -146,6 +143,11 @@
                     // Both ends of the wait lead to a new decision.
                     let _ = timeout_at(until, changed.changed()).await;
                 }
+                Next::AwaitModel(limit) => {
+                    self.waited = true;
+                    let until = (Instant::now() + limit).min(self.deadline);
+                    self.wait_for_model(&mut changed, until).await;
+                }
                 Next::Send(plan) => {
                     let response = match self.send(plan).await {
                         Ok(answer) => self.answer(answer).await,
@@ -340,7 +342,6 @@
         let outcome = self.outcome.replace("relayed");
         Self {
             shared: self.shared.clone(),
-            gossip: self.gossip.clone(),
             route: self.route.clone(),
             service: self.service.clone(),
             request: self.request.clone(),
--- a/crates/serving/src/entry/handler.rs
+++ b/crates/serving/src/entry/handler.rs
@@ -16,7 +16,6 @@
 use super::attempt::Outgoing;
 use super::exchange::Exchange;
 use super::state::{Active, Shared};
-use crate::gossip::Gossip;
 use crate::port::RequestFault;
 
 /// When a caller should return to an entry that has no configuration yet.
@@ -25,10 +24,9 @@
 /// Serves one request of a caller.
 pub(super) async fn handle(
     shared: Arc<Shared>,
-    gossip: Arc<Gossip>,
     request: Request<Incoming>,
 ) -> io::Result<Response<AnswerBody>> {
-    let mut response = respond(&shared, gossip, request).await?;
+    let mut response = respond(&shared, request).await?;
     if shared.draining.borrow().is_some() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -45,7 +43,6 @@
 
 async fn respond(
     shared: &Arc<Shared>,
-    gossip: Arc<Gossip>,
     request: Request<Incoming>,
 ) -> io::Result<Response<AnswerBody>> {
     let arrival = Instant::now();
@@ -106,14 +103,7 @@
         body,
     };
     let (route, version) = ((route, service), active.config.version);
-    let exchange = Exchange::new(
-        shared.clone(),
-        gossip,
-        route,
-        caller,
-        outgoing,
-        (arrival, version),
-    );
+    let exchange = Exchange::new(shared.clone(), route, caller, outgoing, (arrival, version));
     exchange.run().await
 }
 
--- a/crates/serving/src/entry/selection.rs
+++ b/crates/serving/src/entry/selection.rs
@@ -4,16 +4,17 @@
 use std::time::Duration;
 
 use kumquatkeel_core::serving::{
-    Band, CallKind, Candidate, Choice, DispatchTerms, DrainPlan, RefusalReason, Target,
-    choose_engine, choose_plain,
+    Band, CallKind, Choice, DispatchTerms, DrainPlan, RefusalReason, Target, TargetId,
+    choose_engine, choose_plain, engines_to_count,
 };
-use tokio::time::Instant;
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout_at};
 
 use super::attempt::AttemptPlan;
 use super::exchange::{Exchange, millis};
-use super::state::{Shared, State};
+use super::state::State;
 use super::work::WorkGuard;
-use crate::gossip::{AdapterWant, Datagram};
+use crate::gossip::{AdapterWant, Datagram, WorkQuery};
 use crate::port::TargetTerms;
 
 /// Objectives below this are interactive: they belong to the urgent band.
@@ -30,10 +31,15 @@
 const PATIENT_PRIORITY: u8 = 5;
 /// Pause between two requests for an adapter.
 const WANT_INTERVAL: Duration = Duration::from_millis(30);
+/// Longest pause between an engine's change and the decisions of requests that waited for it; those
+/// of all entries wait for the same change, and each should see what the others sent.
+const WAKE_SPREAD: Duration = Duration::from_millis(40);
 /// Longest wait before a request is decided on again.
 const RECHECK: Duration = Duration::from_millis(100);
 /// Gap after which callers abandon a stream; the platform names the longest of three.
 const MIN_ABANDON: Duration = Duration::from_secs(2);
+/// Longest wait for agents' counts of work; two round trips of a region.
+const COUNT_WAIT: Duration = Duration::from_millis(8);
 /// Time within which the planner notices demand for a model and commands a load.
 const PLANNING_TIME: Duration = Duration::from_millis(600);
 /// Load time of a model that the configuration does not name.
@@ -50,6 +56,8 @@
 pub(super) enum Next {
     Send(AttemptPlan),
     Wait(Duration),
+    /// Wait for an engine to hold the model.
+    AwaitModel(Duration),
     Refuse(RefusalReason, Duration),
 }
 
@@ -69,32 +77,67 @@
         DrainPlan::new(self.shared.settings.grace).admits(since.elapsed(), expected)
     }
 
+    /// Waits for an engine's change, then for a pause that differs between requests.
+    pub(super) async fn wait_for_model(&self, changed: &mut watch::Receiver<u64>, until: Instant) {
+        if let Ok(Ok(())) = timeout_at(until, changed.changed()).await {
+            let pause = WAKE_SPREAD.mul_f64(rand::random());
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    /// Has the agents of the likeliest targets count the work there, and waits for it a moment.
+    pub(super) async fn count_work(&self) {
+        let shared = &self.shared;
+        let mut counted = shared.counted.subscribe();
+        let since = shared.now();
+        let asked = self.ask_agents();
+        let end = Instant::now() + COUNT_WAIT;
+        while !asked.iter().all(|id| shared.lock().is_counted(id, since)) {
+            if !matches!(timeout_at(end, counted.changed()).await, Ok(Ok(()))) {
+                log::debug!(request:% = self.request.attempt; "work not counted in time");
+                return;
+            }
+        }
+    }
+
+    /// Asks the agents of the engines that are to be counted; returns the targets.
+    fn ask_agents(&self) -> Vec<TargetId> {
+        let Some(model) = &self.request.model else {
+            return Vec::new();
+        };
+        let shared = &self.shared;
+        let mut state = shared.lock();
+        let now = shared.now();
+        state.refresh_engines(&self.service, now);
+        let targets = state.untried(&self.service, &self.tried);
+        let candidates = state.candidates(shared, &targets, now);
+        let prefill = state.pace.prefill(model, self.request.usage.prompt);
+        let terms = self.terms(&state, model, prefill);
+        let mut asked = Vec::new();
+        for index in engines_to_count(&candidates, &terms) {
+            let target = &targets[index];
+            // The answer of an agent in another region would come too late.
+            if shared.is_remote(&target.data_centre) {
+                continue;
+            }
+            let query = WorkQuery {
+                target: target.id.clone(),
+            };
+            let agent = shared.settings.agent_of(target);
+            shared.gossip.send(agent, &Datagram::Query(query));
+            asked.push(target.id.clone());
+        }
+        asked
+    }
+
     /// Decides what to do with the request now.
     pub(super) fn next(&mut self) -> Next {
         let shared = self.shared.clone();
         let mut state = shared.lock();
         let now = shared.now();
-        let ready: Vec<Arc<Target>> = state.objects.table.ready(&self.service).to_vec();
-        for target in &ready {
-            state.engine(target, now);
-        }
-        let untried: Vec<Arc<Target>> = (ready.iter())
-            .filter(|t| !self.tried.contains(&t.id))
-            .cloned()
-            .collect();
-        let targets = if untried.is_empty() { ready } else { untried };
-        let engines: Vec<_> = targets
-            .iter()
-            .map(|t| state.engine(t, now).clone())
-            .collect();
-        let candidates: Vec<Candidate<'_>> = (targets.iter().zip(&engines))
-            .map(|(target, engine)| Candidate {
-                engine,
-                link: path_time(&shared, &state, target),
-                penalty: state.failures.penalty(&target.id),
-                avoided: state.is_avoided(&target.id, now),
-            })
-            .collect();
+        state.refresh_engines(&self.service, now);
+        let targets = state.untried(&self.service, &self.tried);
+        let candidates = state.candidates(&shared, &targets, now);
         let (choice, prefill) = if let Some(model) = &self.request.model {
             let prefill = state.pace.prefill(model, self.request.usage.prompt);
             let terms = self.terms(&state, model, prefill);
@@ -103,18 +146,12 @@
             let slots: Vec<u32> = targets.iter().map(|t| t.slots).collect();
             (choose_plain(&candidates, &slots), Duration::ZERO)
         };
-        if let Choice::Send { band, .. } = choice {
-            let (entries, engines) = (state.entries(), targets.len());
-            state.rates.set_fleet(entries, engines);
-            state.rates.record(prefill, band, now);
-        }
-        drop(state);
         match choice {
             Choice::Refuse {
                 reason,
                 retry_after,
             } => Next::Refuse(reason, retry_after),
-            Choice::AwaitModel => Next::Wait(RECHECK),
+            Choice::AwaitModel => Next::AwaitModel(RECHECK),
             Choice::LoadAdapter { index } => {
                 self.want_adapter(&targets[index]);
                 Next::Wait(WANT_INTERVAL)
@@ -124,8 +161,13 @@
                 predicted,
                 band,
             } => {
-                let age = engines[index].age(now);
-                Next::Send(self.plan(targets[index].clone(), predicted, band, prefill, age))
+                let age = candidates[index].engine.age(now);
+                let (target, engines) = (targets[index].clone(), targets.len());
+                let entries = state.entries();
+                state.rates.set_fleet(entries, engines);
+                state.rates.record(prefill, band, now);
+                drop(state);
+                Next::Send(self.plan(target, predicted, band, prefill, age))
             }
         }
     }
@@ -151,6 +193,7 @@
             patience: left.min(self.abandon_left()),
             band: self.band(),
             rates: &state.rates,
+            draw: rand::random(),
             load_time: load_time + PLANNING_TIME,
             disk_load_time: disk_load_time + PLANNING_TIME,
         }
@@ -184,7 +227,7 @@
             adapter: (model.clone(), adapter.clone()),
         };
         log::debug!(request:% = self.request.attempt, target_id:% = target.id; "adapter wanted");
-        self.gossip.send(agent, &Datagram::Want(want));
+        self.shared.gossip.send(agent, &Datagram::Want(want));
     }
 
     fn plan(
@@ -246,13 +289,3 @@
         }
     }
 }
-
-/// Returns the path cost of a target; a new connection takes one round trip more.
-fn path_time(shared: &Shared, state: &State, target: &Target) -> Duration {
-    let link = shared.link(&target.data_centre);
-    if state.is_connected(&target.id) {
-        link
-    } else {
-        link * 2
-    }
-}
--- a/crates/serving/src/entry/state.rs
+++ b/crates/serving/src/entry/state.rs
@@ -7,7 +7,7 @@
 
 use kumquatkeel_core::retry::{AttemptResult, Ejector};
 use kumquatkeel_core::serving::{
-    AdapterKey, Backlog, BandRates, DemandMeter, DrainPlan, EngineReport, EngineState,
+    AdapterKey, Backlog, BandRates, Candidate, DemandMeter, DrainPlan, EngineReport, EngineState,
     FailureMeter, PaceMeter, ResidentModel, RetryQuota, RouteTable, ServiceSpec, ServingConfig,
     Target, TargetId,
 };
@@ -18,7 +18,7 @@
 
 use super::daemon::EntrySettings;
 use crate::feed::FeedEvent;
-use crate::gossip::{AgentBeat, Stamp};
+use crate::gossip::{AgentBeat, Datagram, Gossip, Stamp, WorkCount, WorkNote};
 use crate::metrics::Instruments;
 use crate::net::{Pool, PoolLimits};
 use crate::objects::KnownObjects;
@@ -54,6 +54,9 @@
     pub(super) draining: watch::Sender<Option<Instant>>,
     /// Changes with what requests may wait for.
     pub(super) changed: watch::Sender<u64>,
+    /// Changes when an agent has counted its target's work.
+    pub(super) counted: watch::Sender<u64>,
+    pub(super) gossip: Gossip,
     state: Mutex<State>,
 }
 
@@ -81,6 +84,8 @@
     /// Open connections of callers.
     pub(super) open: usize,
     engines: HashMap<TargetId, EngineState>,
+    /// The account of a target that has none yet.
+    unknown: EngineState,
     pools: HashMap<TargetId, Arc<Pool>>,
     /// Requests that use an adapter at a target; entries without any are told once more.
     adapters: HashMap<TargetId, HashMap<AdapterKey, u32>>,
@@ -92,6 +97,8 @@
     /// When each agent was last told.
     told: HashMap<SocketAddr, Timestamp>,
     entries: usize,
+    /// The stamp of this entry's datagrams.
+    pub(super) stamp: Stamp,
 }
 
 impl Shared {
@@ -99,14 +106,17 @@
         settings: EntrySettings,
         dialect: Arc<dyn Dialect>,
         instruments: Instruments,
+        gossip: Gossip,
     ) -> Self {
         Self {
             settings,
             dialect,
             instruments,
+            gossip,
             clock: Clock::start(),
             draining: watch::Sender::new(None),
             changed: watch::Sender::new(0),
+            counted: watch::Sender::new(0),
             state: Mutex::new(State {
                 active: None,
                 objects: KnownObjects::default(),
@@ -114,6 +124,7 @@
                 pace: PaceMeter::default(),
                 open: 0,
                 engines: HashMap::new(),
+                unknown: EngineState::default(),
                 pools: HashMap::new(),
                 adapters: HashMap::new(),
                 quotas: HashMap::new(),
@@ -123,6 +134,7 @@
                 agents: HashMap::new(),
                 told: HashMap::new(),
                 entries: 1,
+                stamp: Stamp::start(),
             }),
         }
     }
@@ -233,6 +245,7 @@
             ..beat.report
         };
         engine.reported = Some(now);
+        engine.counted = Some(now);
         engine.peers = beat.others;
         engine.interval = Duration::from_millis(u64::from(beat.interval_ms));
         drop(state);
@@ -242,6 +255,35 @@
     }
 }
 
+impl Shared {
+    /// Takes in an agent's count of its target's work.
+    pub(super) fn hear_count(&self, count: &WorkCount) {
+        let now = self.now();
+        self.lock().with_engine(&count.target, |engine| {
+            engine.peers = count.others;
+            engine.counted = Some(now);
+            engine.report.kv_used = count.kv_used;
+        });
+        self.counted.send_modify(|version| *version += 1);
+    }
+
+    /// Tells a target's agent this entry's work there.
+    pub(super) fn note_work(&self, target: &TargetId) {
+        let mut state = self.lock();
+        let Some(agent) = (state.objects.table.get(target)).map(|t| self.settings.agent_of(t))
+        else {
+            return;
+        };
+        let note = WorkNote {
+            stamp: state.stamp.advance(),
+            target: target.clone(),
+            backlog: state.own_work(target),
+        };
+        drop(state);
+        self.gossip.send(agent, &Datagram::Note(note));
+    }
+}
+
 impl State {
     /// Changes an engine's account, if the engine is known.
     pub(super) fn with_engine(&mut self, id: &TargetId, change: impl FnOnce(&mut EngineState)) {
@@ -250,16 +292,59 @@
         }
     }
 
-    /// Returns what is known of a target's engine, from its agent or else from the list.
-    pub(super) fn engine(&mut self, target: &Target, now: Timestamp) -> &EngineState {
-        let engine = self.engines.entry(target.id.clone()).or_default();
-        if engine.reported.is_none() && engine.report.models.is_empty() {
-            engine.report = listed_report(target);
+    /// Makes sure that each usable target of a service has an account, and drops outdated counts.
+    pub(super) fn refresh_engines(&mut self, service: &str, now: Timestamp) {
+        for target in self.objects.table.ready(service) {
+            let engine = self.engines.entry(target.id.clone()).or_default();
+            if engine.reported.is_none() && engine.report.models.is_empty() {
+                engine.report = listed_report(target);
+            }
+            if (engine.counted).is_some_and(|at| now.since(at) > PEER_WORK_LIFE) {
+                engine.peers = Backlog::default();
+            }
         }
-        if engine.age(now).is_some_and(|age| age > PEER_WORK_LIFE) {
-            engine.peers = Backlog::default();
+    }
+
+    /// Returns the usable targets of a service that a request was not sent to, or else all.
+    pub(super) fn untried(&self, service: &str, tried: &[TargetId]) -> Vec<Arc<Target>> {
+        let ready = self.objects.table.ready(service);
+        let untried = ready.iter().filter(|t| !tried.contains(&t.id));
+        let untried: Vec<Arc<Target>> = untried.cloned().collect();
+        if untried.is_empty() {
+            ready.to_vec()
+        } else {
+            untried
         }
-        engine
+    }
+
+    /// Describes targets whose accounts are up to date to a choice between them.
+    pub(super) fn candidates<'a>(
+        &'a self,
+        shared: &Shared,
+        targets: &'a [Arc<Target>],
+        now: Timestamp,
+    ) -> Vec<Candidate<'a>> {
+        let candidate = |target: &'a Arc<Target>| {
+            let link = shared.link(&target.data_centre);
+            Candidate {
+                engine: self.engines.get(&target.id).unwrap_or(&self.unknown),
+                // A new connection takes one round trip more.
+                link: if self.is_connected(&target.id) {
+                    link
+                } else {
+                    link * 2
+                },
+                penalty: self.failures.penalty(&target.id),
+                avoided: self.is_avoided(&target.id, now),
+            }
+        };
+        targets.iter().map(candidate).collect()
+    }
+
+    /// Says whether a target's work was counted at or after `since`.
+    pub(super) fn is_counted(&self, id: &TargetId, since: Timestamp) -> bool {
+        let engine = self.engines.get(id);
+        engine.is_some_and(|e| e.is_counted_since(since))
     }
 
     /// Says whether a target should get no work while there is another.
--- a/crates/serving/src/entry/work.rs
+++ b/crates/serving/src/entry/work.rs
@@ -36,6 +36,9 @@
             engine.running += 1;
         });
         drop(state);
+        if !prefill.is_zero() {
+            shared.note_work(&target);
+        }
         Self {
             shared,
             target,
@@ -63,6 +66,10 @@
             let (prefill, band) = (self.prefill, self.band);
             let mut state = self.shared.lock();
             state.with_engine(&self.target, |engine| engine.own.remove(prefill, band));
+            drop(state);
+            if !prefill.is_zero() {
+                self.shared.note_work(&self.target);
+            }
         }
     }
 }
--- a/crates/serving/src/gossip.rs
+++ b/crates/serving/src/gossip.rs
@@ -27,6 +27,14 @@
 }
 
 impl Stamp {
+    /// Returns the first stamp of a process.
+    pub fn start() -> Self {
+        Self {
+            incarnation: rand::random(),
+            count: 0,
+        }
+    }
+
     /// Returns the stamp of the next datagram.
     #[must_use]
     pub fn advance(&mut self) -> Self {
@@ -46,9 +54,11 @@
 pub struct EntryBeat {
     /// The sender's stamp.
     pub stamp: Stamp,
-    /// The work that the entry has sent to the receiver's target.
+    /// The target that the beat is about.
+    pub target: TargetId,
+    /// The work that the entry has sent to the target.
     pub backlog: Backlog,
-    /// Adapters in use at the receiver's target since the last beat.
+    /// Adapters in use at the target since the last beat.
     pub adapters: Vec<AdapterKey>,
     /// Whether the entry is in another region, and is told less often.
     pub remote: bool,
@@ -88,6 +98,38 @@
     pub adapter: AdapterKey,
 }
 
+/// Tells an agent the entry's work at its target, whenever it changes.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct WorkNote {
+    /// The sender's stamp.
+    pub stamp: Stamp,
+    /// The target that is meant.
+    pub target: TargetId,
+    /// The work that the entry has sent there.
+    pub backlog: Backlog,
+}
+
+/// Asks an agent for the work of other entries, just before a request is sent.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct WorkQuery {
+    /// The target that is meant.
+    pub target: TargetId,
+}
+
+/// An agent's answer to a [`WorkQuery`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct WorkCount {
+    /// The target.
+    pub target: TargetId,
+    /// The work of all other entries there.
+    pub others: Backlog,
+    /// KV memory that can't yield, in tokens.
+    pub kv_used: u64,
+}
+
 /// One datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -100,6 +142,12 @@
     Want(AdapterWant),
     /// From the planner to an agent.
     Load(LoadCommand),
+    /// From an entry to an agent.
+    Note(WorkNote),
+    /// From an entry to an agent.
+    Query(WorkQuery),
+    /// From an agent to an entry.
+    Count(WorkCount),
 }
 
 /// A socket for datagrams.
@@ -119,6 +167,15 @@
         Ok(Self { socket })
     }
 
+    /// Returns the socket's address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the system does not tell it.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
     /// Sends a datagram if the socket takes it at once; a later one carries the same state.
     pub fn send(&self, to: SocketAddr, datagram: &Datagram) {
         match postcard::to_allocvec(datagram) {
--- a/crates/serving/tests/agent.rs
+++ b/crates/serving/tests/agent.rs
@@ -6,16 +6,17 @@
 
 use async_trait::async_trait;
 use kumquatkeel_core::serving::{
-    ClientLimits, EngineOrder, EngineReport, EngineSpec, ModelSpec, ResidentModel, ServiceSpec,
-    ServingConfig, Target, TargetId, TargetState,
+    Backlog, Band, ClientLimits, EngineOrder, EngineReport, EngineSpec, ModelSpec, ResidentModel,
+    ServiceSpec, ServingConfig, Target, TargetId, TargetState,
 };
 use kumquatkeel_serving::agent::{Agent, AgentSettings};
+use kumquatkeel_serving::gossip::{Datagram, EntryBeat, Gossip, Stamp, WorkNote, WorkQuery};
 use kumquatkeel_serving::port::{
     EnginePort, FeedBatch, FeedItem, FeedKind, ObjectFeed, OrderReply, PortError, ReadMode,
     TargetStatus,
 };
 use kumquatkeel_serving::shutdown::Signals;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 const SERVICE: &str = "assist";
 const BORN: u64 = 2_000;
@@ -159,7 +160,7 @@
     }
 }
 
-async fn start(engine: &Arc<Engine>, objects: &Arc<Objects>) {
+async fn start(engine: &Arc<Engine>, objects: &Arc<Objects>) -> SocketAddr {
     let settings = AgentSettings {
         instance: Arc::from("agent"),
         gossip: ([127, 0, 0, 1], 0).into(),
@@ -168,8 +169,10 @@
         load_flight: 1,
     };
     let agent = Agent::start(settings, engine.clone()).await.unwrap();
+    let address = agent.gossip().unwrap();
     let signals = Signals::install().unwrap();
     tokio::spawn(agent.run(objects.clone(), signals));
+    address
 }
 
 fn names(models: &[Arc<str>]) -> Vec<&str> {
@@ -218,3 +221,71 @@
     objects.targets.lock().unwrap().push(next);
     assert_eq!(names(&engine.wait_for_loads(1).await), ["other"]);
 }
+
+/// Reads datagrams until the agent tells the work of others.
+async fn count(socket: &Gossip) -> Backlog {
+    loop {
+        let (_, datagram) = socket.receive().await;
+        if let Datagram::Count(count) = datagram {
+            return count.others;
+        }
+    }
+}
+
+/// Many entries send to one engine; what one of them sent a moment ago counts for the next.
+#[tokio::test]
+async fn an_agent_counts_what_other_entries_have_just_sent() {
+    let engine = Arc::new(Engine::default());
+    engine.restart(BORN);
+    let objects = Arc::new(Objects {
+        targets: Mutex::new(vec![listed("one", engine_address(), BORN, &[])]),
+    });
+    let agent = start(&engine, &objects).await;
+    let local: SocketAddr = ([127, 0, 0, 1], 0).into();
+    let (first, second) = (
+        Gossip::bind(local).await.unwrap(),
+        Gossip::bind(local).await.unwrap(),
+    );
+    let target = TargetId::from("one");
+    let mut stamp = Stamp::start();
+    let mut backlog = Backlog::default();
+    backlog.add(Duration::from_millis(70), Band::First);
+    let query = Datagram::Query(WorkQuery {
+        target: target.clone(),
+    });
+    let beat = Datagram::Entry(EntryBeat {
+        stamp: stamp.advance(),
+        target: target.clone(),
+        backlog: Backlog::default(),
+        adapters: Vec::new(),
+        remote: false,
+        demand: Vec::new(),
+    });
+    let note = |stamp: Stamp, target: &str| {
+        Datagram::Note(WorkNote {
+            stamp,
+            target: TargetId::from(target),
+            backlog,
+        })
+    };
+    sleep(Duration::from_millis(400)).await;
+    first.send(agent, &beat);
+    first.send(agent, &note(stamp.advance(), "one"));
+    second.send(agent, &query);
+    let told = timeout(Duration::from_secs(2), count(&second))
+        .await
+        .unwrap();
+    assert_eq!(told, backlog);
+
+    // Work at an earlier incarnation is none of this one's.
+    first.send(agent, &note(stamp.advance(), "earlier"));
+    first.send(agent, &query);
+    let told = timeout(Duration::from_secs(2), count(&first))
+        .await
+        .unwrap();
+    assert_eq!(told.first, 0);
+    assert_eq!(
+        told.urgent, 10_000,
+        "a third of what the second entry announced"
+    );
+}
