feat(planner): loads in flight follow from the weight store's rate and the load times

Cause: five loads in flight was the figure of the smallest deployment.

The number follows from the configuration now (rate times mean load time); the burst that may begin after a quiet time is a setting of its own, within what the platform allows beyond its rate. Log lines are written in pieces of whole lines of at most 4 KiB; larger writes were cut on display.

--- a/crates/core/src/placement/limiter.rs
+++ b/crates/core/src/placement/limiter.rs
@@ -12,7 +12,8 @@
 impl LoadLimiter {
     /// Returns how many loads may start now.
     ///
-    /// `loading` counts the loads in progress over all data centres. A new planner starts without
+    /// `loading` counts the loads in progress over all data centres, `flight` and `rate` bound them,
+    /// and `burst` loads may start together after a quiet time. A new planner starts without
     /// credit, so that taking over the lease gives the weight store no second burst.
     pub(crate) fn grant(
         &mut self,
@@ -20,12 +21,13 @@
         loading: usize,
         flight: u16,
         rate: f64,
+        burst: f64,
     ) -> usize {
         let elapsed = self.last.map_or(0.0, |last| now.since(last).as_secs_f64());
         self.last = Some(now);
         let flight = flight.max(1);
         let rate = if rate.is_finite() { rate.max(0.0) } else { 0.0 };
-        self.tokens = (self.tokens + elapsed * rate).min(f64::from(flight));
+        self.tokens = (self.tokens + elapsed * rate).min(burst);
         let free = usize::from(flight).saturating_sub(loading);
         free.min(self.tokens as usize)
     }
--- a/crates/core/src/placement/round.rs
+++ b/crates/core/src/placement/round.rs
@@ -197,6 +197,7 @@
             loading,
             policy.load_flight,
             policy.load_rate,
+            f64::from(policy.load_flight.max(1)),
         );
         for key in self.intents_by_urgency() {
             if grant == 0 {
--- a/crates/core/src/serving/planner.rs
+++ b/crates/core/src/serving/planner.rs
@@ -64,6 +64,8 @@
     pub load_rate: f64,
     /// Loads from the weight store that may be in progress.
     pub load_flight: u16,
+    /// Loads from the weight store that may begin at once after a quiet time.
+    pub load_burst: f64,
 }
 
 /// What one round looks at.
@@ -134,7 +136,8 @@
             .count();
         let loading = loading + self.sent.len();
         let (flight, rate) = (settings.load_flight, settings.load_rate);
-        let mut grant = self.limiter.grant(now, loading, flight, rate);
+        let burst = settings.load_burst;
+        let mut grant = self.limiter.grant(now, loading, flight, rate, burst);
         let mut commands = Vec::new();
         while commands.len() < MAX_COMMANDS {
             let view = View::new(&slots, input);
--- a/crates/core/tests/serving_planner.rs
+++ b/crates/core/tests/serving_planner.rs
@@ -14,6 +14,7 @@
 const SETTINGS: PlannerSettings = PlannerSettings {
     load_rate: 100.0,
     load_flight: 16,
+    load_burst: 16.0,
 };
 
 fn spec(models: &[(&str, f64)]) -> EngineSpec {
@@ -155,6 +156,7 @@
     let settings = PlannerSettings {
         load_rate: 2.0,
         load_flight: 16,
+        load_burst: 16.0,
     };
     assert_eq!(plan(&engines, &spec, &rates, settings).len(), 2);
 }
@@ -229,3 +231,63 @@
     let step = first_load(&ramp).expect("a copy is loaded");
     assert!(ramp[step] < 0.5, "loaded at a demand of {}", ramp[step]);
 }
+
+/// The loads that a planner begins, by time in milliseconds, while none of them ends.
+fn loads_of_a_lasting_rise(fleet_size: usize, seconds: u64) -> Vec<u64> {
+    let mut spec = spec(&[("hot", 60.0), ("idle", 60.0)]);
+    spec.load_rate = 5.0;
+    let lists: Vec<&[&str]> = vec![&["idle"]; fleet_size];
+    let engines = fleet(&lists);
+    let rates = demand(&[("hot", 10.0), ("idle", 0.1)]);
+    let settings = PlannerSettings {
+        load_rate: spec.load_rate,
+        load_flight: spec.load_flight(spec.load_rate),
+        load_burst: 3.0,
+    };
+    let mut planner = Planner::default();
+    let mut loading: BTreeMap<TargetId, EngineReport> = engines;
+    let mut begun = Vec::new();
+    for millis in (0..seconds * 1_000).step_by(250) {
+        let input = PlannerInput {
+            now: Timestamp::from_millis(millis),
+            demand: &rates,
+            engines: &loading,
+            spec: &spec,
+        };
+        for command in planner.round(&input, settings) {
+            begun.push(millis);
+            let progress = LoadProgress {
+                model: command.model,
+                left_ms: 6_000,
+            };
+            loading.get_mut(&command.target).unwrap().loading = vec![progress];
+        }
+    }
+    begun
+}
+
+/// Demand moves to one model until it needs ten engines, and a load takes longer than the rise.
+#[test]
+fn copies_of_a_hot_model_begin_as_fast_as_the_weight_store_allows() {
+    let begun = loads_of_a_lasting_rise(30, 3);
+    assert!(begun.len() >= 9, "{begun:?}");
+}
+
+/// The platform allows its rate over five seconds, a tenth more, and three loads besides.
+#[test]
+fn loads_keep_to_the_ceiling_in_each_window() {
+    let begun = loads_of_a_lasting_rise(80, 14);
+    for start in &begun {
+        let window = begun
+            .iter()
+            .filter(|at| (*start..*start + 5_000).contains(*at));
+        assert!(window.count() as f64 <= 5.0 * 5.0 * 1.1 + 3.0, "{begun:?}");
+    }
+}
+
+#[test]
+fn loads_in_flight_follow_from_the_rate_and_the_load_time() {
+    let spec = spec(&[("a", 1.0), ("b", 1.0)]);
+    assert_eq!(spec.load_flight(1.1), 7, "6 s each");
+    assert_eq!(spec.load_flight(0.01), 1);
+}
--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -46,8 +46,6 @@
     pub metrics: Option<SocketAddr>,
     /// The target beside the agent.
     pub target: SocketAddr,
-    /// Loads from the weight store that may be in progress.
-    pub load_flight: u16,
 }
 
 /// An agent.
--- a/crates/serving/src/agent/planning.rs
+++ b/crates/serving/src/agent/planning.rs
@@ -20,6 +20,8 @@
 const PLAN_LOG: Duration = Duration::from_secs(2);
 /// Share of the weight store's rate that the planner uses.
 const LOAD_RATE_SHARE: f64 = 0.9;
+/// Loads from the weight store that may begin at once; the platform allows three beyond its rate.
+const LOAD_BURST: f64 = 3.0;
 
 impl Agent {
     /// Plans a round if this agent is the planner and a round is due.
@@ -52,9 +54,11 @@
         }
         let ready = self.objects.table.ready(&target.service);
         engines.retain(|id, _| ready.iter().any(|t| t.id == *id));
+        let load_rate = spec.load_rate * LOAD_RATE_SHARE;
         let settings = PlannerSettings {
-            load_rate: spec.load_rate * LOAD_RATE_SHARE,
-            load_flight: self.settings.load_flight,
+            load_rate,
+            load_flight: spec.load_flight(load_rate),
+            load_burst: LOAD_BURST,
         };
         let demand = self.peers.demand();
         let input = PlannerInput {
--- a/crates/serving/src/logging.rs
+++ b/crates/serving/src/logging.rs
@@ -15,6 +15,8 @@
 const BUFFER_BYTES: usize = 256 * 1024;
 /// How long the writer gathers lines before it writes them.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(100);
+/// Largest write, unless one line is longer: what a pipe keeps together beside other writers.
+const PIECE_BYTES: usize = 4_096;
 /// Wire name of the variable that sets the level.
 pub const LOG_VARIABLE: &str = "KUMQUATKEEL_LOG";
 
@@ -107,8 +109,28 @@
 }
 
 fn write_out(bytes: &[u8]) {
-    // A closed standard output leaves no place to report to.
-    let _ = std::io::stdout().lock().write_all(bytes);
+    let mut output = std::io::stdout().lock();
+    for piece in whole_lines(bytes, PIECE_BYTES) {
+        // A closed standard output leaves no place to report to.
+        let _ = output.write_all(piece);
+    }
+}
+
+/// Splits lines into pieces of at most `limit` bytes; a longer line is a piece by itself.
+pub fn whole_lines(lines: &[u8], limit: usize) -> Vec<&[u8]> {
+    let mut pieces = Vec::new();
+    let (mut start, mut end) = (0, 0);
+    for line in lines.split_inclusive(|byte| *byte == b'\n') {
+        if end > start && end + line.len() - start > limit {
+            pieces.push(&lines[start..end]);
+            start = end;
+        }
+        end += line.len();
+    }
+    if end > start {
+        pieces.push(&lines[start..end]);
+    }
+    pieces
 }
 
 /// Starts logging under the daemon's name; a second call changes nothing.
--- a/crates/serving/tests/agent.rs
+++ b/crates/serving/tests/agent.rs
@@ -166,7 +166,6 @@
         gossip: ([127, 0, 0, 1], 0).into(),
         metrics: None,
         target: engine_address(),
-        load_flight: 1,
     };
     let agent = Agent::start(settings, engine.clone()).await.unwrap();
     let address = agent.gossip().unwrap();
