fix(planner): what makes way is missed from now on

Cause: the gain of a load, its evictions included, counted for what is left of the horizon once the new copy serves. Where a load takes 8.6 s of 12 s, the cost of an eviction counted for a quarter.

Evictions count for the whole horizon, the copy from when it serves; the cost of a model that nobody holds is raised, as it is no longer reduced by the same share and the last copy of an idle model went first (an older test showed it).

--- a/crates/core/src/serving/planner.rs
+++ b/crates/core/src/serving/planner.rs
@@ -25,7 +25,7 @@
 /// How much of a rise is expected to follow within the time of a load.
 const RISE_FACTOR: f64 = 1.0;
 /// Cost of a model that nobody holds, whatever its demand.
-const ABSENT_COST: f64 = 0.03;
+const ABSENT_COST: f64 = 0.07;
 /// Cost of a model in demand that nobody holds, for each unit of demand.
 const ABSENT_DEMAND_COST: f64 = 12.0;
 /// Cost of a model that is asked for and that nobody holds.
@@ -254,11 +254,14 @@
                 } else {
                     (LOCAL_LOAD_GAIN, model.disk_load)
                 };
-                // A copy counts for what is left of the horizon once it serves.
-                let share = 1.0 - time.as_secs_f64() / HORIZON.as_secs_f64();
+                // The copy counts for what is left of the horizon once it serves; what makes way is
+                // missed from now on.
+                let share = (1.0 - time.as_secs_f64() / HORIZON.as_secs_f64()).max(0.1);
                 let sets = evictions(slot, model, spec);
                 for evict in sets.into_iter().filter(|e| self.may_evict(e, index, model)) {
-                    let gain = self.gain(index, &model.name, &evict) * share.max(0.1) - least;
+                    let after = self.gain(index, Some(&model.name), &evict);
+                    let meanwhile = self.gain(index, None, &evict);
+                    let gain = after * share + meanwhile * (1.0 - share) - least;
                     if gain > 0.0 && best.as_ref().is_none_or(|b| gain > b.gain) {
                         best = Some(Move {
                             slot: index,
@@ -331,11 +334,12 @@
             .any(|slot| slot.serving.contains(model))
     }
 
-    /// Returns by how much a move lowers the sum of squared engine loads and absent models.
-    fn gain(&self, index: usize, model: &Arc<str>, evict: &[Arc<str>]) -> f64 {
+    /// Returns by how much a copy of `model`, and none of those evicted, lowers the sum of squared
+    /// engine loads and absent models.
+    fn gain(&self, index: usize, model: Option<&Arc<str>>, evict: &[Arc<str>]) -> f64 {
         let before = |m: &Arc<str>| self.count(m);
-        let after =
-            |m: &Arc<str>| before(m) + usize::from(m == model) - usize::from(evict.contains(m));
+        let added = |m: &Arc<str>| usize::from(Some(m) == model);
+        let after = |m: &Arc<str>| before(m) + added(m) - usize::from(evict.contains(m));
         let share = |m: &Arc<str>, count: usize| {
             if count == 0 {
                 0.0
@@ -345,7 +349,7 @@
         };
         let mut gain = 0.0;
         for (i, slot) in self.slots.iter().enumerate() {
-            let touched = |m: &Arc<str>| m == model || evict.contains(m);
+            let touched = |m: &Arc<str>| Some(m) == model || evict.contains(m);
             if i != index && !slot.held.iter().any(touched) {
                 continue;
             }
@@ -354,12 +358,12 @@
                 .filter(|m| i != index || !evict.contains(m))
                 .map(|m| share(m, after(m)))
                 .sum();
-            if i == index {
+            if let Some(model) = model.filter(|_| i == index) {
                 new += share(model, after(model));
             }
             gain += load_cost(old) - load_cost(new);
         }
-        if before(model) == 0 {
+        if let Some(model) = model.filter(|m| before(m) == 0) {
             gain += self.absent_cost(model);
         }
         for evicted in evict.iter().filter(|m| !self.serves_beside(m, index)) {
--- a/crates/core/tests/serving_planner.rs
+++ b/crates/core/tests/serving_planner.rs
@@ -291,3 +291,21 @@
     assert_eq!(spec.load_flight(1.1), 7, "6 s each");
     assert_eq!(spec.load_flight(0.01), 1);
 }
+
+/// Demand moves to a model while others are in use; a load takes most of the time for which it pays.
+#[test]
+fn a_copy_in_use_makes_no_way_for_one_that_serves_seconds_later() {
+    let mut spec = spec(&[("hot", 180.0), ("used", 180.0), ("calm", 180.0)]);
+    for model in spec.models.values_mut() {
+        model.load = Duration::from_millis(8_600);
+    }
+    let rates = demand(&[("hot", 4.0), ("used", 0.9), ("calm", 0.001)]);
+    let in_use = fleet(&[&["hot"], &["used"], &["used"]]);
+    assert_eq!(plan(&in_use, &spec, &rates, SETTINGS), []);
+    let calm = fleet(&[&["hot"], &["used"], &["used"], &["calm"], &["calm"]]);
+    let commands = plan(&calm, &spec, &rates, SETTINGS);
+    assert!(commands.iter().any(|c| &*c.model == "hot"));
+    for command in commands {
+        assert_eq!(command.evict, [Arc::from("calm")]);
+    }
+}
