--- a/crates/core/src/serving/dispatch.rs
+++ b/crates/core/src/serving/dispatch.rs
@@ -15,7 +15,7 @@
 
 /// Part of what is left until the objective within which a first token must be predicted; the rest
 /// covers the error of the prediction.
-const TIMELY_SHARE: f64 = 0.8;
+const TIMELY_SHARE: f64 = 0.65;
 /// Part of the caller's remaining time within which a first token must be predicted.
 const PATIENCE_SHARE: f64 = 0.75;
 /// Fixed time of an engine's step before a first token, beside the prefill.
