feat(agent): reports only to agents that may plan

Now the three lowest agents heard get reports, all others a stamp that shows that the agent is there; the planner is still the lowest heard.

--- a/crates/core/src/serving/planner.rs
+++ b/crates/core/src/serving/planner.rs
@@ -61,11 +61,11 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PlannerSettings {
     /// Loads from the weight store that may begin each second.
-    pub load_rate: f64,
+    pub rate: f64,
     /// Loads from the weight store that may be in progress.
-    pub load_flight: u16,
+    pub flight: u16,
     /// Loads from the weight store that may begin at once after a quiet time.
-    pub load_burst: f64,
+    pub burst: f64,
 }
 
 /// What one round looks at.
@@ -135,8 +135,11 @@
             .filter(|r| !r.loading.is_empty())
             .count();
         let loading = loading + self.sent.len();
-        let (flight, rate) = (settings.load_flight, settings.load_rate);
-        let burst = settings.load_burst;
+        let PlannerSettings {
+            rate,
+            flight,
+            burst,
+        } = settings;
         let mut grant = self.limiter.grant(now, loading, flight, rate, burst);
         let mut commands = Vec::new();
         while commands.len() < MAX_COMMANDS {
--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -1,6 +1,5 @@
 //! The agent's loop.
 
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -83,12 +82,15 @@
     ///
     /// Returns an error that names the step when an address can't be bound.
     pub async fn start(
-        settings: AgentSettings,
+        mut settings: AgentSettings,
         engine: Arc<dyn EnginePort>,
     ) -> Result<Self, StartError> {
-        let gossip = Gossip::bind(settings.gossip).await;
-        let gossip =
-            gossip.map_err(StartError::at("bind the datagram address", settings.gossip))?;
+        let at = StartError::at("bind the datagram address", settings.gossip);
+        let bound = Gossip::bind(settings.gossip).await;
+        let (gossip, address) = bound
+            .and_then(|gossip| gossip.address().map(|address| (gossip, address)))
+            .map_err(at)?;
+        settings.gossip = address;
         let instruments =
             Instruments::start().map_err(StartError::at("set up metrics", settings.gossip))?;
         if let Some(address) = settings.metrics {
@@ -123,12 +125,8 @@
     }
 
     /// Returns the address for datagrams, whose port the system may have chosen.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error when the system does not tell it.
-    pub fn gossip(&self) -> io::Result<SocketAddr> {
-        self.gossip.address()
+    pub const fn gossip(&self) -> SocketAddr {
+        self.settings.gossip
     }
 
     /// Runs until the platform stops the process.
@@ -199,6 +197,7 @@
             Datagram::Query(query) => self.answer(from, query),
             Datagram::Count(_) => log::debug!(peer:% = from; "datagram for an entry"),
             Datagram::Agent(beat) => self.peers.hear_agent(from, beat, now),
+            Datagram::Alive(stamp) => self.peers.hear_alive(from, stamp, now),
             Datagram::Want(want) => {
                 if self.is_target(&want.target) {
                     self.orders.want(want.adapter, now);
@@ -397,15 +396,19 @@
         }
         if now.since(self.told_agents) >= AGENT_BEAT {
             let own = self.settings.gossip;
-            let agents = self
-                .objects
-                .table
-                .all()
+            let table = &self.objects.table;
+            let agents = table
+                .newest()
+                .filter(|t| t.service == target.service)
                 .map(|t| SocketAddr::new(t.address.ip(), own.port()));
             beat.interval_ms = AGENT_BEAT.as_millis() as u16;
             beat.cached = self.report.as_ref().map(|r| r.cached.clone());
+            let alive = Datagram::Alive(beat.stamp);
+            let beat = Datagram::Agent(beat);
             for agent in agents.filter(|a| *a != own) {
-                self.gossip.send(agent, &Datagram::Agent(beat.clone()));
+                let may_plan = self.peers.may_plan(agent);
+                self.gossip
+                    .send(agent, if may_plan { &beat } else { &alive });
             }
             self.told_agents = now;
         }
--- a/crates/serving/src/agent/peers.rs
+++ b/crates/serving/src/agent/peers.rs
@@ -21,6 +21,9 @@
 /// How long an agent counts after its last beat.
 const AGENT_LIFE: Duration = Duration::from_millis(1_800);
 
+/// Agents that are sent the reports of all others: the planner and those that would follow it.
+const PLANNERS: usize = 3;
+
 #[derive(Debug, Clone)]
 struct EntryPeer {
     seen: Timestamp,
@@ -35,7 +38,9 @@
 #[derive(Debug, Clone)]
 struct AgentPeer {
     seen: Timestamp,
-    beat: AgentBeat,
+    stamp: Stamp,
+    /// Its last beat; only agents that may plan are sent any.
+    beat: Option<AgentBeat>,
 }
 
 /// An entry that is to be told now.
@@ -100,17 +105,41 @@
     /// Takes in another agent's beat.
     pub(super) fn hear_agent(&mut self, from: SocketAddr, beat: AgentBeat, now: Timestamp) {
         let known = self.agents.get(&from);
-        if known.is_none_or(|a| beat.stamp.follows(a.beat.stamp)) {
+        if known.is_none_or(|a| beat.stamp.follows(a.stamp)) {
             let mut beat = beat;
             if let Some(cached) = beat.cached.take() {
                 beat.report.cached = cached;
-            } else if let Some(known) = known {
-                beat.report.cached.clone_from(&known.beat.report.cached);
+            } else if let Some(known) = known.and_then(|a| a.beat.as_ref()) {
+                beat.report.cached.clone_from(&known.report.cached);
             }
-            self.agents.insert(from, AgentPeer { seen: now, beat });
+            let peer = AgentPeer {
+                seen: now,
+                stamp: beat.stamp,
+                beat: Some(beat),
+            };
+            self.agents.insert(from, peer);
         }
     }
 
+    /// Notes that another agent is there.
+    pub(super) fn hear_alive(&mut self, from: SocketAddr, stamp: Stamp, now: Timestamp) {
+        let peer = self.agents.entry(from).or_insert(AgentPeer {
+            seen: now,
+            stamp,
+            beat: None,
+        });
+        if stamp.follows(peer.stamp) {
+            peer.seen = now;
+            peer.stamp = stamp;
+        }
+    }
+
+    /// Says whether an agent may soon plan: few that are heard have a lower address.
+    pub(super) fn may_plan(&self, agent: SocketAddr) -> bool {
+        let lower = self.agents.keys().filter(|address| **address < agent);
+        lower.count() < PLANNERS
+    }
+
     /// Forgets peers that have been silent.
     pub(super) fn expire(&mut self, now: Timestamp) {
         self.entries.retain(|_, e| now.since(e.seen) < ENTRY_LIFE);
@@ -169,12 +198,14 @@
     /// Returns the address of the agent beside a target.
     pub(super) fn agent_of(&self, target: &TargetId) -> Option<SocketAddr> {
         let mut agents = self.agents.iter();
-        let found = agents.find(|(_, a)| a.beat.target == *target);
+        let is_beside = |a: &AgentPeer| a.beat.as_ref().is_some_and(|b| b.target == *target);
+        let found = agents.find(|(_, a)| is_beside(a));
         found.map(|(address, _)| *address)
     }
 
     /// Returns the reports of the other agents' engines.
     pub(super) fn reports(&self) -> impl Iterator<Item = (TargetId, EngineReport)> {
-        (self.agents.values()).map(|a| (a.beat.target.clone(), a.beat.report.clone()))
+        let beats = self.agents.values().filter_map(|a| a.beat.as_ref());
+        beats.map(|beat| (beat.target.clone(), beat.report.clone()))
     }
 }
--- a/crates/serving/src/agent/planning.rs
+++ b/crates/serving/src/agent/planning.rs
@@ -54,11 +54,11 @@
         }
         let ready = self.objects.table.ready(&target.service);
         engines.retain(|id, _| ready.iter().any(|t| t.id == *id));
-        let load_rate = spec.load_rate * LOAD_RATE_SHARE;
+        let rate = spec.load_rate * LOAD_RATE_SHARE;
         let settings = PlannerSettings {
-            load_rate,
-            load_flight: spec.load_flight(load_rate),
-            load_burst: LOAD_BURST,
+            rate,
+            flight: spec.load_flight(rate),
+            burst: LOAD_BURST,
         };
         let demand = self.peers.demand();
         let input = PlannerInput {
--- a/crates/serving/src/entry/daemon.rs
+++ b/crates/serving/src/entry/daemon.rs
@@ -202,6 +202,7 @@
             Datagram::Agent(beat) => shared.hear_agent(from, beat),
             Datagram::Count(count) => shared.hear_count(&count),
             Datagram::Entry(_)
+            | Datagram::Alive(_)
             | Datagram::Want(_)
             | Datagram::Load(_)
             | Datagram::Note(_)
--- a/crates/serving/src/gossip.rs
+++ b/crates/serving/src/gossip.rs
@@ -136,8 +136,10 @@
 pub enum Datagram {
     /// From an entry to an agent.
     Entry(EntryBeat),
-    /// From an agent to entries and agents.
+    /// From an agent to entries, and to agents that may plan.
     Agent(AgentBeat),
+    /// From an agent to the other agents: it is there.
+    Alive(Stamp),
     /// From an entry to an agent.
     Want(AdapterWant),
     /// From the planner to an agent.
