refactor(serving): one set-up for daemons, one look for targets that stand still

Entry and agent start metrics and datagrams by the same functions. Fields that nothing reads are gone (connections of a target, slots and KV memory of an engine).

--- a/crates/core/src/serving/config.rs
+++ b/crates/core/src/serving/config.rs
@@ -79,10 +79,6 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct EngineSpec {
-    /// Requests that run at once.
-    pub slots: u32,
-    /// Tokens of KV memory.
-    pub kv_tokens: u64,
     /// Memory for weights and adapters, in megabytes.
     pub weights_mb: f64,
     /// Places for adapters.
@@ -109,8 +105,6 @@
 pub struct ServiceSpec {
     /// The service's name.
     pub name: Arc<str>,
-    /// Connections that one target accepts from all callers together.
-    pub connections: u32,
     /// The engines, where the service runs models.
     pub engine: Option<EngineSpec>,
 }
--- a/crates/core/src/serving/quota.rs
+++ b/crates/core/src/serving/quota.rs
@@ -12,7 +12,10 @@
 /// The part of the budget that is used; the rest covers entries that boot, leave or miscount.
 const USED_SHARE: f64 = 0.7;
 
-/// Allows resends within a sliding window.
+/// Allows resends within a sliding window, as the platform counts them.
+///
+/// [`RetryBudget`](crate::retry::RetryBudget) is the token bucket of the product's own interface,
+/// which knows no window and no sharing between entries.
 #[derive(Debug, Clone)]
 pub struct RetryQuota {
     ratio: f64,
--- a/crates/core/tests/serving_orders.rs
+++ b/crates/core/tests/serving_orders.rs
@@ -29,8 +29,6 @@
         (name, spec)
     };
     EngineSpec {
-        slots: 64,
-        kv_tokens: 1,
         weights_mb: MEMORY,
         adapter_slots: PLACES,
         load_rate: 1.0,
--- a/crates/core/tests/serving_planner.rs
+++ b/crates/core/tests/serving_planner.rs
@@ -31,8 +31,6 @@
         (name, spec)
     };
     EngineSpec {
-        slots: 64,
-        kv_tokens: 150_000,
         weights_mb: 200.0,
         adapter_slots: 8,
         load_rate: 1.0,
--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -19,7 +19,7 @@
 use crate::objects::KnownObjects;
 use crate::port::{EnginePort, FeedKind, ObjectFeed, OrderReply, ReadMode};
 use crate::shutdown::{ProcessSignal, Signals};
-use crate::start::StartError;
+use crate::start::{StartError, bind_gossip, start_metrics};
 
 /// Pause between two reads of the engine's state.
 const POLL: Duration = Duration::from_millis(100);
@@ -85,18 +85,9 @@
         mut settings: AgentSettings,
         engine: Arc<dyn EnginePort>,
     ) -> Result<Self, StartError> {
-        let at = StartError::at("bind the datagram address", settings.gossip);
-        let bound = Gossip::bind(settings.gossip).await;
-        let (gossip, address) = bound
-            .and_then(|gossip| gossip.address().map(|address| (gossip, address)))
-            .map_err(at)?;
+        let (gossip, address) = bind_gossip(settings.gossip).await?;
         settings.gossip = address;
-        let instruments =
-            Instruments::start().map_err(StartError::at("set up metrics", settings.gossip))?;
-        if let Some(address) = settings.metrics {
-            let bound = instruments.serve(address).await;
-            bound.map_err(StartError::at("bind the metrics address", address))?;
-        }
+        let instruments = start_metrics(settings.metrics).await?;
         let clock = Clock::start();
         Ok(Self {
             settings,
--- a/crates/serving/src/entry/daemon.rs
+++ b/crates/serving/src/entry/daemon.rs
@@ -20,12 +20,11 @@
 use super::handler;
 use super::state::Shared;
 use crate::feed::{FeedEvent, FollowTerms, follow};
-use crate::gossip::{Datagram, EntryBeat, Gossip};
-use crate::metrics::Instruments;
+use crate::gossip::{Datagram, EntryBeat};
 use crate::net::{ServeOptions, serve_connection, small_server};
 use crate::port::{Dialect, FeedKind, ObjectFeed, ReadMode};
 use crate::shutdown::{ProcessSignal, Signals};
-use crate::start::StartError;
+use crate::start::{StartError, bind_gossip, start_metrics};
 
 /// Shortest pause between two beats to the agents.
 const BEAT: Duration = Duration::from_millis(200);
@@ -33,8 +32,8 @@
 const BEAT_PER_AGENT: Duration = Duration::from_millis(8);
 /// Pause between two beats to an agent in another region with nothing to tell.
 const REMOTE_IDLE_BEAT: Duration = Duration::from_millis(1_200);
-/// Pause between two sweeps of connections and lapsed targets.
-const SWEEP: Duration = Duration::from_millis(500);
+/// Pause between two sweeps of connections, lapsed targets and targets that stand still.
+const SWEEP: Duration = Duration::from_millis(250);
 /// Pause between two checks of a graceful stop.
 const DRAIN_CHECK: Duration = Duration::from_millis(100);
 /// Limits before the first configuration.
@@ -95,15 +94,8 @@
         settings: EntrySettings,
         dialect: Arc<dyn Dialect>,
     ) -> Result<Self, StartError> {
-        let instruments =
-            Instruments::start().map_err(StartError::at("set up metrics", settings.frontend))?;
-        if let Some(address) = settings.metrics {
-            let bound = instruments.serve(address).await;
-            bound.map_err(StartError::at("bind the metrics address", address))?;
-        }
-        let gossip = Gossip::bind(settings.gossip).await;
-        let gossip =
-            gossip.map_err(StartError::at("bind the datagram address", settings.gossip))?;
+        let instruments = start_metrics(settings.metrics).await?;
+        let (gossip, _) = bind_gossip(settings.gossip).await?;
         let frontend = TcpListener::bind(settings.frontend).await;
         let frontend = frontend.map_err(StartError::at(
             "bind the callers' address",
@@ -269,6 +261,8 @@
         }
         state.forget_gone();
         state.prune_pools();
+        drop(state);
+        shared.find_stalled();
     }
 }
 
--- a/crates/serving/src/entry/state.rs
+++ b/crates/serving/src/entry/state.rs
@@ -1,6 +1,6 @@
 //! What an entry knows, shared by all its requests.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -32,8 +32,6 @@
 const REMOTE_LINK: Duration = Duration::from_millis(130);
 /// How long another entry's work is believed after its agent's last report.
 const PEER_WORK_LIFE: Duration = Duration::from_millis(1_500);
-/// Pause between two looks at whether a target stands still.
-const STALL_CHECK: Duration = Duration::from_millis(200);
 /// How long a planner counts after its last beat.
 const PLANNER_LIFE: Duration = Duration::from_millis(1_500);
 
@@ -56,6 +54,8 @@
     pub(super) changed: watch::Sender<u64>,
     /// Changes when an agent has counted its target's work.
     pub(super) counted: watch::Sender<u64>,
+    /// The targets that stand still.
+    stalled: watch::Sender<BTreeSet<TargetId>>,
     pub(super) gossip: Gossip,
     state: Mutex<State>,
 }
@@ -117,6 +117,7 @@
             draining: watch::Sender::new(None),
             changed: watch::Sender::new(0),
             counted: watch::Sender::new(0),
+            stalled: watch::Sender::new(BTreeSet::new()),
             state: Mutex::new(State {
                 active: None,
                 objects: KnownObjects::default(),
@@ -154,20 +155,30 @@
 
     /// Waits until a target stands still.
     pub(super) async fn stall(&self, id: &TargetId) {
-        loop {
-            tokio::time::sleep(STALL_CHECK).await;
-            let now = self.now();
-            if self
-                .lock()
-                .engines
-                .get(id)
-                .is_some_and(|e| e.is_stalled(now))
-            {
-                return;
-            }
+        let mut stalled = self.stalled.subscribe();
+        if stalled.wait_for(|ids| ids.contains(id)).await.is_err() {
+            std::future::pending::<()>().await;
         }
     }
 
+    /// Looks for targets that stand still, and tells the requests that wait there.
+    pub(super) fn find_stalled(&self) {
+        let now = self.now();
+        let state = self.lock();
+        let engines = state.engines.iter().filter(|(_, e)| e.is_stalled(now));
+        let found: BTreeSet<TargetId> = engines.map(|(id, _)| id.clone()).collect();
+        drop(state);
+        self.stalled.send_if_modified(|ids| {
+            let changed = *ids != found;
+            if changed {
+                let names: Vec<&str> = found.iter().map(TargetId::as_str).collect();
+                log::info!(targets:serde = names; "targets that stand still");
+                *ids = found;
+            }
+            changed
+        });
+    }
+
     /// Waits until a stopping process must answer what it still holds.
     pub(super) async fn end_of_drain(&self) {
         let mut draining = self.draining.subscribe();
--- a/crates/serving/tests/agent.rs
+++ b/crates/serving/tests/agent.rs
@@ -122,8 +122,6 @@
         (name, spec)
     };
     let engine = EngineSpec {
-        slots: 64,
-        kv_tokens: 100_000,
         weights_mb: 200_000.0,
         adapter_slots: 8,
         load_rate: 1.0,
@@ -131,7 +129,6 @@
     };
     let service = ServiceSpec {
         name: Arc::from(SERVICE),
-        connections: 100,
         engine: Some(engine),
     };
     ServingConfig {
