fix(agent): a restored model whose copy is gone is not loaded from the store

Found in reading: a restore that waited behind another would have drawn on the weight store beside its limits if its copy on the machine had been dropped meanwhile. Named what was a bare tuple and a bare figure.

--- a/crates/core/src/serving/dispatch.rs
+++ b/crates/core/src/serving/dispatch.rs
@@ -131,16 +131,19 @@
     let any_open = holders.iter().any(|i| !candidates[*i].avoided);
     let open = |i: &&usize| !any_open || !candidates[**i].avoided;
     let best = |band: Band| {
-        let ranked = |i: &usize| rank(&candidates[*i], terms, band, *i);
+        let ranked = |i: &usize| rank(candidates, terms, band, *i);
         holders.iter().filter(open).map(ranked).min()
     };
     let timely = terms.objective.mul_f64(TIMELY_SHARE);
-    let found = best(terms.band).filter(|(_, time, _)| *time <= timely);
+    let found = best(terms.band).filter(|found| found.predicted <= timely);
     let (band, found) = match found {
         Some(found) => (terms.band, Some(found)),
         None => (Band::Deferred, best(Band::Deferred)),
     };
-    let Some((_, predicted, index)) = found else {
+    let Some(Ranked {
+        predicted, index, ..
+    }) = found
+    else {
         return refuse(RefusalReason::NoTarget, MIN_RETRY_AFTER);
     };
     if predicted > terms.patience.mul_f64(PATIENCE_SHARE) {
@@ -167,7 +170,7 @@
         !candidate.avoided && candidate.engine.report.holds(terms.model)
     });
     let mut best: Vec<usize> = holders.collect();
-    best.sort_by_cached_key(|i| rank(&candidates[*i], terms, terms.band, *i).0);
+    best.sort_by_cached_key(|i| rank(candidates, terms, terms.band, *i));
     best.truncate(COUNTED_ENGINES);
     best
 }
@@ -196,16 +199,28 @@
     )
 }
 
-/// Ranks a candidate: by the time that decides, the predicted time and the index.
+/// A candidate's place in a choice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Ranked {
+    /// The predicted first token, the penalty and the tie break.
+    rank: Duration,
+    predicted: Duration,
+    index: usize,
+}
+
 fn rank(
-    candidate: &Candidate<'_>,
+    candidates: &[Candidate<'_>],
     terms: &DispatchTerms<'_>,
     band: Band,
     index: usize,
-) -> (Duration, Duration, usize) {
-    let time = predict(candidate, terms, band);
-    let rank = time + candidate.penalty + tie_break(terms.draw, index);
-    (rank, time, index)
+) -> Ranked {
+    let candidate = &candidates[index];
+    let predicted = predict(candidate, terms, band);
+    Ranked {
+        rank: predicted + candidate.penalty + tie_break(terms.draw, index),
+        predicted,
+        index,
+    }
 }
 
 /// Returns a time below [`TIE_SPREAD`] that depends on the draw and the candidate.
--- a/crates/core/src/serving/orders.rs
+++ b/crates/core/src/serving/orders.rs
@@ -136,7 +136,7 @@
         if report.busy {
             return None;
         }
-        self.next_restore(now);
+        self.next_restore(report, now);
         self.next_adapter(report, spec, now)
             .or_else(|| self.next_model(report, spec, now))
     }
@@ -191,11 +191,12 @@
         loads
     }
 
-    /// Takes the next model to restore, unless a command is in progress.
-    fn next_restore(&mut self, now: Timestamp) {
+    /// Takes the next model to restore that the machine still keeps, unless a command is in progress.
+    fn next_restore(&mut self, report: &EngineReport, now: Timestamp) {
         if self.pending.is_some() {
             return;
         }
+        self.restores.retain(|model| report.is_cached(model));
         if let Some(model) = self.restores.pop_front() {
             let mut pending = Pending::new(model, Vec::new(), now);
             pending.from_store = false;
--- a/crates/core/src/serving/planner.rs
+++ b/crates/core/src/serving/planner.rs
@@ -20,6 +20,8 @@
 const COMMAND_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// How far ahead the gain of a copy counts; demand moves on by then.
 const HORIZON: Duration = Duration::from_secs(12);
+/// The least share of the horizon for which a copy counts, however long its load takes.
+const MIN_SHARE: f64 = 0.1;
 /// Half-life of the demand against which a rise shows.
 const BASE_HALF_LIFE: Duration = Duration::from_secs(5);
 /// How much of a rise is expected to follow within the time of a load.
@@ -259,7 +261,7 @@
                 };
                 // The copy counts for what is left of the horizon once it serves; what makes way is
                 // missed from now on.
-                let share = (1.0 - time.as_secs_f64() / HORIZON.as_secs_f64()).max(0.1);
+                let share = (1.0 - time.as_secs_f64() / HORIZON.as_secs_f64()).max(MIN_SHARE);
                 let sets = evictions(slot, model, spec);
                 for evict in sets.into_iter().filter(|e| self.may_evict(e, index, model)) {
                     let after = self.gain(index, Some(&model.name), &evict);
--- a/crates/core/tests/serving_orders.rs
+++ b/crates/core/tests/serving_orders.rs
@@ -218,3 +218,25 @@
     assert_eq!(held, ["m0", "m3"]);
     assert!(orders.is_idle());
 }
+
+#[test]
+fn a_copy_that_is_gone_when_its_turn_comes_is_not_loaded_from_the_store() {
+    let spec = spec();
+    let mut engine = Engine::default();
+    let keeps = |engine: &Engine, cached: &[&str]| EngineReport {
+        cached: cached.iter().map(|m| Arc::from(*m)).collect(),
+        ..engine.report()
+    };
+    let mut orders = Orders::default();
+    let both = ["m0", "m3"];
+    orders.restore(both.map(Arc::from).to_vec(), &keeps(&engine, &both));
+    for _ in 0..4 {
+        let report = keeps(&engine, if engine.seq == 0 { &both } else { &["m0"] });
+        if let Some(order) = orders.next(&report, &spec, Timestamp::ZERO) {
+            engine.carry_out(&order);
+            orders.accepted(&order, Timestamp::ZERO);
+        }
+    }
+    let held: Vec<&str> = engine.models.iter().map(|(name, _)| &**name).collect();
+    assert_eq!(held, ["m0"]);
+}
--- a/crates/serving/src/agent/peers.rs
+++ b/crates/serving/src/agent/peers.rs
@@ -22,7 +22,7 @@
 const AGENT_LIFE: Duration = Duration::from_millis(1_800);
 
 /// Agents that are sent the reports of all others: the planner and those that would follow it.
-const PLANNERS: usize = 3;
+const PLANNER_CANDIDATES: usize = 3;
 
 #[derive(Debug, Clone)]
 struct EntryPeer {
@@ -137,7 +137,7 @@
     /// Says whether an agent may soon plan: few that are heard have a lower address.
     pub(super) fn may_plan(&self, agent: SocketAddr) -> bool {
         let lower = self.agents.keys().filter(|address| **address < agent);
-        lower.count() < PLANNERS
+        lower.count() < PLANNER_CANDIDATES
     }
 
     /// Forgets peers that have been silent.
