refactor(serving): one piece each for what stood twice

Found in reading the whole change again; behaviour stays as it is. - Counting work and choosing gathered the same targets and predicted the same prefill, each by its own lines: State::options and terms now serve both, and the prefill is read from the terms. - Entry and agent started the feed's followers by the same loop: feed::follow_all. - The engines of a service were looked up in three ways: ServingConfig::engine. No assertion changed.

--- a/crates/core/src/serving/config.rs
+++ b/crates/core/src/serving/config.rs
@@ -148,6 +148,11 @@
 }
 
 impl ServingConfig {
+    /// Returns what the engines of a service are, where it runs models.
+    pub fn engine(&self, service: &str) -> Option<&EngineSpec> {
+        self.services.get(service)?.engine.as_ref()
+    }
+
     /// Checks what the types can't say: prefixes, shares and service names.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/core/tests/dispatch_support/mod.rs
@@ -0,0 +1,50 @@
+//! Engines that hold one model, and a request for it, as tests of dispatch describe them.
+
+use std::sync::{Arc, LazyLock};
+use std::time::Duration;
+
+use kumquatkeel_core::serving::{
+    Band, BandRates, Candidate, DispatchTerms, EngineReport, EngineState, ResidentModel,
+};
+
+pub(crate) const MODEL: &str = "m";
+
+pub(crate) fn holder(adapters: &[&str]) -> EngineState {
+    EngineState {
+        report: EngineReport {
+            models: vec![ResidentModel {
+                name: Arc::from(MODEL),
+                adapters: adapters.iter().map(|a| Arc::from(*a)).collect(),
+            }],
+            adapter_room: true,
+            ..EngineReport::default()
+        },
+        ..EngineState::default()
+    }
+}
+
+pub(crate) fn candidate(engine: &EngineState) -> Candidate<'_> {
+    Candidate {
+        engine,
+        link: Duration::from_millis(1),
+        penalty: Duration::ZERO,
+        avoided: false,
+    }
+}
+
+pub(crate) fn terms() -> DispatchTerms<'static> {
+    static CALM: LazyLock<BandRates> = LazyLock::new(BandRates::default);
+    DispatchTerms {
+        rates: &CALM,
+        draw: 0,
+        model: MODEL,
+        adapter: None,
+        prefill: Duration::from_millis(100),
+        tokens: 2_000,
+        objective: Duration::from_millis(800),
+        patience: Duration::from_millis(3_200),
+        band: Band::Urgent,
+        load_time: Duration::from_millis(6_600),
+        disk_load_time: Duration::from_millis(1_800),
+    }
+}
--- a/crates/core/tests/serving_dispatch.rs
+++ b/crates/core/tests/serving_dispatch.rs
@@ -1,32 +1,20 @@
 //! Choice of a target, and flash crowds replayed against a small model of engines.
 
-use std::sync::{Arc, LazyLock};
+use std::sync::Arc;
 use std::time::Duration;
 
 use kumquatkeel_core::serving::{
-    Backlog, Band, BandRates, Candidate, Choice, DispatchTerms, EngineReport, EngineState,
-    RefusalReason, ResidentModel, choose_engine, choose_plain,
+    Backlog, Band, BandRates, Choice, DispatchTerms, EngineState, RefusalReason, choose_engine,
+    choose_plain,
 };
 use kumquatkeel_types::Timestamp;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 use rstest::rstest;
 
-const MODEL: &str = "m";
+use self::dispatch_support::{MODEL, candidate, holder, terms};
 
-fn holder(adapters: &[&str]) -> EngineState {
-    EngineState {
-        report: EngineReport {
-            models: vec![ResidentModel {
-                name: Arc::from(MODEL),
-                adapters: adapters.iter().map(|a| Arc::from(*a)).collect(),
-            }],
-            adapter_room: true,
-            ..EngineReport::default()
-        },
-        ..EngineState::default()
-    }
-}
+mod dispatch_support;
 
 fn busy(band: Band, work: Duration) -> EngineState {
     let mut engine = holder(&[]);
@@ -34,32 +22,6 @@
     engine
 }
 
-fn candidate(engine: &EngineState) -> Candidate<'_> {
-    Candidate {
-        engine,
-        link: Duration::from_millis(1),
-        penalty: Duration::ZERO,
-        avoided: false,
-    }
-}
-
-fn terms() -> DispatchTerms<'static> {
-    static CALM: LazyLock<BandRates> = LazyLock::new(BandRates::default);
-    DispatchTerms {
-        rates: &CALM,
-        draw: 0,
-        model: MODEL,
-        adapter: None,
-        prefill: Duration::from_millis(100),
-        tokens: 2_000,
-        objective: Duration::from_millis(800),
-        patience: Duration::from_millis(3_200),
-        band: Band::Urgent,
-        load_time: Duration::from_millis(6_600),
-        disk_load_time: Duration::from_millis(1_800),
-    }
-}
-
 #[test]
 fn the_shortest_wait_wins() {
     let engines = [
--- a/crates/core/tests/serving_herd.rs
+++ b/crates/core/tests/serving_herd.rs
@@ -1,72 +1,47 @@
 //! Many entries send a crowd's requests within less time than their reports take.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use kumquatkeel_core::serving::{
-    Backlog, Band, BandRates, Candidate, Choice, DispatchTerms, EngineReport, EngineState,
-    ResidentModel, choose_engine, engines_to_count,
+    Backlog, Band, Candidate, Choice, DispatchTerms, EngineState, choose_engine, engines_to_count,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
-const MODEL: &str = "m";
-const PREFILL: Duration = Duration::from_millis(100);
+use self::dispatch_support::{candidate, holder, terms};
 
-fn holder() -> EngineState {
-    let model = ResidentModel {
-        name: Arc::from(MODEL),
-        adapters: Vec::new(),
-    };
-    EngineState {
-        report: EngineReport {
-            models: vec![model],
-            ..EngineReport::default()
-        },
-        ..EngineState::default()
-    }
-}
+mod dispatch_support;
+
+const PREFILL: Duration = Duration::from_millis(100);
 
-fn terms(rates: &BandRates, draw: u64) -> DispatchTerms<'_> {
+/// A request that is sent whatever waits before it.
+fn patient(draw: u64) -> DispatchTerms<'static> {
     DispatchTerms {
-        rates,
         draw,
-        model: MODEL,
-        adapter: None,
         prefill: PREFILL,
-        tokens: 2_000,
         objective: Duration::from_secs(4),
         patience: Duration::from_secs(8),
-        band: Band::Urgent,
-        load_time: Duration::from_secs(6),
-        disk_load_time: Duration::from_secs(1),
+        ..terms()
     }
 }
 
 fn candidates(engines: &[EngineState]) -> Vec<Candidate<'_>> {
-    let candidate = |engine| Candidate {
-        engine,
-        link: Duration::from_millis(1),
-        penalty: Duration::ZERO,
-        avoided: false,
-    };
     engines.iter().map(candidate).collect()
 }
 
 /// Lets each entry send one request; `reported` is what all believe of the others' work.
 fn requests_by_engine(entries: usize, reported: &[u64], counts: bool) -> Vec<usize> {
-    let rates = BandRates::default();
     let mut draws = Pcg64::seed_from_u64(7);
     let mut sent = vec![0; reported.len()];
     let mut work = vec![Backlog::default(); reported.len()];
     for _ in 0..entries {
-        let mut known = vec![holder(); reported.len()];
+        let mut known = vec![holder(&[]); reported.len()];
         for (engine, millis) in known.iter_mut().zip(reported) {
             engine
                 .peers
                 .add(Duration::from_millis(*millis), Band::Urgent);
         }
-        let terms = terms(&rates, draws.random());
+        let terms = patient(draws.random());
         if counts {
             for index in engines_to_count(&candidates(&known), &terms) {
                 known[index].peers = work[index];
@@ -100,13 +75,12 @@
 
 #[test]
 fn the_best_engines_as_far_as_known_are_counted() {
-    let rates = BandRates::default();
-    let mut engines = vec![holder(); 5];
+    let mut engines = vec![holder(&[]); 5];
     for (engine, millis) in engines.iter_mut().zip([200, 50, 400, 900, 120]) {
         engine
             .peers
             .add(Duration::from_millis(millis), Band::Urgent);
     }
-    let asked = engines_to_count(&candidates(&engines), &terms(&rates, 0));
+    let asked = engines_to_count(&candidates(&engines), &patient(0));
     assert_eq!(asked, [1, 4, 0]);
 }
--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -9,15 +9,14 @@
 };
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_types::Timestamp;
-use tokio::sync::mpsc;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
 
 use super::peers::Peers;
-use crate::feed::{FollowTerms, follow};
+use crate::feed::follow_all;
 use crate::gossip::{AgentBeat, Datagram, Gossip, Stamp, WorkCount, WorkQuery};
 use crate::metrics::Instruments;
 use crate::objects::KnownObjects;
-use crate::port::{EnginePort, FeedKind, ObjectFeed, OrderReply, ReadMode};
+use crate::port::{EnginePort, ObjectFeed, OrderReply, ReadMode};
 use crate::shutdown::{ProcessSignal, Signals};
 use crate::start::{StartError, bind_gossip, start_metrics};
 
@@ -122,15 +121,7 @@
 
     /// Runs until the platform stops the process.
     pub async fn run(mut self, feed: Arc<dyn ObjectFeed>, mut signals: Signals) {
-        let (sender, mut events) = mpsc::channel(16);
-        for kind in [FeedKind::Config, FeedKind::Targets] {
-            let terms = FollowTerms {
-                kind,
-                mode: ReadMode::Stale,
-                wait: WATCH_WAIT,
-            };
-            tokio::spawn(follow(feed.clone(), terms, sender.clone()));
-        }
+        let mut events = follow_all(&feed, ReadMode::Stale, WATCH_WAIT);
         let mut poll = interval(POLL);
         poll.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut last = self.clock.now();
@@ -245,12 +236,7 @@
 
     pub(super) fn spec(&self) -> Option<&EngineSpec> {
         let target = self.target()?;
-        self.objects
-            .config()?
-            .services
-            .get(&target.service)?
-            .engine
-            .as_ref()
+        self.objects.config()?.engine(&target.service)
     }
 
     async fn step(&mut self) {
@@ -318,13 +304,13 @@
 
     async fn give_order(&mut self) {
         let now = self.clock.now();
-        let (Some(target), Some(spec)) = (self.target(), self.spec().cloned()) else {
+        let (Some(target), Some(config)) = (self.target(), self.objects.config()) else {
             return;
         };
-        let Some(report) = self.report.clone() else {
+        let (Some(spec), Some(report)) = (config.engine(&target.service), &self.report) else {
             return;
         };
-        let Some(order) = self.orders.next(&report, &spec, now) else {
+        let Some(order) = self.orders.next(report, spec, now) else {
             return;
         };
         let reply = self.engine.order(&target.id, &order).await;
--- a/crates/serving/src/agent/peers.rs
+++ b/crates/serving/src/agent/peers.rs
@@ -98,8 +98,13 @@
 
     /// Counts the work of all entries but the one at `asker`.
     pub(super) fn count_work(&self, asker: SocketAddr) -> Backlog {
-        let others = self.entries.iter().filter(|(entry, _)| **entry != asker);
-        others.fold(Backlog::default(), |sum, (_, e)| sum.plus(e.backlog))
+        let own = self.entries.get(&asker).map(|e| e.backlog);
+        self.total_work().minus(own.unwrap_or_default())
+    }
+
+    fn total_work(&self) -> Backlog {
+        let entries = self.entries.values();
+        entries.fold(Backlog::default(), |sum, e| sum.plus(e.backlog))
     }
 
     /// Takes in another agent's beat.
@@ -164,7 +169,7 @@
     /// Returns the entries that are due to be told, and notes that they are; with `news` all are.
     pub(super) fn due_entries(&mut self, now: Timestamp, news: bool) -> Vec<DueEntry> {
         let pause = ENTRY_BEAT.max(BEAT_PER_ENTRY * self.entries.len() as u32);
-        let total = (self.entries.values()).fold(Backlog::default(), |sum, e| sum.plus(e.backlog));
+        let total = self.total_work();
         let mut due = Vec::new();
         for (address, entry) in &mut self.entries {
             let interval = if entry.remote {
--- a/crates/serving/src/agent/planning.rs
+++ b/crates/serving/src/agent/planning.rs
@@ -44,12 +44,15 @@
     }
 
     fn plan_round(&mut self, now: Timestamp) {
-        let (Some(target), Some(spec)) = (self.target(), self.spec().cloned()) else {
+        let (Some(target), Some(config)) = (self.target(), self.objects.config().cloned()) else {
+            return;
+        };
+        let Some(spec) = config.engine(&target.service) else {
             return;
         };
         let mut engines: BTreeMap<TargetId, EngineReport> = self.peers.reports().collect();
         if let Some(report) = &self.report {
-            let shown = self.orders.publish(report, Some(&spec), now);
+            let shown = self.orders.publish(report, Some(spec), now);
             engines.insert(target.id.clone(), shown);
         }
         let ready = self.objects.table.ready(&target.service);
@@ -65,7 +68,7 @@
             now,
             demand: &demand,
             engines: &engines,
-            spec: &spec,
+            spec,
         };
         self.log_hottest(&demand, &engines);
         for command in self.planner.round(&input, settings) {
--- a/crates/serving/src/entry/daemon.rs
+++ b/crates/serving/src/entry/daemon.rs
@@ -19,10 +19,10 @@
 
 use super::handler;
 use super::state::Shared;
-use crate::feed::{FeedEvent, FollowTerms, follow};
+use crate::feed::{FeedEvent, follow_all};
 use crate::gossip::{Datagram, EntryBeat};
 use crate::net::{ServeOptions, serve_connection, small_server};
-use crate::port::{Dialect, FeedKind, ObjectFeed, ReadMode};
+use crate::port::{Dialect, ObjectFeed, ReadMode};
 use crate::shutdown::{ProcessSignal, Signals};
 use crate::start::{StartError, bind_gossip, start_metrics};
 
@@ -126,15 +126,8 @@
     /// Runs until the platform stops the process.
     pub async fn run(self, feed: Arc<dyn ObjectFeed>, mut signals: Signals) {
         let Self { shared, frontend } = self;
-        let (sender, events) = mpsc::channel(16);
-        for kind in [FeedKind::Config, FeedKind::Targets] {
-            let terms = FollowTerms {
-                kind,
-                mode: ReadMode::Linearizable,
-                wait: shared.settings.watch_wait,
-            };
-            tokio::spawn(follow(feed.clone(), terms, sender.clone()));
-        }
+        let wait = shared.settings.watch_wait;
+        let events = follow_all(&feed, ReadMode::Linearizable, wait);
         tokio::spawn(learn(shared.clone(), events));
         tokio::spawn(hear(shared.clone()));
         tokio::spawn(beat(shared.clone()));
@@ -222,10 +215,7 @@
     let targets: Vec<Arc<Target>> = state.objects.table.newest().cloned().collect();
     let mut agents = 0;
     for target in &targets {
-        if state
-            .service(&target.service)
-            .is_none_or(|s| s.engine.is_none())
-        {
+        if state.engine_spec(&target.service).is_none() {
             continue;
         }
         agents += 1;
--- a/crates/serving/src/entry/selection.rs
+++ b/crates/serving/src/entry/selection.rs
@@ -108,11 +108,9 @@
         let shared = &self.shared;
         let mut state = shared.lock();
         let now = shared.now();
-        state.refresh_engines(&self.service, now);
-        let targets = state.untried(&self.service, &self.tried);
+        let targets = state.options(&self.service, &self.tried, now);
         let candidates = state.candidates(shared, &targets, now);
-        let prefill = state.pace.prefill(model, self.request.usage.prompt);
-        let terms = self.terms(&state, model, prefill);
+        let terms = self.terms(&state, model);
         let mut asked = Vec::new();
         for index in engines_to_count(&candidates, &terms) {
             let target = &targets[index];
@@ -135,13 +133,11 @@
         let shared = self.shared.clone();
         let mut state = shared.lock();
         let now = shared.now();
-        state.refresh_engines(&self.service, now);
-        let targets = state.untried(&self.service, &self.tried);
+        let targets = state.options(&self.service, &self.tried, now);
         let candidates = state.candidates(&shared, &targets, now);
         let (choice, prefill) = if let Some(model) = &self.request.model {
-            let prefill = state.pace.prefill(model, self.request.usage.prompt);
-            let terms = self.terms(&state, model, prefill);
-            (choose_engine(&candidates, &terms), prefill)
+            let terms = self.terms(&state, model);
+            (choose_engine(&candidates, &terms), terms.prefill)
         } else {
             let slots: Vec<u32> = targets.iter().map(|t| t.slots).collect();
             (choose_plain(&candidates, &slots), Duration::ZERO)
@@ -172,22 +168,17 @@
         }
     }
 
-    fn terms<'a>(
-        &'a self,
-        state: &'a State,
-        model: &'a str,
-        prefill: Duration,
-    ) -> DispatchTerms<'a> {
+    fn terms<'a>(&'a self, state: &'a State, model: &'a str) -> DispatchTerms<'a> {
         let left = self.deadline.saturating_duration_since(Instant::now());
         let usage = self.request.usage;
-        let spec = state.service(&self.service).and_then(|s| s.engine.as_ref());
+        let spec = state.engine_spec(&self.service);
         let model_spec = spec.and_then(|s| s.models.get(model));
         let load_time = model_spec.map_or(UNKNOWN_LOAD, |m| m.load);
         let disk_load_time = model_spec.map_or(UNKNOWN_LOAD, |m| m.disk_load);
         DispatchTerms {
             model,
             adapter: self.request.adapter.as_deref(),
-            prefill,
+            prefill: state.pace.prefill(model, usage.prompt),
             tokens: usage.prompt + usage.output / OUTPUT_SHARE,
             objective: self.objective_left(),
             patience: left.min(self.abandon_left()),
--- a/crates/serving/src/entry/state.rs
+++ b/crates/serving/src/entry/state.rs
@@ -7,8 +7,8 @@
 
 use kumquatkeel_core::retry::{AttemptResult, Ejector};
 use kumquatkeel_core::serving::{
-    AdapterKey, Backlog, BandRates, Candidate, DemandMeter, DrainPlan, EngineReport, EngineState,
-    FailureMeter, PaceMeter, ResidentModel, RetryQuota, RouteTable, ServiceSpec, ServingConfig,
+    AdapterKey, Backlog, BandRates, Candidate, DemandMeter, DrainPlan, EngineReport, EngineSpec,
+    EngineState, FailureMeter, PaceMeter, ResidentModel, RetryQuota, RouteTable, ServingConfig,
     Target, TargetId,
 };
 use kumquatkeel_daemon::clock::Clock;
@@ -264,9 +264,7 @@
             self.notify();
         }
     }
-}
 
-impl Shared {
     /// Takes in an agent's count of its target's work.
     pub(super) fn hear_count(&self, count: &WorkCount) {
         let now = self.now();
@@ -303,8 +301,27 @@
         }
     }
 
+    /// Returns the usable targets of a service that a request was not sent to, or else all; brings
+    /// their accounts up to date.
+    pub(super) fn options(
+        &mut self,
+        service: &str,
+        tried: &[TargetId],
+        now: Timestamp,
+    ) -> Vec<Arc<Target>> {
+        self.refresh_engines(service, now);
+        let ready = self.objects.table.ready(service);
+        let untried = ready.iter().filter(|t| !tried.contains(&t.id));
+        let untried: Vec<Arc<Target>> = untried.cloned().collect();
+        if untried.is_empty() {
+            ready.to_vec()
+        } else {
+            untried
+        }
+    }
+
     /// Makes sure that each usable target of a service has an account, and drops outdated counts.
-    pub(super) fn refresh_engines(&mut self, service: &str, now: Timestamp) {
+    fn refresh_engines(&mut self, service: &str, now: Timestamp) {
         for target in self.objects.table.ready(service) {
             let engine = self.engines.entry(target.id.clone()).or_default();
             if engine.reported.is_none() && engine.report.models.is_empty() {
@@ -316,18 +333,6 @@
         }
     }
 
-    /// Returns the usable targets of a service that a request was not sent to, or else all.
-    pub(super) fn untried(&self, service: &str, tried: &[TargetId]) -> Vec<Arc<Target>> {
-        let ready = self.objects.table.ready(service);
-        let untried = ready.iter().filter(|t| !tried.contains(&t.id));
-        let untried: Vec<Arc<Target>> = untried.cloned().collect();
-        if untried.is_empty() {
-            ready.to_vec()
-        } else {
-            untried
-        }
-    }
-
     /// Describes targets whose accounts are up to date to a choice between them.
     pub(super) fn candidates<'a>(
         &'a self,
@@ -458,9 +463,9 @@
         peer.is_some_and(|a| a.planner && now.since(a.seen) < PLANNER_LIFE)
     }
 
-    /// Returns the service's configuration.
-    pub(super) fn service(&self, name: &str) -> Option<&ServiceSpec> {
-        self.active.as_ref()?.config.services.get(name)
+    /// Returns what the engines of a service are, where it runs models.
+    pub(super) fn engine_spec(&self, service: &str) -> Option<&EngineSpec> {
+        self.objects.config()?.engine(service)
     }
 
     /// Drops the accounts of targets that are not listed any more.
--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -19,6 +19,8 @@
 const BOOT_BATCHES: u32 = 6;
 /// Pause after each of them.
 const BOOT_PAUSE: Duration = Duration::from_millis(150);
+/// Events that may wait for the receiver; followers pause while it is behind.
+const EVENTS_WAITING: usize = 16;
 /// First pause after a failed call.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls.
@@ -48,6 +50,20 @@
     pub wait: Duration,
 }
 
+/// Follows the objects of all kinds; returns what is learned.
+pub fn follow_all(
+    feed: &Arc<dyn ObjectFeed>,
+    mode: ReadMode,
+    wait: Duration,
+) -> mpsc::Receiver<FeedEvent> {
+    let (sender, events) = mpsc::channel(EVENTS_WAITING);
+    for kind in [FeedKind::Config, FeedKind::Targets] {
+        let terms = FollowTerms { kind, mode, wait };
+        tokio::spawn(follow(feed.clone(), terms, sender.clone()));
+    }
+    events
+}
+
 /// Follows one kind of object until the receiver is dropped.
 pub async fn follow(
     feed: Arc<dyn ObjectFeed>,
