feat(serving): log and count how a target's stream ended

The logs of the incident of a truncated answer didn't tell how the end of the target's answer was marked, how much of it was read and why it was broken off, so that three hypotheses stood side by side. An entry now counts each end of a stream by framing and completeness, and logs those that broke off or have no end mark, with the number of events and whether the last one is incomplete. No decision changes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod placement;
 pub mod plugin;
 pub mod request;
+pub mod response;
 pub mod retry;
 pub mod routing;
 pub mod scheduler;
--- /dev/null
+++ b/crates/core/tests/response.rs
@@ -0,0 +1,43 @@
+//! Boundaries of server-sent events, whatever the line ends and however the bytes are cut.
+
+use kumquatkeel_core::response::EventScanner;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use rstest::rstest;
+
+#[rstest]
+#[case::line_feed("id: 1\ndata: a\n\n", false, 1)]
+#[case::carriage_return("id: 1\rdata: a\r\r", false, 1)]
+#[case::both("id: 1\r\ndata: a\r\n\r\n", false, 1)]
+#[case::cut_before_the_empty_line("id: 1\ndata: a\n", true, 0)]
+#[case::cut_in_the_second_event("data: a\n\nid", true, 1)]
+#[case::no_event("", false, 0)]
+#[case::leading_empty_lines("\n\ndata: a\n\n", false, 1)]
+fn an_event_ends_with_an_empty_line(#[case] text: &str, #[case] inside: bool, #[case] events: u64) {
+    let mut scanner = EventScanner::default();
+    scanner.push(text.as_bytes());
+    assert_eq!(scanner.is_inside_event(), inside);
+    assert_eq!(scanner.events(), events);
+}
+
+proptest! {
+    #[test]
+    fn pieces_do_not_change_the_boundaries(text in "[a:\r\n]{0,40}", cuts in vec(0usize..41, 0..6)) {
+        let bytes = text.as_bytes();
+        let mut whole = EventScanner::default();
+        let expected = whole.push(bytes);
+        let mut cuts: Vec<usize> = cuts.into_iter().map(|c| c.min(bytes.len())).collect();
+        cuts.push(bytes.len());
+        cuts.sort_unstable();
+        let (mut scanner, mut start, mut complete) = (EventScanner::default(), 0, 0);
+        for cut in cuts {
+            let found = scanner.push(&bytes[start..cut]);
+            if found > 0 {
+                complete = start + found;
+            }
+            start = cut;
+        }
+        prop_assert_eq!(scanner, whole);
+        prop_assert_eq!(complete, expected);
+    }
+}
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -5,14 +5,15 @@
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
-use http::header::AUTHORIZATION;
+use http::header::{AUTHORIZATION, TRANSFER_ENCODING};
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use jsonrpsee::http_client::HttpClient;
+use kumquatkeel_core::response::Framing;
 
 use crate::peer::PeerKey;
 
@@ -91,6 +92,21 @@
     }
 }
 
+/// Returns how the end of a received response's body is marked.
+pub fn framing_of<B: Body>(response: &Response<B>) -> Framing {
+    let codings = response.headers().get_all(TRANSFER_ENCODING);
+    let last = codings.iter().next_back().and_then(|v| v.to_str().ok());
+    let chunked = last
+        .and_then(|codings| codings.rsplit(',').next())
+        .is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"));
+    // An exact size comes from a content length, or from a response that can't have a body.
+    if chunked || response.body().size_hint().exact().is_some() {
+        Framing::Delimited
+    } else {
+        Framing::Connection
+    }
+}
+
 /// Returns the innermost cause of an error.
 fn root_cause(error: &dyn std::error::Error) -> String {
     let mut cause = error;
--- a/crates/serving/src/entry/attempt.rs
+++ b/crates/serving/src/entry/attempt.rs
@@ -7,8 +7,10 @@
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use kumquatkeel_core::response::Framing;
 use kumquatkeel_core::retry::AttemptResult;
 use kumquatkeel_core::serving::{AttemptEnd, Target};
+use kumquatkeel_daemon::http::framing_of;
 use tokio::time::{Instant, timeout_at};
 
 use super::in_flight::InFlightGuard;
@@ -51,6 +53,7 @@
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
     pub(super) body: Incoming,
+    pub(super) framing: Framing,
     pub(super) pooled: PooledConnection,
     pub(super) guard: InFlightGuard,
     pub(super) sent: Instant,
@@ -160,6 +163,7 @@
     response: Response<Incoming>,
     sent: Instant,
 ) -> Result<TargetResponse, AttemptFailure> {
+    let framing = framing_of(&response);
     let (parts, body) = response.into_parts();
     let class = shared
         .dialect
@@ -183,6 +187,7 @@
         status: parts.status,
         headers: parts.headers,
         body,
+        framing,
         pooled,
         guard: plan.guard,
         sent,
--- a/crates/serving/src/entry/relay.rs
+++ b/crates/serving/src/entry/relay.rs
@@ -7,6 +7,7 @@
 use futures::stream::unfold;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
+use kumquatkeel_core::response::{EventScanner, Framing};
 use tokio::time::{Instant, timeout_at};
 
 use super::attempt::TargetResponse;
@@ -29,6 +30,8 @@
 pub(super) struct Relay {
     exchange: Exchange,
     body: Incoming,
+    framing: Framing,
+    scanner: EventScanner,
     pooled: Option<PooledConnection>,
     guard: InFlightGuard,
     sent: Instant,
@@ -48,6 +51,8 @@
         let relay = Self {
             exchange,
             body: response.body,
+            framing: response.framing,
+            scanner: EventScanner::default(),
             pooled: Some(response.pooled),
             guard: response.guard,
             sent: response.sent,
@@ -73,6 +78,7 @@
                 ReadStep::Emit(bytes) if bytes.is_empty() => {}
                 ReadStep::Emit(bytes) => return Some(Ok(bytes)),
                 ReadStep::End => {
+                    self.record_end("complete");
                     self.done = true;
                     if let Some(pooled) = self.pooled.take() {
                         pooled.release();
@@ -81,6 +87,7 @@
                     return None;
                 }
                 ReadStep::Broken(reason) => {
+                    self.record_end(&reason);
                     if self.resume(&reason).await {
                         continue;
                     }
@@ -111,6 +118,7 @@
             return ReadStep::Emit(Bytes::new());
         };
         self.guard.record_bytes();
+        self.scanner.push(&data);
         if !std::mem::replace(&mut self.started, true) {
             self.exchange
                 .record_first_byte(self.guard.target(), self.predicted, self.sent);
@@ -122,6 +130,21 @@
         ReadStep::Emit(self.take_events())
     }
 
+    /// Counts the end of a target's stream, and logs one that broke off or has no end mark.
+    fn record_end(&self, end: &str) {
+        let complete = end == "complete";
+        let instruments = &self.exchange.shared.instruments;
+        instruments.record_stream_end(self.framing, complete);
+        if !complete || self.framing == Framing::Connection {
+            log::info!(
+                request:% = self.exchange.request.attempt, target_id:% = self.guard.target(),
+                framing:% = self.framing, events = self.scanner.events(),
+                inside_event = self.scanner.is_inside_event(), end;
+                "stream of the target ended"
+            );
+        }
+    }
+
     /// Takes the complete events from the buffer and records the id of the last one.
     fn take_events(&mut self) -> Bytes {
         let bytes = &self.partial[..];
@@ -146,6 +169,8 @@
             return false;
         };
         self.body = response.body;
+        self.framing = response.framing;
+        self.scanner = EventScanner::default();
         self.pooled = Some(response.pooled);
         self.guard = response.guard;
         self.sent = response.sent;
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use http_body_util::Full;
+use kumquatkeel_core::response::Framing;
 use kumquatkeel_daemon::metrics::{METRICS_CONTENT_TYPE, Metrics, MetricsError};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram};
@@ -26,6 +27,7 @@
     attempts: Counter<u64>,
     refusals: Counter<u64>,
     orders: Counter<u64>,
+    stream_ends: Counter<u64>,
     first_byte: Histogram<f64>,
     predicted: Histogram<f64>,
     duration: Histogram<f64>,
@@ -49,6 +51,7 @@
             attempts: meter.u64_counter("attempts").build(),
             refusals: meter.u64_counter("refusals").build(),
             orders: meter.u64_counter("orders").build(),
+            stream_ends: meter.u64_counter("stream_ends").build(),
             first_byte: histogram("first_byte"),
             predicted: histogram("first_byte_predicted"),
             duration: histogram("request_duration"),
@@ -77,6 +80,15 @@
         self.orders.add(1, &[KeyValue::new("reply", reply)]);
     }
 
+    /// Counts the end of a target's stream by its framing and whether it was complete.
+    pub fn record_stream_end(&self, framing: Framing, complete: bool) {
+        let attributes = [
+            KeyValue::new("framing", framing.to_string()),
+            KeyValue::new("complete", complete),
+        ];
+        self.stream_ends.add(1, &attributes);
+    }
+
     /// Records the predicted and the observed time to the first byte.
     pub fn record_first_byte(&self, predicted: Duration, seen: Duration) {
         self.predicted.record(predicted.as_secs_f64(), &[]);
