fix(serving/entry): a stream that ends inside an event has been broken off

Cause: a target may send a stream with neither a length nor chunks. The relay took the end of such a stream's connection for its end; on routes whose streams may be resumed it even passed the incomplete event on first. Class: the end of an answer inferred from the end of its transport.

Change: kumquatkeel_core::response decides for every body whether it is whole: a stream must end between two events, and one without an end mark must have an event; JSON without an end mark must parse. The relay and the reader of whole bodies ask it; a truncated stream is resumed or broken off, a truncated answer is a lost attempt.

A cut exactly between two events of such a stream can't be told from its end.

--- a/crates/core/src/response/mod.rs
+++ b/crates/core/src/response/mod.rs
@@ -1,7 +1,12 @@
-//! Responses of targets: how the end of a body is marked, and where its events end.
+//! Responses of targets: how the end of a body is marked, and whether the body is whole.
+//!
+//! The end of a connection marks no end: it looks the same when the sender crashed. Every part that
+//! passes a response on decides here whether it is whole.
 
 mod event_scanner;
 mod framing;
+mod truncation;
 
 pub use event_scanner::EventScanner;
 pub use framing::Framing;
+pub use truncation::{EventStreamCheck, Truncation, check_body};
--- a/crates/core/tests/response.rs
+++ b/crates/core/tests/response.rs
@@ -1,6 +1,7 @@
-//! Boundaries of server-sent events, whatever the line ends and however the bytes are cut.
+//! Boundaries of server-sent events, whatever the line ends and however the bytes are cut, and
+//! whether a body is whole.
 
-use kumquatkeel_core::response::EventScanner;
+use kumquatkeel_core::response::{EventScanner, Framing, Truncation, check_body};
 use proptest::collection::vec;
 use proptest::prelude::*;
 use rstest::rstest;
@@ -20,6 +21,34 @@
     assert_eq!(scanner.events(), events);
 }
 
+const EVENTS: &str = "text/event-stream; charset=utf-8";
+const JSON: &str = "application/json";
+
+#[rstest]
+#[case::inside_event(Framing::Connection, EVENTS, "data: a\n", Err(Truncation::InsideEvent))]
+#[case::inside_framed_event(Framing::Delimited, EVENTS, "data: a\n", Err(Truncation::InsideEvent))]
+#[case::no_event(Framing::Connection, EVENTS, "", Err(Truncation::NoEvent))]
+#[case::empty_framed_stream(Framing::Delimited, EVENTS, "", Ok(()))]
+#[case::whole_stream(Framing::Connection, EVENTS, "data: a\n\n", Ok(()))]
+#[case::half_json(
+    Framing::Connection,
+    JSON,
+    r#"{"a": 1"#,
+    Err(Truncation::IncompleteJson)
+)]
+#[case::no_json(Framing::Connection, JSON, "", Err(Truncation::IncompleteJson))]
+#[case::whole_json(Framing::Connection, JSON, r#"{"a": 1}"#, Ok(()))]
+#[case::invalid_framed_json(Framing::Delimited, JSON, "{", Ok(()))]
+#[case::opaque(Framing::Connection, "application/octet-stream", "by", Ok(()))]
+fn a_truncated_body_is_not_whole(
+    #[case] framing: Framing,
+    #[case] content_type: &str,
+    #[case] body: &str,
+    #[case] expected: Result<(), Truncation>,
+) {
+    assert_eq!(check_body(framing, content_type, body.as_bytes()), expected);
+}
+
 proptest! {
     #[test]
     fn pieces_do_not_change_the_boundaries(text in "[a:\r\n]{0,40}", cuts in vec(0usize..41, 0..6)) {
--- a/crates/serving/src/entry/attempt.rs
+++ b/crates/serving/src/entry/attempt.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::CONTENT_TYPE;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use kumquatkeel_core::response::Framing;
+use kumquatkeel_core::response::{Framing, check_body};
 use kumquatkeel_core::retry::AttemptResult;
 use kumquatkeel_core::serving::{AttemptEnd, Target};
 use kumquatkeel_daemon::http::framing_of;
@@ -173,7 +174,8 @@
         ResponseClass::Failure => false,
         ResponseClass::NotRun | ResponseClass::WrongTarget => {
             let reason = format!("target rejected the request with status {}", parts.status);
-            if read_full_body(body, plan.deadline).await.is_some() {
+            let head = (framing, &parts.headers);
+            if read_full_body(body, head, plan.deadline).await.is_some() {
                 pooled.release();
             }
             return Err(AttemptFailure::new(AttemptEnd::NotRun, reason));
@@ -197,8 +199,19 @@
 }
 
 /// Reads a whole body; returns `None` if it breaks off, is too large or misses the deadline.
-pub(super) async fn read_full_body(body: Incoming, deadline: Instant) -> Option<Bytes> {
+pub(super) async fn read_full_body(
+    body: Incoming,
+    (framing, headers): (Framing, &HeaderMap),
+    deadline: Instant,
+) -> Option<Bytes> {
     let collected = Limited::new(body, MAX_BUFFERED_BYTES).collect();
-    let body = timeout_at(deadline, collected).await.ok()?;
-    body.ok().map(http_body_util::Collected::to_bytes)
+    let body = timeout_at(deadline, collected).await.ok()?.ok()?.to_bytes();
+    let content_type = headers.get(CONTENT_TYPE).and_then(|t| t.to_str().ok());
+    match check_body(framing, content_type.unwrap_or_default(), &body) {
+        Ok(()) => Some(body),
+        Err(truncation) => {
+            log::info!(framing:%, bytes = body.len(), truncation:%; "response body truncated");
+            None
+        }
+    }
 }
--- a/crates/serving/src/entry/exchange.rs
+++ b/crates/serving/src/entry/exchange.rs
@@ -240,7 +240,8 @@
             let exchange = self.take_for_relay();
             Response::new(Relay::body(exchange, from_target))
         } else {
-            let Some(body) = read_full_body(from_target.body, self.deadline).await else {
+            let head = (from_target.framing, &from_target.headers);
+            let Some(body) = read_full_body(from_target.body, head, self.deadline).await else {
                 let failure = AttemptFailure {
                     end: AttemptEnd::Lost,
                     reason: "response body broke off, was too large or late".to_owned(),
--- a/crates/serving/src/entry/relay.rs
+++ b/crates/serving/src/entry/relay.rs
@@ -7,7 +7,7 @@
 use futures::stream::unfold;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use kumquatkeel_core::response::{EventScanner, Framing};
+use kumquatkeel_core::response::{EventStreamCheck, Framing};
 use tokio::time::{Instant, timeout_at};
 
 use super::attempt::TargetResponse;
@@ -30,8 +30,7 @@
 pub(super) struct Relay {
     exchange: Exchange,
     body: Incoming,
-    framing: Framing,
-    scanner: EventScanner,
+    check: EventStreamCheck,
     pooled: Option<PooledConnection>,
     guard: InFlightGuard,
     sent: Instant,
@@ -51,8 +50,7 @@
         let relay = Self {
             exchange,
             body: response.body,
-            framing: response.framing,
-            scanner: EventScanner::default(),
+            check: EventStreamCheck::new(response.framing),
             pooled: Some(response.pooled),
             guard: response.guard,
             sent: response.sent,
@@ -110,15 +108,19 @@
         let frame = match next {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(error))) => return ReadStep::Broken(error.to_string()),
-            Ok(None) if self.partial.is_empty() => return ReadStep::End,
-            Ok(None) => return ReadStep::Emit(self.partial.split().freeze()),
+            Ok(None) => {
+                return match self.check.end() {
+                    Ok(()) => ReadStep::End,
+                    Err(truncation) => ReadStep::Broken(truncation.to_string()),
+                };
+            }
             Err(_) => return ReadStep::Broken("deadline".to_owned()),
         };
         let Ok(data) = frame.into_data() else {
             return ReadStep::Emit(Bytes::new());
         };
         self.guard.record_bytes();
-        self.scanner.push(&data);
+        let complete = self.check.push(&data);
         if !std::mem::replace(&mut self.started, true) {
             self.exchange
                 .record_first_byte(self.guard.target(), self.predicted, self.sent);
@@ -126,32 +128,35 @@
         if !self.exchange.is_resumable() {
             return ReadStep::Emit(data);
         }
+        let complete = if complete > 0 {
+            self.partial.len() + complete
+        } else {
+            0
+        };
         self.partial.extend_from_slice(&data);
-        ReadStep::Emit(self.take_events())
+        ReadStep::Emit(self.take_events(complete))
     }
 
     /// Counts the end of a target's stream, and logs one that broke off or has no end mark.
     fn record_end(&self, end: &str) {
         let complete = end == "complete";
         let instruments = &self.exchange.shared.instruments;
-        instruments.record_stream_end(self.framing, complete);
-        if !complete || self.framing == Framing::Connection {
+        let (framing, scanner) = (self.check.framing(), self.check.scanner());
+        instruments.record_stream_end(framing, complete);
+        if !complete || framing == Framing::Connection {
             log::info!(
                 request:% = self.exchange.request.attempt, target_id:% = self.guard.target(),
-                framing:% = self.framing, events = self.scanner.events(),
-                inside_event = self.scanner.is_inside_event(), end;
+                framing:%, events = scanner.events(),
+                inside_event = scanner.is_inside_event(), end;
                 "stream of the target ended"
             );
         }
     }
 
-    /// Takes the complete events from the buffer and records the id of the last one.
-    fn take_events(&mut self) -> Bytes {
-        let bytes = &self.partial[..];
-        let Some(end) = bytes.windows(2).rposition(|w| w == b"\n\n") else {
-            return Bytes::new();
-        };
-        let events = self.partial.split_to(end + 2).freeze();
+    /// Takes the complete events, which are the first `length` bytes, from the buffer and records the
+    /// id of the last one.
+    fn take_events(&mut self, length: usize) -> Bytes {
+        let events = self.partial.split_to(length).freeze();
         if let Some(id) = last_event_id(&events) {
             self.last_event = Some(id);
         }
@@ -169,8 +174,7 @@
             return false;
         };
         self.body = response.body;
-        self.framing = response.framing;
-        self.scanner = EventScanner::default();
+        self.check = EventStreamCheck::new(response.framing);
         self.pooled = Some(response.pooled);
         self.guard = response.guard;
         self.sent = response.sent;
