fix(agent): a truncated JSON answer without a length is not reported as answered

What callers saw: with a plain service that marks the end of its answer with the end of the connection only, half a JSON body of a crashed service came back as answered, and was kept as the outcome of its idempotency key.

Change: the client asks kumquatkeel_core::response. The call's outcome is then unknown, as after a lost answer.

--- a/crates/agent/src/plain.rs
+++ b/crates/agent/src/plain.rs
@@ -5,8 +5,9 @@
 use http::header::{CONNECTION, CONTENT_TYPE};
 use http::{HeaderName, Request};
 use http_body_util::{BodyExt, Full, Limited};
+use kumquatkeel_core::response::check_body;
 use kumquatkeel_core::scheduler::PlainAnswer;
-use kumquatkeel_daemon::http::PeerClient;
+use kumquatkeel_daemon::http::{PeerClient, framing_of};
 use kumquatkeel_types::message::{NotRunReason, PlainWork};
 
 use crate::TargetError;
@@ -50,7 +51,7 @@
             .body(Full::from(work.body.clone()))
             .map_err(|e| self.error(step, Some(NotRunReason::TargetUnreachable), &e))?;
         let response = self.http.send(step, self.address, request).await?;
-        let status = response.status().as_u16();
+        let (status, framing) = (response.status().as_u16(), framing_of(&response));
         let content_type = response.headers().get(CONTENT_TYPE);
         let content_type = content_type
             .and_then(|t| t.to_str().ok())
@@ -59,6 +60,7 @@
         let body = Limited::new(response.into_body(), self.answer_bytes);
         let body = body.collect().await;
         let body = body.map_err(|e| self.error(step, None, &e))?.to_bytes();
+        check_body(framing, &content_type, &body).map_err(|e| self.error(step, None, &e))?;
         let body = String::from_utf8(body.into());
         Ok(PlainAnswer {
             status,
--- a/crates/agent/tests/plain.rs
+++ b/crates/agent/tests/plain.rs
@@ -5,6 +5,7 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use common::{TestAgent, running};
@@ -12,6 +13,8 @@
 use kumquatkeel_types::ErrorCode;
 use kumquatkeel_types::message::{AttemptEvent, FenceReply, NotRunReason, Work};
 use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
 async fn fixture(work_time: Duration) -> (TestAgent, PlainService, PlainServer) {
     let service = PlainService::new(work_time);
@@ -136,3 +139,39 @@
         );
     }
 }
+
+/// A service that marks the end of its JSON answer with the end of the connection only.
+async fn start_close_delimited_service(body: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = [0; 4096];
+            let _ = stream.read(&mut request).await;
+            let answer = format!("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{body}");
+            let _ = stream.write_all(answer.as_bytes()).await;
+            let _ = stream.shutdown().await;
+        }
+    });
+    address
+}
+
+#[tokio::test]
+async fn a_truncated_close_delimited_answer_is_not_reported_as_answered() {
+    let address = start_close_delimited_service(r#"{"number":"#).await;
+    let fixture = TestAgent::plain(address).await;
+    let events = fixture.run(&fixture.call("k1")).await;
+    let code = ErrorCode::Interrupted;
+    assert!(
+        matches!(events.last(), Some(AttemptEvent::Failed { code: c, .. }) if *c == code),
+        "{events:?}"
+    );
+}
+
+#[tokio::test]
+async fn a_whole_close_delimited_answer_is_reported_as_answered() {
+    let address = start_close_delimited_service(r#"{"number":1}"#).await;
+    let fixture = TestAgent::plain(address).await;
+    let events = fixture.run(&fixture.call("k1")).await;
+    assert_eq!(answer(&events), Some(r#"{"number":1}"#), "{events:?}");
+}
