feat(serving): log target versions and which stream a request takes up

The logs of the incident of mixed software versions told neither the version of a request's target nor whether the request takes up a stream that another attempt began, so that its hypotheses couldn't be told apart. Targets now carry the version of their software, requests the stream that they take up; both are in the log line of a dispatch, and the version in that of a listed target. No decision changes.

--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -38,7 +38,7 @@
 pub use planner::{LoadCommand, Planner, PlannerInput, PlannerSettings};
 pub use prefill::PrefillEstimator;
 pub use quota::RetryQuota;
-pub use request::{AttemptEnd, CallerRequest, Recovery, Usage, after_attempt};
+pub use request::{AttemptEnd, CallerRequest, Recovery, ResumedStream, Usage, after_attempt};
 pub use routes::{RouteMatch, RouteTable};
 pub use table::{TableChange, TargetTable};
 pub use target::{Target, TargetId, TargetState};
--- a/crates/core/src/serving/request.rs
+++ b/crates/core/src/serving/request.rs
@@ -20,6 +20,15 @@
     pub output: u64,
 }
 
+/// A stream that a caller takes up again after its connection broke.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ResumedStream {
+    /// The id of the last event that the caller has received.
+    pub last_event: Arc<str>,
+    /// The caller's attempt that brought the stream's first event; `None` if not stated.
+    pub first_attempt: Option<Arc<str>>,
+}
+
 /// What the headers of a caller's request state.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct CallerRequest {
@@ -33,6 +42,8 @@
     pub adapter: Option<Arc<str>>,
     /// Token counts; zero if not stated.
     pub usage: Usage,
+    /// The stream that the request takes up; `None` for a new request.
+    pub resume: Option<ResumedStream>,
 }
 
 /// How an attempt at a target ended without success.
--- a/crates/core/src/serving/target.rs
+++ b/crates/core/src/serving/target.rs
@@ -39,6 +39,8 @@
     pub id: TargetId,
     /// The service to which the target belongs.
     pub service: Arc<str>,
+    /// The version of the target's software; empty if not stated.
+    pub version: Arc<str>,
     /// The address at which the target listens.
     pub address: SocketAddr,
     /// The data centre in which the target runs.
--- a/crates/core/tests/serving_table.rs
+++ b/crates/core/tests/serving_table.rs
@@ -10,6 +10,7 @@
     Target {
         id: TargetId::from(id),
         service: Arc::from("assist"),
+        version: "v1".into(),
         address: ([10, 0, 0, 1], port).into(),
         data_centre: Arc::from("a"),
         slots: 4,
--- a/crates/serving/src/entry/selection.rs
+++ b/crates/serving/src/entry/selection.rs
@@ -255,8 +255,11 @@
         } else {
             left
         };
+        let resume = self.request.resume.as_ref();
         log::info!(
             request:% = self.request.attempt, route:% = self.route.name, target_id:% = target.id,
+            version:% = target.version, last_event = resume.map(|r| &*r.last_event),
+            first_attempt = resume.and_then(|r| r.first_attempt.as_deref()),
             config = self.config_version, report_age_ms = age.map(millis),
             predicted_ms = millis(predicted), band:serde, waited = self.waited,
             left_ms = millis(left);
--- a/crates/serving/src/objects.rs
+++ b/crates/serving/src/objects.rs
@@ -80,9 +80,9 @@
     }
 
     fn apply_listed(&mut self, target: Target, now: Timestamp) {
-        let (id, state) = (target.id.clone(), target.state);
+        let (id, state, version) = (target.id.clone(), target.state, target.version.clone());
         if self.table.apply(TableChange::Listed(target), now) {
-            log::info!(target_id:% = id, state:serde; "target listed");
+            log::info!(target_id:% = id, state:serde, version:%; "target listed");
         }
     }
 }
--- a/crates/serving/tests/agent.rs
+++ b/crates/serving/tests/agent.rs
@@ -154,6 +154,7 @@
     Target {
         id: TargetId::from(id),
         service: Arc::from(SERVICE),
+        version: Arc::from("v1"),
         address,
         data_centre: Arc::from("a"),
         slots: 64,
