fix(serving/entry): a stream goes on only at the software version that began it

Cause: an entry routed a request that takes up a stream like any other, and its relay resumed a broken stream at any target. Nobody kept which version began a stream, and the entry that knew it may be the one that failed. Class: a run is continued without a check that its continuation belongs to it.

Change: an entry records the origin of each resumable stream, service and version, at three agents chosen by the attempt that began it, before the first event is passed on. An entry at which a stream is taken up asks them. One type in core, StreamScope, says which targets a stream may begin or go on at, for callers' tries and relays alike. A stream whose version is unknown goes on only while all targets have, and recently had, one version; else it is refused at once as not run, with the reason unknown_origin.

--- a/crates/core/src/serving/dispatch.rs
+++ b/crates/core/src/serving/dispatch.rs
@@ -46,6 +46,8 @@
     Overload,
     /// The entry shuts down before the answer would be complete.
     Draining,
+    /// The software version that began the stream is unknown, and targets of several serve.
+    UnknownOrigin,
 }
 
 /// A target that could take the request.
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -12,6 +12,7 @@
 mod eviction;
 mod failures;
 mod orders;
+mod origin;
 mod planner;
 mod prefill;
 mod quota;
@@ -35,6 +36,7 @@
 pub use eviction::{AdapterKey, AdapterStep, AdapterUse};
 pub use failures::FailureMeter;
 pub use orders::{EngineOrder, OrderQueue};
+pub use origin::{OriginTable, StreamOrigin, StreamScope, origin_holders};
 pub use planner::{LoadCommand, Planner, PlannerInput, PlannerSettings};
 pub use prefill::PrefillEstimator;
 pub use quota::RetryQuota;
--- a/crates/core/src/serving/table.rs
+++ b/crates/core/src/serving/table.rs
@@ -20,6 +20,8 @@
 const RETURN_GRACE: Duration = Duration::from_millis(2_200);
 /// How long after an outage a removal may still be due to it.
 const OUTAGE_TAIL: Duration = Duration::from_secs(2);
+/// How long a software version counts as recent after its last target has gone.
+const VERSION_TTL: Duration = Duration::from_mins(1);
 
 /// A change to the target list.
 #[derive(Debug, Clone, PartialEq)]
@@ -45,6 +47,8 @@
     services: HashMap<Arc<str>, Vec<Arc<Target>>>,
     /// When the list was last found unavailable.
     outage: Option<Timestamp>,
+    /// Service and software version of targets that have gone, and when.
+    former_versions: Vec<(Arc<str>, Arc<str>, Timestamp)>,
 }
 
 impl TargetTable {
@@ -56,7 +60,7 @@
     /// Applies a change; returns whether the usable targets changed.
     pub fn apply(&mut self, change: TableChange, now: Timestamp) -> bool {
         let changed = match change {
-            TableChange::Listed(target) => self.list(target),
+            TableChange::Listed(target) => self.list(target, now),
             TableChange::Removed(id) => self.remove(&id, now),
         };
         if changed {
@@ -77,7 +81,7 @@
             changed |= self.remove(&id, now);
         }
         for target in targets {
-            changed |= self.list(target);
+            changed |= self.list(target, now);
         }
         if changed {
             self.index();
@@ -93,7 +97,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &gone {
-            self.records.remove(id);
+            self.drop_record(id, now);
         }
         if !gone.is_empty() {
             self.index();
@@ -138,9 +142,13 @@
         self.records.get(id).map(|r| &r.target)
     }
 
-    fn list(&mut self, target: Target) -> bool {
+    fn list(&mut self, target: Target, now: Timestamp) -> bool {
         let id = target.id.clone();
         let target = Arc::new(target);
+        let known = self.records.get(&id).map(|r| r.target.clone());
+        if let Some(known) = known.filter(|known| known.version != target.version) {
+            self.record_former_version(&known, now);
+        }
         match self.records.get_mut(&id) {
             Some(record) if record.target == target => record.expired.take().is_some(),
             Some(record) => {
@@ -175,10 +183,37 @@
         if record.expired.is_some() {
             return false;
         }
-        self.records.remove(id);
+        self.drop_record(id, now);
         true
     }
 
+    fn drop_record(&mut self, id: &TargetId, now: Timestamp) {
+        if let Some(record) = self.records.remove(id) {
+            self.record_former_version(&record.target, now);
+        }
+    }
+
+    fn record_former_version(&mut self, target: &Target, now: Timestamp) {
+        self.former_versions.retain(|(service, version, at)| {
+            now.since(*at) < VERSION_TTL
+                && (*service != target.service || *version != target.version)
+        });
+        let (service, version) = (target.service.clone(), target.version.clone());
+        self.former_versions.push((service, version, now));
+    }
+
+    /// Returns the software versions that targets of a service have, or had until recently.
+    pub fn recent_versions(&self, service: &str, now: Timestamp) -> Vec<Arc<str>> {
+        let listed = self.all().filter(|t| *t.service == *service);
+        let listed = listed.map(|t| t.version.clone());
+        let former = self.former_versions.iter();
+        let former = former.filter(|(s, _, at)| **s == *service && now.since(*at) < VERSION_TTL);
+        let mut versions: Vec<_> = listed.chain(former.map(|(_, v, _)| v.clone())).collect();
+        versions.sort_unstable();
+        versions.dedup();
+        versions
+    }
+
     /// Returns the latest start of an incarnation at each address.
     fn newest_starts(&self) -> HashMap<SocketAddr, u64> {
         let mut newest = HashMap::new();
--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use kumquatkeel_core::serving::{
-    Backlog, EngineReport, EngineSpec, LoadCommand, OrderQueue, Planner, Target, TargetId,
+    Backlog, EngineReport, EngineSpec, LoadCommand, OrderQueue, OriginTable, Planner, Target,
+    TargetId,
 };
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_types::Timestamp;
@@ -13,7 +14,10 @@
 
 use super::peers::Peers;
 use crate::feed::follow_all;
-use crate::gossip::{AgentHeartbeat, BacklogQuery, BacklogReply, Datagram, GossipSocket, Stamp};
+use crate::gossip::{
+    AgentHeartbeat, BacklogQuery, BacklogReply, Datagram, GossipSocket, OriginQuery, OriginRecord,
+    Stamp,
+};
 use crate::metrics::Instruments;
 use crate::objects::KnownObjects;
 use crate::platform::{EngineClient, ObjectFeed, OrderReply, ReadMode};
@@ -56,6 +60,8 @@
     pub(super) stamp: Stamp,
     pub(super) objects: KnownObjects,
     pub(super) peers: Peers,
+    /// Origins of streams that entries have asked this agent to keep.
+    pub(super) origins: OriginTable,
     pub(super) orders: OrderQueue,
     pub(super) planner: Planner,
     pub(super) planning: bool,
@@ -100,6 +106,7 @@
             stamp: Stamp::start(),
             objects: KnownObjects::default(),
             peers: Peers::default(),
+            origins: OriginTable::default(),
             orders: OrderQueue::default(),
             planner: Planner::default(),
             planning: false,
@@ -184,7 +191,11 @@
                 }
             }
             Datagram::Query(query) => self.answer_query(from, query),
-            Datagram::Count(_) => log::debug!(peer:% = from; "ignored datagram for entries"),
+            Datagram::Began(record) => self.origins.record(record.attempt, record.origin, now),
+            Datagram::FindOrigin(query) => self.answer_origin_query(from, query),
+            Datagram::Count(_) | Datagram::Origin(_) => {
+                log::debug!(peer:% = from; "ignored datagram for entries");
+            }
             Datagram::Agent(heartbeat) => self.peers.record_agent(from, heartbeat, now),
             Datagram::Alive(stamp) => self.peers.record_alive(from, stamp, now),
             Datagram::Want(request) => {
@@ -219,6 +230,15 @@
         self.gossip.send(from, &Datagram::Count(reply));
     }
 
+    fn answer_origin_query(&mut self, from: SocketAddr, query: OriginQuery) {
+        let origin = self.origins.get(&query.attempt, self.clock.now());
+        if let Some(origin) = origin.cloned() {
+            let attempt = query.attempt;
+            let record = OriginRecord { attempt, origin };
+            self.gossip.send(from, &Datagram::Origin(record));
+        }
+    }
+
     /// Returns whether `id` names the current incarnation of the target beside this agent.
     fn is_target(&self, id: &TargetId) -> bool {
         self.target().is_some_and(|target| target.id == *id)
--- a/crates/serving/src/entry/attempt.rs
+++ b/crates/serving/src/entry/attempt.rs
@@ -55,6 +55,8 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Incoming,
     pub(super) framing: Framing,
+    /// The software version of the target.
+    pub(super) version: Arc<str>,
     pub(super) pooled: PooledConnection,
     pub(super) guard: InFlightGuard,
     pub(super) sent: Instant,
@@ -190,6 +192,7 @@
         headers: parts.headers,
         body,
         framing,
+        version: plan.target.version.clone(),
         pooled,
         guard: plan.guard,
         sent,
--- a/crates/serving/src/entry/daemon.rs
+++ b/crates/serving/src/entry/daemon.rs
@@ -186,12 +186,15 @@
         match datagram {
             Datagram::Agent(heartbeat) => shared.handle_agent_heartbeat(from, heartbeat),
             Datagram::Count(reply) => shared.handle_backlog_reply(&reply),
+            Datagram::Origin(record) => shared.handle_origin(record),
             Datagram::Entry(_)
             | Datagram::Alive(_)
             | Datagram::Want(_)
             | Datagram::Load(_)
             | Datagram::Note(_)
-            | Datagram::Query(_) => {
+            | Datagram::Query(_)
+            | Datagram::Began(_)
+            | Datagram::FindOrigin(_) => {
                 log::debug!(peer:% = from; "ignoring a datagram meant for an agent");
             }
         }
--- a/crates/serving/src/entry/exchange.rs
+++ b/crates/serving/src/entry/exchange.rs
@@ -6,7 +6,8 @@
 
 use http::{Response, StatusCode};
 use kumquatkeel_core::serving::{
-    AttemptEnd, CallKind, CallerRequest, Recovery, RefusalReason, Route, TargetId, after_attempt,
+    AttemptEnd, CallKind, CallerRequest, Recovery, RefusalReason, Route, StreamScope, TargetId,
+    after_attempt,
 };
 use tokio::time::{Instant, timeout_at};
 
@@ -21,6 +22,9 @@
 /// Largest `Retry-After` of a refusal, as a share of the caller's remaining time.
 const MAX_RETRY_AFTER_SHARE: f64 = 0.33;
 
+/// `Retry-After` of a stream that can go on once targets of a single software version are left.
+const ORIGIN_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// One caller's request from its arrival to the end of the response.
 pub(super) struct Exchange {
     pub(super) shared: Arc<Shared>,
@@ -32,6 +36,8 @@
     pub(super) deadline: Instant,
     /// The version of the configuration that the request was routed by.
     pub(super) config_version: u64,
+    /// The targets at which the stream may begin or go on.
+    pub(super) scope: StreamScope,
     /// The targets of all attempts so far.
     pub(super) tried: Vec<TargetId>,
     /// Attempts that may have run at their target.
@@ -63,6 +69,7 @@
             outgoing,
             arrival,
             config_version,
+            scope: StreamScope::Any,
             tried: Vec::new(),
             runs: 0,
             sends: 0,
@@ -120,6 +127,10 @@
 
     /// Runs attempts until one gives a response, the request is refused or its deadline passes.
     pub(super) async fn run(mut self) -> io::Result<Response<ResponseBody>> {
+        self.find_scope().await;
+        if self.scope == StreamScope::Nowhere {
+            return Ok(self.refuse(RefusalReason::UnknownOrigin, ORIGIN_RETRY_AFTER));
+        }
         {
             let now = self.shared.now();
             let mut state = self.shared.lock();
@@ -337,6 +348,7 @@
             RefusalReason::ModelAbsent => "model_absent",
             RefusalReason::Overload => "overload",
             RefusalReason::Draining => "draining",
+            RefusalReason::UnknownOrigin => "unknown_origin",
         };
         self.shared.instruments.record_refusal(name);
         log::info!(
@@ -363,6 +375,7 @@
             service: self.service.clone(),
             request: self.request.clone(),
             outgoing: self.outgoing.clone(),
+            scope: self.scope.clone(),
             tried: self.tried.clone(),
             outcome,
             ..*self
--- a/crates/serving/src/entry/mod.rs
+++ b/crates/serving/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod exchange;
 mod handler;
 mod in_flight;
+mod origin;
 mod relay;
 mod response;
 mod selection;
--- a/crates/serving/src/entry/relay.rs
+++ b/crates/serving/src/entry/relay.rs
@@ -1,6 +1,7 @@
 //! Relays event streams from targets to callers, and resumes resumable ones at another target.
 
 use std::io;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -31,6 +32,8 @@
     exchange: Exchange,
     body: Incoming,
     check: EventStreamCheck,
+    /// The software version of the current target.
+    version: Arc<str>,
     pooled: Option<PooledConnection>,
     guard: InFlightGuard,
     sent: Instant,
@@ -51,6 +54,7 @@
             exchange,
             body: response.body,
             check: EventStreamCheck::new(response.framing),
+            version: response.version,
             pooled: Some(response.pooled),
             guard: response.guard,
             sent: response.sent,
@@ -156,6 +160,9 @@
     /// Takes the complete events, which are the first `length` bytes, from the buffer and records the
     /// id of the last one.
     fn take_events(&mut self, length: usize) -> Bytes {
+        if length > 0 {
+            self.exchange.record_origin(&self.version);
+        }
         let events = self.partial.split_to(length).freeze();
         if let Some(id) = last_event_id(&events) {
             self.last_event = Some(id);
@@ -175,6 +182,7 @@
         };
         self.body = response.body;
         self.check = EventStreamCheck::new(response.framing);
+        self.version = response.version;
         self.pooled = Some(response.pooled);
         self.guard = response.guard;
         self.sent = response.sent;
--- a/crates/serving/src/entry/selection.rs
+++ b/crates/serving/src/entry/selection.rs
@@ -121,7 +121,7 @@
         let shared = &self.shared;
         let mut state = shared.lock();
         let now = shared.now();
-        let targets = state.eligible_targets(&self.service, &self.tried, now);
+        let targets = state.eligible_targets(&self.service, &self.tried, &self.scope, now);
         let candidates = state.candidates(shared, &targets, now);
         let input = self.dispatch_input(&state, model);
         let mut queried = Vec::new();
@@ -146,7 +146,7 @@
         let shared = self.shared.clone();
         let mut state = shared.lock();
         let now = shared.now();
-        let targets = state.eligible_targets(&self.service, &self.tried, now);
+        let targets = state.eligible_targets(&self.service, &self.tried, &self.scope, now);
         let candidates = state.candidates(&shared, &targets, now);
         let (decision, prefill) = if let Some(model) = &self.request.model {
             let input = self.dispatch_input(&state, model);
--- a/crates/serving/src/entry/state.rs
+++ b/crates/serving/src/entry/state.rs
@@ -8,8 +8,8 @@
 use kumquatkeel_core::retry::{AttemptResult, Ejector};
 use kumquatkeel_core::serving::{
     AdapterKey, Backlog, BandRates, Candidate, DemandMeter, DrainPlan, EngineReport, EngineSpec,
-    EngineState, FailureMeter, PrefillEstimator, ResidentModel, RetryQuota, RouteTable,
-    ServingConfig, Target, TargetId,
+    EngineState, FailureMeter, OriginTable, PrefillEstimator, ResidentModel, RetryQuota,
+    RouteTable, ServingConfig, StreamScope, Target, TargetId, origin_holders,
 };
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_types::Timestamp;
@@ -18,7 +18,9 @@
 
 use super::daemon::EntrySettings;
 use crate::feed::FeedEvent;
-use crate::gossip::{AgentHeartbeat, BacklogReply, BacklogUpdate, Datagram, GossipSocket, Stamp};
+use crate::gossip::{
+    AgentHeartbeat, BacklogReply, BacklogUpdate, Datagram, GossipSocket, OriginRecord, Stamp,
+};
 use crate::metrics::Instruments;
 use crate::net::{Pool, PoolLimits};
 use crate::objects::KnownObjects;
@@ -55,6 +57,8 @@
     pub(super) state_version: watch::Sender<u64>,
     /// Grows with each reply to a backlog query.
     pub(super) backlog_version: watch::Sender<u64>,
+    /// Grows with each origin of a stream that an agent reports.
+    pub(super) origins_version: watch::Sender<u64>,
     /// The targets that are stalled, as of the last sweep.
     stalled: watch::Sender<BTreeSet<TargetId>>,
     pub(super) gossip: GossipSocket,
@@ -95,6 +99,8 @@
     pub(super) demand: DemandMeter,
     pub(super) failures: FailureMeter,
     pub(super) rates: BandRates,
+    /// Origins of streams that this entry has begun or asked for.
+    pub(super) origins: OriginTable,
     agents: HashMap<SocketAddr, AgentPeer>,
     /// When each agent was last sent a heartbeat.
     last_heartbeats: HashMap<SocketAddr, Timestamp>,
@@ -120,6 +126,7 @@
             draining: watch::Sender::new(None),
             state_version: watch::Sender::new(0),
             backlog_version: watch::Sender::new(0),
+            origins_version: watch::Sender::new(0),
             stalled: watch::Sender::new(BTreeSet::new()),
             state: Mutex::new(State {
                 active: None,
@@ -135,6 +142,7 @@
                 demand: DemandMeter::default(),
                 failures: FailureMeter::default(),
                 rates: BandRates::default(),
+                origins: OriginTable::default(),
                 agents: HashMap::new(),
                 last_heartbeats: HashMap::new(),
                 entries: 1,
@@ -281,6 +289,26 @@
         self.backlog_version.send_modify(|version| *version += 1);
     }
 
+    /// Records the origin of a stream as an agent reports it.
+    pub(super) fn handle_origin(&self, record: OriginRecord) {
+        let now = self.now();
+        self.lock()
+            .origins
+            .record(record.attempt, record.origin, now);
+        self.origins_version.send_modify(|version| *version += 1);
+    }
+
+    /// Returns the agents that keep the origin of the stream that an attempt began.
+    pub(super) fn origin_holders(&self, attempt: &str) -> Vec<SocketAddr> {
+        let state = self.lock();
+        let engines = state.objects.table.all();
+        let engines = engines.filter(|t| state.engine_spec(&t.service).is_some());
+        let holders = origin_holders(attempt, engines.map(|t| t.address.ip()));
+        let port = self.settings.gossip.port();
+        let agents = holders.into_iter().map(|host| SocketAddr::new(host, port));
+        agents.collect()
+    }
+
     /// Sends a target's agent the backlog that this entry has there.
     pub(super) fn send_backlog(&self, target: &TargetId) {
         let mut state = self.lock();
@@ -306,20 +334,22 @@
         }
     }
 
-    /// Refreshes the engine states of a service and returns its usable targets without those
-    /// already tried; if all were tried, returns all.
+    /// Refreshes the engine states of a service and returns its usable targets in `scope` without
+    /// those already tried; if all were tried, returns all.
     pub(super) fn eligible_targets(
         &mut self,
         service: &str,
         tried: &[TargetId],
+        scope: &StreamScope,
         now: Timestamp,
     ) -> Vec<Arc<Target>> {
         self.refresh_engines(service, now);
         let ready = self.objects.table.ready(service);
-        let untried = ready.iter().filter(|t| !tried.contains(&t.id));
+        let admitted = ready.iter().filter(|t| scope.admits(&t.version));
+        let untried = admitted.clone().filter(|t| !tried.contains(&t.id));
         let untried: Vec<Arc<Target>> = untried.cloned().collect();
         if untried.is_empty() {
-            ready.to_vec()
+            admitted.cloned().collect()
         } else {
             untried
         }
--- a/crates/serving/src/gossip.rs
+++ b/crates/serving/src/gossip.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use kumquatkeel_core::serving::{
-    AdapterKey, Backlog, EngineReport, LoadCommand, ModelDemand, TargetId,
+    AdapterKey, Backlog, EngineReport, LoadCommand, ModelDemand, StreamOrigin, TargetId,
 };
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -131,6 +131,24 @@
     pub kv_used: u64,
 }
 
+/// Asks an agent to keep the origin of a stream, before its first event is passed on.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct OriginRecord {
+    /// The caller's attempt that began the stream.
+    pub attempt: Arc<str>,
+    /// Where the stream began.
+    pub origin: StreamOrigin,
+}
+
+/// Asks an agent for the origin of a stream; an agent that doesn't know it sends no answer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct OriginQuery {
+    /// The caller's attempt that began the stream.
+    pub attempt: Arc<str>,
+}
+
 /// A datagram, encoded with postcard.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -151,6 +169,12 @@
     Query(BacklogQuery),
     /// From an agent to an entry: answer to a query.
     Count(BacklogReply),
+    /// From an entry to an agent: a stream has begun.
+    Began(OriginRecord),
+    /// From an entry to an agent: question for the origin of a stream.
+    FindOrigin(OriginQuery),
+    /// From an agent to an entry: answer to a question for an origin.
+    Origin(OriginRecord),
 }
 
 /// The UDP socket for datagrams.
