fix(serving/net): a truncated response is not reported as complete to an HTTP/1.0 caller

What callers saw: a caller that speaks HTTP/1.0 got an orderly end of its connection after a stream that was broken off. HTTP/1.0 has no chunks, so that this end is the end of the response. Found by asking, for the other side of the relay, how a caller is told of a truncation; nobody reported it.

Change: an entry resets such a connection when the response fails.

Test: a_truncated_stream_is_not_reported_as_complete_to_an_http_1_0_caller read 138 bytes and an orderly end before, a reset now; entry_wire 34 passed.

--- a/crates/serving/src/net/abort.rs
+++ b/crates/serving/src/net/abort.rs
@@ -14,17 +14,18 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// A shared flag: whether an exchange is in progress on a connection.
+/// A shared flag of a connection, such as whether an exchange is in progress on it.
 #[derive(Debug, Clone, Default)]
 pub(super) struct BusyFlag(Arc<AtomicBool>);
 
 impl BusyFlag {
-    /// Sets the flag when an exchange starts and clears it when it ends.
+    /// Sets or clears the flag.
     pub(super) fn set(&self, busy: bool) {
         self.0.store(busy, Ordering::Relaxed);
     }
 
-    fn get(&self) -> bool {
+    /// Returns whether the flag is set.
+    pub(super) fn get(&self) -> bool {
         self.0.load(Ordering::Relaxed)
     }
 }
--- a/crates/serving/src/net/serve.rs
+++ b/crates/serving/src/net/serve.rs
@@ -7,15 +7,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, Version};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::service::{Service, service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use super::abort::{AbortStream, BusyFlag};
+
 /// Smallest buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Longest idle time of a connection that [`serve_listener`] accepted.
@@ -37,7 +39,7 @@
     service: S,
     mut closing: watch::Receiver<bool>,
 ) where
-    S: hyper::service::HttpService<Incoming, ResBody = B, Error = io::Error>,
+    S: Service<Request<Incoming>, Response = Response<B>, Error = io::Error>,
     S::Future: 'static,
     B: Body + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
@@ -51,15 +53,30 @@
         .header_read_timeout(options.idle)
         .max_buf_size(options.header_bytes.max(MIN_BUFFER_BYTES))
         .auto_date_header(false);
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
-    tokio::select! {
-        result = connection.as_mut() => {
-            log_end(result);
-            return;
-        }
-        _ = closing.wait_for(|closing| *closing) => connection.as_mut().graceful_shutdown(),
-    }
-    log_end(connection.await);
+    // The end of the connection ends a response to HTTP/1.0, which knows no chunks; only a reset
+    // tells its caller that the response broke off.
+    let (aborts, unframed) = (BusyFlag::default(), BusyFlag::default());
+    let service = {
+        let unframed = unframed.clone();
+        service_fn(move |request: Request<Incoming>| {
+            unframed.set(request.version() < Version::HTTP_11);
+            service.call(request)
+        })
+    };
+    let stream = TokioIo::new(AbortStream::new(stream, aborts.clone()));
+    let mut connection = pin!(builder.serve_connection(stream, service));
+    let ended = tokio::select! {
+        result = connection.as_mut() => Some(result),
+        _ = closing.wait_for(|closing| *closing) => None,
+    };
+    let result = if let Some(result) = ended {
+        result
+    } else {
+        connection.as_mut().graceful_shutdown();
+        connection.as_mut().await
+    };
+    aborts.set(result.is_err() && unframed.get());
+    log_end(result);
 }
 
 fn log_end(result: hyper::Result<()>) {
