fix(serving/entry): events of a run that doesn't continue a stream are not passed on

What callers saw: nothing yet; found by asking of a resumed stream to which run its events belong. A target that ignores the id of the last event and starts the stream anew would have its events passed on behind those of the first run, in one answer and over a caller's tries.

Change: core's EventIds keeps the id of the last event over all runs of a stream, that of the caller's header included. An event whose id does not grow breaks the run off; the stream is resumed elsewhere or broken off.

--- a/crates/core/src/response/mod.rs
+++ b/crates/core/src/response/mod.rs
@@ -3,10 +3,12 @@
 //! The end of a connection marks no end: it looks the same when the sender crashed. Every part that
 //! passes a response on decides here whether it is whole.
 
+mod event_ids;
 mod event_scanner;
 mod framing;
 mod truncation;
 
+pub use event_ids::{EventIdFault, EventIds};
 pub use event_scanner::EventScanner;
 pub use framing::Framing;
 pub use truncation::{EventStreamCheck, Truncation, check_body};
--- a/crates/serving/src/entry/relay.rs
+++ b/crates/serving/src/entry/relay.rs
@@ -8,7 +8,7 @@
 use futures::stream::unfold;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use kumquatkeel_core::response::{EventStreamCheck, Framing};
+use kumquatkeel_core::response::{EventIds, EventStreamCheck, Framing};
 use tokio::time::{Instant, timeout_at};
 
 use super::attempt::TargetResponse;
@@ -42,14 +42,16 @@
     started: bool,
     /// Bytes of an incomplete event. Only resumable streams are buffered up to whole events.
     partial: BytesMut,
-    /// The id of the last event passed on.
-    last_event: Option<u64>,
+    /// The ids of the events passed on, and before them of those that the caller has.
+    ids: EventIds,
     done: bool,
 }
 
 impl Relay {
     /// Turns a target's response into a body for the caller.
     pub(super) fn body(exchange: Exchange, response: TargetResponse) -> ResponseBody {
+        let resume = exchange.request.resume.as_ref();
+        let last_event = resume.and_then(|resume| resume.last_event.parse().ok());
         let relay = Self {
             exchange,
             body: response.body,
@@ -61,7 +63,7 @@
             predicted: response.predicted,
             started: false,
             partial: BytesMut::new(),
-            last_event: None,
+            ids: EventIds::after(last_event),
             done: false,
         };
         let stream = unfold(relay, |mut relay| async move {
@@ -138,7 +140,7 @@
             0
         };
         self.partial.extend_from_slice(&data);
-        ReadStep::Emit(self.take_events(complete))
+        self.take_events(complete)
     }
 
     /// Counts the end of a target's stream, and logs one that broke off or has no end mark.
@@ -157,17 +159,16 @@
         }
     }
 
-    /// Takes the complete events, which are the first `length` bytes, from the buffer and records the
-    /// id of the last one.
-    fn take_events(&mut self, length: usize) -> Bytes {
+    /// Takes the complete events, which are the first `length` bytes, from the buffer.
+    fn take_events(&mut self, length: usize) -> ReadStep {
+        let events = self.partial.split_to(length).freeze();
+        if let Err(fault) = self.ids.check(&events) {
+            return ReadStep::Broken(fault.to_string());
+        }
         if length > 0 {
             self.exchange.record_origin(&self.version);
         }
-        let events = self.partial.split_to(length).freeze();
-        if let Some(id) = last_event_id(&events) {
-            self.last_event = Some(id);
-        }
-        events
+        ReadStep::Emit(events)
     }
 
     /// Resumes the stream at another target after the last event passed on; returns whether it did.
@@ -177,7 +178,7 @@
         }
         // Closing the old connection first makes its target stop the run.
         self.pooled = None;
-        let Some(response) = self.exchange.resume(self.last_event, reason).await else {
+        let Some(response) = self.exchange.resume(self.ids.last(), reason).await else {
             return false;
         };
         self.body = response.body;
@@ -192,13 +193,3 @@
         true
     }
 }
-
-/// Returns the last event id in a run of complete events.
-fn last_event_id(events: &[u8]) -> Option<u64> {
-    let lines = events.rsplit(|b| *b == b'\n');
-    let mut ids = lines.filter_map(|line| {
-        let id = line.strip_prefix(b"id:")?;
-        std::str::from_utf8(id).ok()?.trim().parse().ok()
-    });
-    ids.next()
-}
