fix(core/serving): a stream of unknown origin does not begin while no target is listed

An entry that has just started may have a configuration and no targets yet. A stream of unknown origin that arrived then had no limit, and would have gone on at any version that the list brought. Found by reading; the case unknown_of_none of a_stream_goes_on_at_the_version_that_began_it failed before (Any).

--- a/crates/core/src/serving/dispatch.rs
+++ b/crates/core/src/serving/dispatch.rs
@@ -46,7 +46,7 @@
     Overload,
     /// The entry shuts down before the answer would be complete.
     Draining,
-    /// The software version that began the stream is unknown, and targets of several serve.
+    /// The software version that began the stream is unknown, and not all targets have the same.
     UnknownOrigin,
 }
 
--- a/crates/core/src/serving/origin.rs
+++ b/crates/core/src/serving/origin.rs
@@ -109,7 +109,7 @@
     Any,
     /// Targets of one software version.
     Version(Arc<str>),
-    /// No target: the stream's version is unknown, and there are several.
+    /// No target: the stream's version is unknown, and there are several or none.
     Nowhere,
 }
 
@@ -120,7 +120,7 @@
     pub fn of_resumed(origin: Option<&StreamOrigin>, versions: &[Arc<str>]) -> Self {
         match (origin, versions) {
             (Some(origin), _) => Self::Version(origin.version.clone()),
-            (None, [] | [_]) => Self::Any,
+            (None, [_]) => Self::Any,
             (None, _) => Self::Nowhere,
         }
     }
--- a/crates/core/tests/serving_origin.rs
+++ b/crates/core/tests/serving_origin.rs
@@ -48,6 +48,7 @@
 #[case::known(Some("v1"), &["v1", "v2"], StreamScope::Version("v1".into()))]
 #[case::known_and_gone(Some("v1"), &["v2"], StreamScope::Version("v1".into()))]
 #[case::unknown_of_one(None, &["v1"], StreamScope::Any)]
+#[case::unknown_of_none(None, &[], StreamScope::Nowhere)]
 #[case::unknown_of_several(None, &["v1", "v2"], StreamScope::Nowhere)]
 fn a_stream_goes_on_at_the_version_that_began_it(
     #[case] known: Option<&str>,
