fix(serving/entry): a stream does not wait for a load that its version does not get

What callers saw: nothing yet; a consequence of the limit to one version. A stream whose model only targets of other versions hold waited for a load until its time was nearly over. The planner does not know versions and sees the model served.

Change: it is refused at once as not run, with a time to return. Where no target at all holds the model it waits as before.

--- a/crates/serving/src/entry/selection.rs
+++ b/crates/serving/src/entry/selection.rs
@@ -46,6 +46,8 @@
 const PLANNING_TIME: Duration = Duration::from_millis(600);
 /// Expected load time of a model that the configuration does not list.
 const DEFAULT_LOAD_TIME: Duration = Duration::from_secs(6);
+/// `Retry-After` of a stream whose model only targets of other software versions hold.
+const OUTSIDE_SCOPE_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Divisor of the output tokens in the estimate of a request's KV memory, as callers state only an
 /// upper limit.
 const OUTPUT_DIVISOR: u64 = 2;
@@ -160,6 +162,9 @@
                 reason,
                 retry_after,
             } => Step::Refuse(reason, retry_after),
+            DispatchDecision::AwaitModel if self.is_model_outside_scope(&state) => {
+                Step::Refuse(RefusalReason::ModelAbsent, OUTSIDE_SCOPE_RETRY_AFTER)
+            }
             DispatchDecision::AwaitModel => Step::AwaitModel(RECHECK_INTERVAL),
             DispatchDecision::LoadAdapter { index } => {
                 self.request_adapter(&targets[index]);
@@ -181,6 +186,17 @@
         }
     }
 
+    /// Returns whether the model is loaded or being loaded at targets to which the stream may not go,
+    /// so that no load at those of its own version is to be expected.
+    fn is_model_outside_scope(&self, state: &State) -> bool {
+        let Some(model) = &self.request.model else {
+            return false;
+        };
+        let ready = state.objects.table.ready(&self.service).iter();
+        let mut outside = ready.filter(|t| !self.scope.admits(&t.version));
+        outside.any(|t| state.expects_model(&t.id, model))
+    }
+
     fn dispatch_input<'a>(&'a self, state: &'a State, model: &'a str) -> DispatchInput<'a> {
         let left = self.deadline.saturating_duration_since(Instant::now());
         let usage = self.request.usage;
--- a/crates/serving/src/entry/state.rs
+++ b/crates/serving/src/entry/state.rs
@@ -405,6 +405,12 @@
         self.engines.get(id).is_some_and(|e| e.is_silent(now)) || self.ejector.is_ejected(id, now)
     }
 
+    /// Returns whether an engine holds a model or is loading it.
+    pub(super) fn expects_model(&self, id: &TargetId, model: &str) -> bool {
+        let report = self.engines.get(id).map(|engine| &engine.report);
+        report.is_some_and(|r| r.holds(model) || r.loading.iter().any(|l| *l.model == *model))
+    }
+
     /// Returns the backlog that this entry has at a target.
     pub(super) fn own_backlog(&self, id: &TargetId) -> Backlog {
         self.engines
