--- a/crates/core/tests/serving_origin.rs
+++ b/crates/core/tests/serving_origin.rs
@@ -39,6 +39,9 @@
         table.record(number.to_string().into(), origin("v1"), Timestamp::ZERO);
     }
     assert_eq!(table.get("0", Timestamp::ZERO), None);
+    let overlong = "a".repeat(1_000);
+    table.record(overlong.clone().into(), origin("v1"), Timestamp::ZERO);
+    assert_eq!(table.get(&overlong, Timestamp::ZERO), None);
     assert_eq!(table.get("39999", Timestamp::ZERO), Some(&origin("v1")));
     let later = Timestamp::ZERO.after(Duration::from_mins(1));
     assert_eq!(table.get("39999", later), None);
