--- a/crates/serving/src/entry/relay.rs
+++ b/crates/serving/src/entry/relay.rs
@@ -82,7 +82,7 @@
                 ReadStep::Emit(bytes) if bytes.is_empty() => {}
                 ReadStep::Emit(bytes) => return Some(Ok(bytes)),
                 ReadStep::End => {
-                    self.record_end("complete");
+                    self.record_end(None);
                     self.done = true;
                     if let Some(pooled) = self.pooled.take() {
                         pooled.release();
@@ -91,7 +91,7 @@
                     return None;
                 }
                 ReadStep::Broken(reason) => {
-                    self.record_end(&reason);
+                    self.record_end(Some(&reason));
                     if self.resume(&reason).await {
                         continue;
                     }
@@ -144,8 +144,8 @@
     }
 
     /// Counts the end of a target's stream, and logs one that broke off or has no end mark.
-    fn record_end(&self, end: &str) {
-        let complete = end == "complete";
+    fn record_end(&self, fault: Option<&str>) {
+        let complete = fault.is_none();
         let instruments = &self.exchange.shared.instruments;
         let (framing, scanner) = (self.check.framing(), self.check.scanner());
         instruments.record_stream_end(framing, complete);
@@ -153,7 +153,7 @@
             log::info!(
                 request:% = self.exchange.request.attempt, target_id:% = self.guard.target(),
                 framing:%, events = scanner.events(),
-                inside_event = scanner.is_inside_event(), end;
+                inside_event = scanner.is_inside_event(), fault;
                 "stream of the target ended"
             );
         }
--- a/crates/serving/src/gossip.rs
+++ b/crates/serving/src/gossip.rs
@@ -131,7 +131,8 @@
     pub kv_used: u64,
 }
 
-/// Asks an agent to keep the origin of a stream, before its first event is passed on.
+/// The origin of a stream; an entry has agents keep it before the first event is passed on, and an
+/// agent answers an [`OriginQuery`] with it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct OriginRecord {
--- a/crates/serving/src/net/abort.rs
+++ b/crates/serving/src/net/abort.rs
@@ -16,12 +16,12 @@
 
 /// A shared flag of a connection, such as whether an exchange is in progress on it.
 #[derive(Debug, Clone, Default)]
-pub(super) struct BusyFlag(Arc<AtomicBool>);
+pub(super) struct SharedFlag(Arc<AtomicBool>);
 
-impl BusyFlag {
+impl SharedFlag {
     /// Sets or clears the flag.
-    pub(super) fn set(&self, busy: bool) {
-        self.0.store(busy, Ordering::Relaxed);
+    pub(super) fn set(&self, value: bool) {
+        self.0.store(value, Ordering::Relaxed);
     }
 
     /// Returns whether the flag is set.
@@ -34,12 +34,12 @@
 #[derive(Debug)]
 pub(super) struct AbortStream {
     stream: TcpStream,
-    busy: BusyFlag,
+    busy: SharedFlag,
 }
 
 impl AbortStream {
     /// Wraps a stream; `busy` is set while an exchange is in progress.
-    pub(super) const fn new(stream: TcpStream, busy: BusyFlag) -> Self {
+    pub(super) const fn new(stream: TcpStream, busy: SharedFlag) -> Self {
         Self { stream, busy }
     }
 }
--- a/crates/serving/src/net/connection.rs
+++ b/crates/serving/src/net/connection.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout, timeout_at};
 
-use super::abort::{AbortStream, BusyFlag};
+use super::abort::{AbortStream, SharedFlag};
 
 /// The body of a request to a peer.
 pub type RequestBody = Full<Bytes>;
@@ -50,7 +50,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<RequestBody>,
-    busy: BusyFlag,
+    busy: SharedFlag,
     /// When the last exchange ended, or when the connection was opened.
     pub last_used: Instant,
     /// Whether an exchange has already been completed on it.
@@ -71,7 +71,7 @@
     set_socket_options(&stream).map_err(CallError::Connect)?;
     let mut builder = http1::Builder::new();
     let builder = builder.max_buf_size(MAX_HEAD_BYTES);
-    let busy = BusyFlag::default();
+    let busy = SharedFlag::default();
     let stream = TokioIo::new(AbortStream::new(stream, busy.clone()));
     let (sender, driver) =
         (builder.handshake(stream).await).map_err(|e| CallError::Lost(e.to_string()))?;
--- a/crates/serving/src/net/serve.rs
+++ b/crates/serving/src/net/serve.rs
@@ -16,7 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use super::abort::{AbortStream, BusyFlag};
+use super::abort::{AbortStream, SharedFlag};
 
 /// Smallest buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
@@ -55,7 +55,7 @@
         .auto_date_header(false);
     // The end of the connection ends a response to HTTP/1.0, which knows no chunks; only a reset
     // tells its caller that the response broke off.
-    let (aborts, unframed) = (BusyFlag::default(), BusyFlag::default());
+    let (aborts, unframed) = (SharedFlag::default(), SharedFlag::default());
     let service = {
         let unframed = unframed.clone();
         service_fn(move |request: Request<Incoming>| {
