--- a/crates/core/src/serving/origin_table.rs
+++ b/crates/core/src/serving/origin_table.rs
@@ -1,7 +1,7 @@
 //! The origins of streams that a process knows.
 //!
 //! An entry records the origin of each stream that may be resumed at a few agents, chosen by the
-//! attempt that began it. Another entry finds it there when the caller takes the stream up, also
+//! attempt that began it. Another entry finds it there when the caller resumes the stream, also
 //! after the entry that relayed its beginning has failed.
 
 use std::collections::{HashMap, VecDeque};
--- a/crates/core/src/serving/request.rs
+++ b/crates/core/src/serving/request.rs
@@ -20,7 +20,7 @@
     pub output: u64,
 }
 
-/// A stream that a caller takes up again after its connection broke.
+/// A stream that a caller resumes after its connection broke.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ResumedStream {
     /// The id of the last event that the caller has received.
@@ -42,7 +42,7 @@
     pub adapter: Option<Arc<str>>,
     /// Token counts; zero if not stated.
     pub usage: Usage,
-    /// The stream that the request takes up; `None` for a new request.
+    /// The stream that the request resumes; `None` for a new request.
     pub resume: Option<ResumedStream>,
 }
 
--- a/crates/core/src/serving/stream_scope.rs
+++ b/crates/core/src/serving/stream_scope.rs
@@ -19,7 +19,7 @@
 }
 
 impl StreamScope {
-    /// Decides where a stream that its caller takes up may go on.
+    /// Decides where a stream that its caller resumes may go on.
     ///
     /// `versions` are the software versions that the service's targets have or had recently.
     pub fn of_resumed(origin: Option<&StreamOrigin>, versions: &[Arc<str>]) -> Self {
--- a/crates/core/src/serving/table.rs
+++ b/crates/core/src/serving/table.rs
@@ -20,7 +20,7 @@
 const RETURN_GRACE: Duration = Duration::from_millis(2_200);
 /// How long after an outage a removal may still be due to it.
 const OUTAGE_TAIL: Duration = Duration::from_secs(2);
-/// How long a software version counts as recent after its last target has gone.
+/// How long a software version counts as recent after its last target was removed.
 const VERSION_TTL: Duration = Duration::from_mins(1);
 
 /// A change to the target list.
@@ -47,7 +47,7 @@
     services: HashMap<Arc<str>, Vec<Arc<Target>>>,
     /// When the list was last found unavailable.
     outage: Option<Timestamp>,
-    /// Service and software version of targets that have gone, and when.
+    /// Service and software version of removed targets, and the time of the removal.
     former_versions: Vec<(Arc<str>, Arc<str>, Timestamp)>,
 }
 
--- a/crates/serving/src/entry/origin.rs
+++ b/crates/serving/src/entry/origin.rs
@@ -1,4 +1,4 @@
-//! The software version of a stream: records where it began, and finds that when it is taken up.
+//! The origin of a stream: recorded when it begins, and looked up when its caller resumes it.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,7 +15,7 @@
 const QUERIES: u32 = 2;
 
 impl Exchange {
-    /// Limits a stream that its caller takes up to the version that began it, and to the service if
+    /// Limits a stream that its caller resumes to the version that began it, and to the service if
     /// the route still has it.
     pub(super) async fn find_scope(&mut self) {
         if self.route.kind != CallKind::Stream {
@@ -36,7 +36,7 @@
         log::info!(
             request:% = self.request.attempt, first_attempt = resumed.first_attempt.as_deref(),
             origin = origin.as_ref().map(|o| &*o.version), versions:serde = versions;
-            "stream taken up"
+            "stream resumed by its caller"
         );
         let Some(origin) = origin else {
             return;
@@ -84,7 +84,7 @@
             return;
         }
         self.scope = StreamScope::Version(version.clone());
-        // The origin of a stream that was taken up stays that of its first attempt.
+        // A stream that its caller resumed keeps the origin of its first attempt.
         if self.request.resume.is_some() {
             return;
         }
--- a/crates/serving/src/net/serve.rs
+++ b/crates/serving/src/net/serve.rs
@@ -53,8 +53,8 @@
         .header_read_timeout(options.idle)
         .max_buf_size(options.header_bytes.max(MIN_BUFFER_BYTES))
         .auto_date_header(false);
-    // The end of the connection ends a response to HTTP/1.0, which knows no chunks; only a reset
-    // tells its caller that the response broke off.
+    // HTTP/1.0 has no chunks: the end of the connection ends the response. Only a reset marks one
+    // that broke off.
     let (aborts, unframed) = (SharedFlag::default(), SharedFlag::default());
     let service = {
         let unframed = unframed.clone();
