fix(core): no event is lost before one that repeats

What callers saw: nothing yet; found by reading the change. When a resumed run sent new events and then, in the same chunk, one that repeats, the chunk was dropped, but its new events counted as received. The stream was resumed behind them: a piece would have been missing.

Change: a failed check of event ids leaves the last id as it was.

--- a/crates/core/src/response/event_ids.rs
+++ b/crates/core/src/response/event_ids.rs
@@ -44,17 +44,19 @@
     ///
     /// # Errors
     ///
-    /// Returns the first id that does not grow.
+    /// Returns the first id that does not grow; the last id is then that before all of `events`.
     pub fn check(&mut self, events: &[u8]) -> Result<(), EventIdFault> {
+        let mut latest = self.last;
         for id in events
             .split(|b| matches!(b, b'\n' | b'\r'))
             .filter_map(event_id)
         {
-            if let Some(last) = self.last.filter(|last| id <= *last) {
+            if let Some(last) = latest.filter(|last| id <= *last) {
                 return Err(EventIdFault { last, id });
             }
-            self.last = Some(id);
+            latest = Some(id);
         }
+        self.last = latest;
         Ok(())
     }
 }
--- a/crates/core/tests/response.rs
+++ b/crates/core/tests/response.rs
@@ -1,7 +1,7 @@
 //! Boundaries of server-sent events, whatever the line ends and however the bytes are cut, and
 //! whether a body is whole.
 
-use kumquatkeel_core::response::{EventScanner, Framing, Truncation, check_body};
+use kumquatkeel_core::response::{EventIds, EventScanner, Framing, Truncation, check_body};
 use proptest::collection::vec;
 use proptest::prelude::*;
 use rstest::rstest;
@@ -21,6 +21,17 @@
     assert_eq!(scanner.events(), events);
 }
 
+/// The events of a chunk with a fault are not passed on, so that none of them counts as received.
+#[test]
+fn no_event_is_lost_before_one_that_repeats() {
+    let mut ids = EventIds::after(Some(2));
+    let fault = ids
+        .check(b"id: 3\ndata: a\n\nid: 1\ndata: b\n\n")
+        .unwrap_err();
+    assert_eq!((fault.last, fault.id), (3, 1));
+    assert_eq!(ids.last(), Some(2));
+}
+
 const EVENTS: &str = "text/event-stream; charset=utf-8";
 const JSON: &str = "application/json";
 
--- a/crates/serving/src/entry/relay.rs
+++ b/crates/serving/src/entry/relay.rs
@@ -126,7 +126,10 @@
             return ReadStep::Emit(Bytes::new());
         };
         self.guard.record_bytes();
-        let complete = self.check.push(&data);
+        let complete = match self.check.push(&data) {
+            0 => 0,
+            complete => self.partial.len() + complete,
+        };
         if !std::mem::replace(&mut self.started, true) {
             self.exchange
                 .record_first_byte(self.guard.target(), self.predicted, self.sent);
@@ -134,11 +137,6 @@
         if !self.exchange.is_resumable() {
             return ReadStep::Emit(data);
         }
-        let complete = if complete > 0 {
-            self.partial.len() + complete
-        } else {
-            0
-        };
         self.partial.extend_from_slice(&data);
         self.take_events(complete)
     }
