--- a/crates/serving/src/net/connection.rs
+++ b/crates/serving/src/net/connection.rs
@@ -4,10 +4,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -44,6 +44,9 @@
     /// The deadline passed before the response came.
     #[display("timed out")]
     Timeout,
+    /// The deadline passed while the body was read.
+    #[display("timed out after {_0} bytes of the body")]
+    Incomplete(#[error(not(source))] usize),
 }
 
 /// A connection that sends one request at a time.
@@ -165,13 +168,28 @@
     };
     let response = connection.send(request, deadline).await?;
     let (parts, body) = response.into_parts();
-    let body = Limited::new(body, MAX_BODY_BYTES).collect();
-    let body = match timeout_at(deadline, body).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) => return Err(CallError::Lost(error.to_string())),
-        Err(_) => return Err(CallError::Timeout),
-    };
+    let body = read_body(body, deadline).await?;
     connection.finish();
     *slot = Some(connection);
     Ok(Response::from_parts(parts, body))
 }
+
+/// Reads a body of at most [`MAX_BODY_BYTES`] until `deadline`.
+async fn read_body(mut body: Incoming, deadline: Instant) -> Result<Bytes, CallError> {
+    let mut received = BytesMut::new();
+    loop {
+        match timeout_at(deadline, body.frame()).await {
+            Err(_) => return Err(CallError::Incomplete(received.len())),
+            Ok(None) => return Ok(received.freeze()),
+            Ok(Some(Err(error))) => return Err(CallError::Lost(error.to_string())),
+            Ok(Some(Ok(frame))) => {
+                let data = frame.into_data().unwrap_or_default();
+                if received.len() + data.len() > MAX_BODY_BYTES {
+                    let reason = format!("the body has more than {MAX_BODY_BYTES} bytes");
+                    return Err(CallError::Lost(reason));
+                }
+                received.extend_from_slice(&data);
+            }
+        }
+    }
+}
