fix(serving): a region reads each configuration from the store twice, not once per process

What callers saw: requests handled by a configuration that had been replaced more than 4 s ago, at entries of the region without the store.

Cause: every entry and every agent read the whole configuration from the store, through one link that all traffic between the regions shares, at each change. A call was given up after its wait and 1.2 s, however much of the answer had arrived, and made again at the same size, so that the link carried answers that nobody finished. Nobody noticed: an entry with an old configuration stays ready.

Change: the agents of a region form the poll tree that the product's entries use (core::spread::PollTree). Two agents watch the store; all other processes follow an agent, which pushes each newer configuration, encoded once, and each confirmation that there is none. A process without a confirmation for its watch wait (agents: 6 s) reads the store itself. A call to the store ends when nothing arrives for 1.2 s, not when a large answer takes longer. After a failed watch the configuration is listed, as a watch brings each version since its revision. New metrics config_version and config_confirmation_age, new log lines of the upstream.

--- /dev/null
+++ b/crates/core/src/serving/config_upstream.rs
@@ -0,0 +1,148 @@
+//! Decides where a process reads the configuration from.
+//!
+//! The agents of a region form a poll tree as the entries of a data centre do on the product's own
+//! interface. The first agents watch the store; all other agents, and the entries, follow an agent.
+//! Only a few processes of a region then read a configuration from the store, however many follow
+//! it. A process that has heard of no confirmation by the store for too long reads the store itself.
+
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquatkeel_types::{DataCentreName, EntryName, Timestamp};
+
+use crate::spread::{PollTree, Upstream};
+
+/// Age of the last confirmation above which a process leaves its upstream for another.
+pub const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(1_500);
+/// Agents that a process tries in a row.
+const ROUND: usize = 3;
+/// Pause after a round without success.
+const ROUND_PAUSE: Duration = Duration::from_millis(100);
+/// Longest wait for the agents while no configuration is known.
+const FIRST_PATIENCE: Duration = Duration::from_millis(600);
+/// Name of the only group of the tree; the hosts that are passed in belong to one region.
+const GROUP: &str = "region";
+
+/// What a process does next to learn of configurations.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum UpstreamStep {
+    /// Watch the store: the process is a relay, or knows of none.
+    WatchStore,
+    /// Call the store once, as no confirmation has come through the agents for too long.
+    ReadStore,
+    /// Follow the agent on this host.
+    Follow(IpAddr),
+    /// Try the agents again after this time.
+    Pause(Duration),
+}
+
+/// The upstream of one process.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use kumquatkeel_core::serving::{ConfigUpstream, UpstreamStep};
+/// use kumquatkeel_types::Timestamp;
+///
+/// let mut upstream = ConfigUpstream::new(Duration::from_secs(2), Timestamp::ZERO);
+/// assert_eq!(upstream.next_step(Timestamp::ZERO), UpstreamStep::WatchStore);
+/// let agents = [[10, 0, 0, 7].into()];
+/// upstream.set_hosts([10, 0, 0, 1].into(), agents);
+/// assert_eq!(upstream.next_step(Timestamp::ZERO), UpstreamStep::Follow(agents[0]));
+/// ```
+#[derive(Debug, Clone)]
+pub struct ConfigUpstream {
+    /// The agents to follow, the preferred one first; empty if the process watches the store.
+    candidates: Vec<IpAddr>,
+    /// Index of the candidate to try next.
+    next: usize,
+    /// How long after the last confirmation the process reads the store itself.
+    patience: Duration,
+    /// When the store last confirmed the known configuration; the start before that.
+    confirmed: Timestamp,
+    /// Whether a configuration is known.
+    known: bool,
+    /// Whether an agent has failed since the last call to the store.
+    agent_failed: bool,
+}
+
+impl ConfigUpstream {
+    /// Creates the upstream of a process that starts now and knows no agents.
+    pub const fn new(patience: Duration, now: Timestamp) -> Self {
+        Self {
+            candidates: Vec::new(),
+            next: 0,
+            patience,
+            confirmed: now,
+            known: false,
+            agent_failed: false,
+        }
+    }
+
+    /// Sets the hosts of the region's agents; returns whether the preferred upstream changed.
+    pub fn set_hosts(&mut self, own: IpAddr, hosts: impl IntoIterator<Item = IpAddr>) -> bool {
+        let candidates = candidates(own, hosts);
+        let changed = self.candidates.first() != candidates.first();
+        self.candidates = candidates;
+        if changed {
+            self.next = 0;
+        }
+        changed
+    }
+
+    /// Returns what the process does next.
+    pub fn next_step(&mut self, now: Timestamp) -> UpstreamStep {
+        if self.candidates.is_empty() {
+            return UpstreamStep::WatchStore;
+        }
+        let patience = if self.known {
+            self.patience
+        } else {
+            self.patience.min(FIRST_PATIENCE)
+        };
+        let read_store = now.since(self.confirmed) >= patience;
+        if read_store && self.agent_failed {
+            self.agent_failed = false;
+            return UpstreamStep::ReadStore;
+        }
+        if let Some(host) = self.candidates.iter().take(ROUND).nth(self.next) {
+            return UpstreamStep::Follow(*host);
+        }
+        self.next = 0;
+        UpstreamStep::Pause(ROUND_PAUSE)
+    }
+
+    /// Records that the store confirmed the known configuration this long ago.
+    pub fn record_confirmation(&mut self, age: Duration, now: Timestamp) {
+        let age = age.as_micros() as u64;
+        let at = Timestamp::from_micros(now.as_micros().saturating_sub(age));
+        self.confirmed = self.confirmed.max(at);
+        self.known = true;
+    }
+
+    /// Records that the agent of the last step can't be reached or has no recent confirmation.
+    pub const fn record_failure(&mut self) {
+        self.next += 1;
+        self.agent_failed = true;
+    }
+}
+
+/// Returns the hosts to follow; empty if the process is a relay or there is none.
+fn candidates(own: IpAddr, hosts: impl IntoIterator<Item = IpAddr>) -> Vec<IpAddr> {
+    let name = |host: IpAddr| EntryName::try_from(Arc::from(host.to_string()));
+    let (Ok(group), Ok(own)) = (DataCentreName::try_from(Arc::from(GROUP)), name(own)) else {
+        return Vec::new();
+    };
+    let names: Vec<EntryName> = hosts.into_iter().filter_map(|h| name(h).ok()).collect();
+    let tree = PollTree::new(names.iter().map(|name| (&group, name)));
+    match tree.upstream_of_entry(&group, &own) {
+        Upstream::Entries(entries) => entries
+            .iter()
+            .filter_map(|e| e.as_str().parse().ok())
+            .collect(),
+        Upstream::Store { .. } | Upstream::Unavailable => Vec::new(),
+    }
+}
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -5,6 +5,7 @@
 
 mod band_rates;
 mod config;
+mod config_upstream;
 mod demand;
 mod dispatch;
 mod drain;
@@ -28,6 +29,7 @@
     CallKind, ClientLimits, ConfigError, EngineSpec, ModelSpec, Route, RouteShare, ServiceSpec,
     ServingConfig,
 };
+pub use config_upstream::{ConfigUpstream, MAX_CONFIRMATION_AGE, UpstreamStep};
 pub use demand::{DemandMeter, ModelDemand};
 pub use dispatch::{
     Candidate, DispatchDecision, DispatchInput, RefusalReason, choose_engine, choose_target,
--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -10,22 +10,29 @@
 };
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_types::Timestamp;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
 
 use super::peers::Peers;
-use crate::feed::follow_all;
+use crate::config_relay::{ConfigFollower, ConfigHub, FollowerSettings, serve_followers};
+use crate::feed::{EVENT_CAPACITY, FollowOptions, follow};
 use crate::gossip::{
     AgentHeartbeat, BacklogQuery, BacklogReply, Datagram, GossipSocket, OriginQuery, OriginRecord,
     Stamp,
 };
+use crate::locality::Locality;
 use crate::metrics::Instruments;
 use crate::objects::KnownObjects;
-use crate::platform::{EngineClient, ObjectFeed, OrderReply, ReadMode};
+use crate::platform::{EngineClient, FeedKind, ObjectFeed, OrderReply, ReadMode};
 use crate::signals::{ProcessSignal, Signals};
 use crate::start::{StartError, bind_gossip, start_metrics};
 
 /// Interval between two reads of the engine's state.
 const ENGINE_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// How long after the last confirmation of the configuration an agent reads the store itself. It only
+/// plans by the configuration, so it leaves the link to the entries for longer than they wait.
+const CONFIG_PATIENCE: Duration = Duration::from_secs(6);
 /// Longest wait of one watch call; an agent's reads may be stale, so it needs no shorter one.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(4);
 /// Interval between two steps while orders are queued.
@@ -48,6 +55,8 @@
     pub metrics: Option<SocketAddr>,
     /// The address of the target beside the agent.
     pub target: SocketAddr,
+    /// Where the instance runs.
+    pub locality: Locality,
 }
 
 /// An agent with its bound addresses and all state of its event loop.
@@ -55,6 +64,8 @@
     pub(super) settings: AgentSettings,
     pub(super) engine: Arc<dyn EngineClient>,
     pub(super) gossip: GossipSocket,
+    /// The configuration, for the processes that follow it here.
+    pub(super) hub: ConfigHub,
     pub(super) instruments: Instruments,
     pub(super) clock: Clock,
     pub(super) stamp: Stamp,
@@ -95,12 +106,18 @@
     ) -> Result<Self, StartError> {
         let (gossip, address) = bind_gossip(settings.gossip).await?;
         settings.gossip = address;
+        let followers = TcpListener::bind(address).await;
+        let followers =
+            followers.map_err(StartError::at("bind the address for followers", address))?;
+        let hub = ConfigHub::new();
+        tokio::spawn(serve_followers(followers, hub.clone()));
         let instruments = start_metrics(settings.metrics).await?;
         let clock = Clock::start();
         Ok(Self {
             settings,
             engine,
             gossip,
+            hub,
             instruments,
             clock,
             stamp: Stamp::start(),
@@ -131,7 +148,28 @@
 
     /// Runs the event loop until the process is told to stop.
     pub async fn run(mut self, feed: Arc<dyn ObjectFeed>, mut signals: Signals) {
-        let mut events = follow_all(&feed, ReadMode::Stale, WATCH_TIMEOUT);
+        let options = FollowOptions {
+            kind: FeedKind::Targets,
+            mode: ReadMode::Stale,
+            wait: WATCH_TIMEOUT,
+        };
+        let (sender, mut events) = mpsc::channel(EVENT_CAPACITY);
+        tokio::spawn(follow(feed.clone(), options, sender.clone()));
+        let config = FollowerSettings {
+            own: self.settings.gossip,
+            patience: CONFIG_PATIENCE,
+        };
+        let hosts = watch::Sender::new(None);
+        let instruments = self.instruments.clone();
+        let follower = ConfigFollower::new(
+            config,
+            feed,
+            hosts.subscribe(),
+            self.hub.clone(),
+            sender,
+            instruments,
+        );
+        tokio::spawn(follower.run());
         let mut poll = interval(ENGINE_POLL_INTERVAL);
         poll.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut last = self.clock.now();
@@ -144,7 +182,12 @@
                 (from, datagram) = self.gossip.receive() =>
                     self.handle_datagram(from, datagram).await,
                 Some(event) = events.recv() => {
-                    self.objects.apply(event, self.clock.now());
+                    let config = self.objects.apply(event, self.clock.now());
+                    if let Some(config) = config {
+                        self.instruments.record_config(config.version);
+                    }
+                    self.objects
+                        .publish_agent_hosts(&self.settings.locality, &hosts);
                 }
                 signal = signals.next() => match signal {
                     ProcessSignal::Stop => break,
--- a/crates/serving/src/entry/daemon.rs
+++ b/crates/serving/src/entry/daemon.rs
@@ -1,6 +1,5 @@
 //! The entry's process: its listeners, background loops and graceful stop.
 
-use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -19,10 +18,12 @@
 
 use super::handler;
 use super::state::Shared;
-use crate::feed::{FeedEvent, follow_all};
+use crate::config_relay::{ConfigFollower, ConfigHub, FollowerSettings};
+use crate::feed::{EVENT_CAPACITY, FeedEvent, FollowOptions, follow};
 use crate::gossip::{Datagram, EntryHeartbeat};
+use crate::locality::Locality;
 use crate::net::{ServeOptions, serve_connection, serve_listener};
-use crate::platform::{Dialect, ObjectFeed, ReadMode};
+use crate::platform::{Dialect, FeedKind, ObjectFeed, ReadMode};
 use crate::signals::{ProcessSignal, Signals};
 use crate::start::{StartError, bind_gossip, start_metrics};
 
@@ -47,10 +48,8 @@
 pub struct EntrySettings {
     /// The instance's name.
     pub instance: Arc<str>,
-    /// The data centre that the instance runs in.
-    pub data_centre: Arc<str>,
-    /// The region of each data centre.
-    pub regions: BTreeMap<Arc<str>, Arc<str>>,
+    /// Where the instance runs.
+    pub locality: Locality,
     /// The address that callers connect to.
     pub frontend: SocketAddr,
     /// The address for readiness checks.
@@ -59,7 +58,8 @@
     pub gossip: SocketAddr,
     /// The address that metrics are served at; `None` serves none.
     pub metrics: Option<SocketAddr>,
-    /// The longest wait of one watch call to the store.
+    /// The longest wait of one watch call to the store, and the longest time without a confirmation of
+    /// the configuration.
     pub watch_wait: Duration,
     /// The time from a stop signal until the process must have exited.
     pub grace: Duration,
@@ -127,7 +127,22 @@
     pub async fn run(self, feed: Arc<dyn ObjectFeed>, mut signals: Signals) {
         let Self { shared, frontend } = self;
         let wait = shared.settings.watch_wait;
-        let events = follow_all(&feed, ReadMode::Linearizable, wait);
+        let options = FollowOptions {
+            kind: FeedKind::Targets,
+            mode: ReadMode::Linearizable,
+            wait,
+        };
+        let (sender, events) = mpsc::channel(EVENT_CAPACITY);
+        tokio::spawn(follow(feed.clone(), options, sender.clone()));
+        let config = FollowerSettings {
+            own: shared.settings.gossip,
+            patience: wait,
+        };
+        let hosts = shared.agent_hosts.subscribe();
+        let instruments = shared.instruments.clone();
+        let follower =
+            ConfigFollower::new(config, feed, hosts, ConfigHub::new(), sender, instruments);
+        tokio::spawn(follower.run());
         tokio::spawn(apply_feed_events(shared.clone(), events));
         tokio::spawn(receive_datagrams(shared.clone()));
         tokio::spawn(heartbeat_loop(shared.clone()));
--- a/crates/serving/src/entry/state.rs
+++ b/crates/serving/src/entry/state.rs
@@ -1,7 +1,7 @@
 //! The entry's view of targets, agents and configuration, shared by all its requests and loops.
 
 use std::collections::{BTreeSet, HashMap};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -61,6 +61,8 @@
     pub(super) origins_version: watch::Sender<u64>,
     /// The targets that are stalled, as of the last sweep.
     stalled: watch::Sender<BTreeSet<TargetId>>,
+    /// The hosts of the region's agents; `None` before the first event of the target list.
+    pub(super) agent_hosts: watch::Sender<Option<Vec<IpAddr>>>,
     pub(super) gossip: GossipSocket,
     state: Mutex<State>,
 }
@@ -128,6 +130,7 @@
             backlog_version: watch::Sender::new(0),
             origins_version: watch::Sender::new(0),
             stalled: watch::Sender::new(BTreeSet::new()),
+            agent_hosts: watch::Sender::new(None),
             state: Mutex::new(State {
                 active: None,
                 objects: KnownObjects::default(),
@@ -205,7 +208,7 @@
 
     /// Returns the path cost to a data centre.
     pub(super) fn path_cost(&self, data_centre: &str) -> Duration {
-        if *self.settings.data_centre == *data_centre {
+        if *self.settings.locality.data_centre == *data_centre {
             LOCAL_PATH_COST
         } else if self.is_remote(data_centre) {
             REMOTE_PATH_COST
@@ -214,14 +217,9 @@
         }
     }
 
-    /// Returns whether a data centre is in another region; one of unknown region counts as remote
-    /// unless it is the entry's own.
+    /// Returns whether a data centre is in another region.
     pub(super) fn is_remote(&self, data_centre: &str) -> bool {
-        let region = |name: &str| self.settings.regions.get(name);
-        match (region(&self.settings.data_centre), region(data_centre)) {
-            (Some(own), Some(other)) => own != other,
-            _ => *self.settings.data_centre != *data_centre,
-        }
+        self.settings.locality.is_remote(data_centre)
     }
 
     /// Applies a feed event to the known configuration and targets.
@@ -229,10 +227,14 @@
         let now = self.now();
         let mut state = self.lock();
         if let Some(config) = state.objects.apply(event, now) {
+            self.instruments.record_config(config.version);
             let routes = RouteTable::new(&config);
             state.active = Some(Arc::new(ActiveConfig { config, routes }));
         }
         state.prune_targets();
+        state
+            .objects
+            .publish_agent_hosts(&self.settings.locality, &self.agent_hosts);
         drop(state);
         self.notify();
     }
--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -6,7 +6,7 @@
 
 use rand::RngExt;
 use tokio::sync::mpsc;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::platform::{FeedBatch, FeedItem, FeedKind, ObjectFeed, PlatformError, ReadMode};
 
@@ -21,7 +21,7 @@
 /// Delay after each of the first [`INITIAL_BATCHES`].
 const INITIAL_DELAY: Duration = Duration::from_millis(150);
 /// Capacity of the event channel; followers wait while it is full.
-const EVENT_CAPACITY: usize = 16;
+pub(crate) const EVENT_CAPACITY: usize = 16;
 /// Upper bound of the delay after the first failed call.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 /// Upper bound of the delay after repeated failures.
@@ -51,134 +51,156 @@
     pub wait: Duration,
 }
 
-/// Spawns a follower for each kind of object and returns the channel of their events.
-pub fn follow_all(
-    feed: &Arc<dyn ObjectFeed>,
-    mode: ReadMode,
-    wait: Duration,
-) -> mpsc::Receiver<FeedEvent> {
-    let (sender, events) = mpsc::channel(EVENT_CAPACITY);
-    for kind in [FeedKind::Config, FeedKind::Targets] {
-        let options = FollowOptions { kind, mode, wait };
-        tokio::spawn(follow(feed.clone(), options, sender.clone()));
-    }
-    events
-}
-
 /// Sends the events of one kind of object until the receiver is dropped.
 pub async fn follow(
     feed: Arc<dyn ObjectFeed>,
-    FollowOptions { kind, mode, wait }: FollowOptions,
+    options: FollowOptions,
     events: mpsc::Sender<FeedEvent>,
 ) {
-    let mut follower = Follower {
-        feed,
-        kind,
-        mode,
-        wait,
-        events,
-        backoff: MIN_BACKOFF,
-        failed: false,
-    };
-    while let Some(revision) = follower.list_all().await {
-        if !follower.watch_changes(revision).await {
-            return;
-        }
-    }
+    let mut follower = Follower::new(feed, options, events);
+    while follower.step().await.is_ok() {}
+}
+
+/// The receiver of a follower's events was dropped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ReceiverGone;
+
+/// The outcome of one call to the store.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum FollowStep {
+    /// The objects that were passed on are all changes up to this time.
+    Confirmed(Instant),
+    /// The call failed.
+    Failed,
 }
 
-struct Follower {
+/// Reads one kind of object from the store, one call at a time.
+pub(crate) struct Follower {
     feed: Arc<dyn ObjectFeed>,
-    kind: FeedKind,
-    mode: ReadMode,
-    wait: Duration,
+    options: FollowOptions,
     events: mpsc::Sender<FeedEvent>,
+    /// The revision to watch from; `None` if all objects must be listed first.
+    revision: Option<u64>,
+    /// Batches of changes since the last list.
+    batch_count: u32,
+    /// Pause before the next call, so that changes in series arrive in one answer.
+    pause: Duration,
     backoff: Duration,
     failed: bool,
 }
 
 impl Follower {
-    /// Lists all objects, with retries; returns the revision to watch from, or `None` if the
-    /// receiver was dropped.
-    async fn list_all(&mut self) -> Option<u64> {
-        loop {
-            match self.feed.list(self.kind, self.mode).await {
-                Ok(FeedBatch { items, revision }) => {
-                    self.record_success(revision);
-                    self.events.send(FeedEvent::Snapshot(items)).await.ok()?;
-                    return Some(revision);
-                }
-                Err(error) => self.record_failure(&error).await.ok()?,
+    pub(crate) const fn new(
+        feed: Arc<dyn ObjectFeed>,
+        options: FollowOptions,
+        events: mpsc::Sender<FeedEvent>,
+    ) -> Self {
+        Self {
+            feed,
+            options,
+            events,
+            revision: None,
+            batch_count: 0,
+            pause: Duration::ZERO,
+            backoff: MIN_BACKOFF,
+            failed: false,
+        }
+    }
+
+    /// Pauses as the last call requires, makes one call to the store and sends what it brought.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the receiver of the events was dropped.
+    pub(crate) async fn step(&mut self) -> Result<FollowStep, ReceiverGone> {
+        sleep(std::mem::take(&mut self.pause)).await;
+        match self.revision {
+            None => self.list_all().await,
+            Some(revision) => self.watch_changes(revision).await,
+        }
+    }
+
+    /// Continues with a watch after `revision`, as the objects up to it came from elsewhere; 0 means
+    /// that none did.
+    pub(crate) fn resume_after(&mut self, revision: u64) {
+        self.revision = (revision > 0).then_some(revision);
+    }
+
+    async fn list_all(&mut self) -> Result<FollowStep, ReceiverGone> {
+        match self.feed.list(self.options.kind, self.options.mode).await {
+            Ok(FeedBatch { items, revision }) => {
+                self.record_success(revision);
+                self.send(FeedEvent::Snapshot(items)).await?;
+                self.revision = Some(revision);
+                self.batch_count = 0;
+                Ok(FollowStep::Confirmed(Instant::now()))
             }
+            Err(error) => self.record_failure(&error).await,
         }
     }
 
-    /// Watches for changes; returns true if all objects must be listed again, and false if the
-    /// receiver was dropped.
-    async fn watch_changes(&mut self, mut revision: u64) -> bool {
-        let mut batch_count = 0;
-        loop {
-            let watch = self.feed.watch(self.kind, self.mode, revision, self.wait);
-            match watch.await {
-                Ok(batch) => {
-                    self.record_success(batch.revision);
-                    revision = batch.revision.max(revision);
-                    if batch.items.is_empty() {
-                        continue;
-                    }
-                    if self
-                        .events
-                        .send(FeedEvent::Changes(batch.items))
-                        .await
-                        .is_err()
-                    {
-                        return false;
-                    }
-                    batch_count += 1;
-                    let delay = match self.kind {
-                        _ if batch_count <= INITIAL_BATCHES => INITIAL_DELAY,
-                        FeedKind::Config => CONFIG_CHANGE_DELAY,
-                        FeedKind::Targets => TARGETS_CHANGE_DELAY,
-                    };
-                    sleep(delay).await;
-                }
-                Err(error) if error.history_gone => {
-                    log::info!(
-                        kind:% = self.kind, revision;
-                        "revision expired; listing all objects"
-                    );
-                    return true;
+    async fn watch_changes(&mut self, revision: u64) -> Result<FollowStep, ReceiverGone> {
+        let FollowOptions { kind, mode, wait } = self.options;
+        let sent = Instant::now();
+        match self.feed.watch(kind, mode, revision, wait).await {
+            Ok(batch) => {
+                self.record_success(batch.revision);
+                self.revision = Some(batch.revision.max(revision));
+                if batch.items.is_empty() {
+                    // The store answers without changes at the end of the wait.
+                    let confirmed = (sent + wait).min(Instant::now());
+                    return Ok(FollowStep::Confirmed(confirmed));
                 }
-                Err(error) => {
-                    if self.record_failure(&error).await.is_err() {
-                        return false;
-                    }
+                self.send(FeedEvent::Changes(batch.items)).await?;
+                self.batch_count += 1;
+                let delay = match kind {
+                    _ if self.batch_count <= INITIAL_BATCHES => INITIAL_DELAY,
+                    FeedKind::Config => CONFIG_CHANGE_DELAY,
+                    FeedKind::Targets => TARGETS_CHANGE_DELAY,
+                };
+                self.pause = delay;
+                Ok(FollowStep::Confirmed(Instant::now()))
+            }
+            Err(error) if error.history_gone => {
+                log::info!(kind:%, revision; "revision expired; listing all objects");
+                self.revision = None;
+                Ok(FollowStep::Failed)
+            }
+            Err(error) => {
+                // A watch returns each change since its revision; a list returns the newest
+                // configuration only.
+                if kind == FeedKind::Config {
+                    self.revision = None;
                 }
+                self.record_failure(&error).await
             }
         }
     }
 
+    async fn send(&self, event: FeedEvent) -> Result<(), ReceiverGone> {
+        self.events.send(event).await.map_err(|_| ReceiverGone)
+    }
+
     /// Resets the backoff after a successful call and logs the end of an outage.
     fn record_success(&mut self, revision: u64) {
         self.backoff = MIN_BACKOFF;
         if std::mem::take(&mut self.failed) {
-            log::info!(dependency = "store", kind:% = self.kind, revision; "dependency recovered");
+            let kind = self.options.kind;
+            log::info!(dependency = "store", kind:%, revision; "dependency recovered");
         }
     }
 
     /// Logs the start of an outage, sends [`FeedEvent::Failed`] and waits for the backoff, with
     /// jitter.
-    async fn record_failure(
-        &mut self,
-        error: &PlatformError,
-    ) -> Result<(), mpsc::error::SendError<FeedEvent>> {
+    async fn record_failure(&mut self, error: &PlatformError) -> Result<FollowStep, ReceiverGone> {
+        let kind = self.options.kind;
         if !std::mem::replace(&mut self.failed, true) {
-            log::warn!(dependency = "store", kind:% = self.kind, error:%; "dependency unreachable");
+            log::warn!(dependency = "store", kind:%, error:%; "dependency unreachable");
         }
-        self.events.send(FeedEvent::Failed(self.kind)).await?;
+        self.send(FeedEvent::Failed(kind)).await?;
         let jitter = rand::rng().random_range(0.5..1.0);
         sleep(self.backoff.mul_f64(jitter)).await;
         self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
-        Ok(())
+        Ok(FollowStep::Failed)
     }
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -6,9 +6,11 @@
 //! made in `kumquatkeel_core::serving`.
 
 pub mod agent;
+mod config_relay;
 pub mod entry;
 pub mod feed;
 pub mod gossip;
+pub mod locality;
 pub mod logging;
 pub mod metrics;
 pub mod net;
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -9,7 +9,7 @@
 use kumquatkeel_core::response::Framing;
 use kumquatkeel_daemon::metrics::{METRICS_CONTENT_TYPE, Metrics, MetricsError};
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram};
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
 use tokio::net::TcpListener;
 
 use crate::net::serve_listener;
@@ -31,6 +31,8 @@
     first_byte: Histogram<f64>,
     predicted: Histogram<f64>,
     duration: Histogram<f64>,
+    config_version: Gauge<u64>,
+    config_age: Histogram<f64>,
 }
 
 impl Instruments {
@@ -55,6 +57,8 @@
             first_byte: histogram("first_byte"),
             predicted: histogram("first_byte_predicted"),
             duration: histogram("request_duration"),
+            config_version: meter.u64_gauge("config_version").build(),
+            config_age: histogram("config_confirmation_age"),
             metrics,
         })
     }
@@ -95,6 +99,17 @@
         self.first_byte.record(seen.as_secs_f64(), &[]);
     }
 
+    /// Records the version of the configuration that was put in force.
+    pub fn record_config(&self, version: u64) {
+        self.config_version.record(version, &[]);
+    }
+
+    /// Records how long ago the store had confirmed the configuration when this process learned of
+    /// it.
+    pub fn record_config_age(&self, age: Duration) {
+        self.config_age.record(age.as_secs_f64(), &[]);
+    }
+
     /// Serves the metrics as text from a background task that runs as long as the process.
     ///
     /// # Errors
--- a/crates/serving/src/net/connection.rs
+++ b/crates/serving/src/net/connection.rs
@@ -91,7 +91,7 @@
 }
 
 /// Sets the socket options that detect a silent or vanished peer, and disables Nagle's algorithm.
-pub(super) fn set_socket_options(stream: &TcpStream) -> io::Result<()> {
+pub(crate) fn set_socket_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
@@ -148,36 +148,60 @@
     }
 }
 
+/// The time limits of a [`call`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallLimits {
+    /// Longest time until the head of the response.
+    pub head: Duration,
+    /// Longest pause between two parts of the body.
+    pub pause: Duration,
+    /// Longest time for the whole response.
+    pub total: Duration,
+}
+
+impl CallLimits {
+    /// Returns limits that bound only the whole response.
+    pub const fn total(limit: Duration) -> Self {
+        Self {
+            head: limit,
+            pause: limit,
+            total: limit,
+        }
+    }
+}
+
 /// Makes one call on the connection in `slot`, or on a new one, and reads the whole response.
 ///
 /// A connection that can take further requests is left in `slot`.
 ///
 /// # Errors
 ///
-/// Returns an error when no complete response came within `limit`.
+/// Returns an error when the response did not come within the limits, or its body is larger than
+/// 8 MiB.
 pub async fn call(
     slot: &mut Option<Connection>,
     address: SocketAddr,
     request: Request<RequestBody>,
-    limit: Duration,
+    limits: CallLimits,
 ) -> Result<Response<Bytes>, CallError> {
-    let deadline = Instant::now() + limit;
+    let started = Instant::now();
     let mut connection = match slot.take().filter(Connection::is_ready) {
         Some(connection) => connection,
-        None => open(address, limit).await?,
+        None => open(address, limits.head).await?,
     };
-    let response = connection.send(request, deadline).await?;
+    let response = connection.send(request, started + limits.head).await?;
     let (parts, body) = response.into_parts();
-    let body = read_body(body, deadline).await?;
+    let body = read_body(body, limits.pause, started + limits.total).await?;
     connection.finish();
     *slot = Some(connection);
     Ok(Response::from_parts(parts, body))
 }
 
-/// Reads a body of at most [`MAX_BODY_BYTES`] until `deadline`.
-async fn read_body(mut body: Incoming, deadline: Instant) -> Result<Bytes, CallError> {
+/// Reads a body of at most [`MAX_BODY_BYTES`] until `end`, with pauses of at most `pause`.
+async fn read_body(mut body: Incoming, pause: Duration, end: Instant) -> Result<Bytes, CallError> {
     let mut received = BytesMut::new();
     loop {
+        let deadline = end.min(Instant::now() + pause);
         match timeout_at(deadline, body.frame()).await {
             Err(_) => return Err(CallError::Incomplete(received.len())),
             Ok(None) => return Ok(received.freeze()),
--- a/crates/serving/src/net/mod.rs
+++ b/crates/serving/src/net/mod.rs
@@ -6,6 +6,7 @@
 mod pool;
 mod serve;
 
-pub use connection::{CallError, Connection, RequestBody, call, open};
+pub(crate) use connection::set_socket_options;
+pub use connection::{CallError, CallLimits, Connection, RequestBody, call, open};
 pub use pool::{Pool, PoolLimits, PooledConnection};
 pub use serve::{ServeOptions, serve_connection, serve_listener};
--- a/crates/serving/src/objects.rs
+++ b/crates/serving/src/objects.rs
@@ -1,12 +1,15 @@
 //! The local copy of the platform's objects: the configuration in force and the targets.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 
 use kumquatkeel_core::serving::{ServingConfig, TableChange, Target, TargetTable};
 use kumquatkeel_types::Timestamp;
+use tokio::sync::watch;
 
 use crate::feed::FeedEvent;
-use crate::platform::FeedItem;
+use crate::locality::Locality;
+use crate::platform::{FeedItem, FeedKind};
 
 /// The newest objects received from the feed.
 #[derive(Debug, Clone, Default)]
@@ -15,6 +18,8 @@
     pub table: TargetTable,
     config: Option<Arc<ServingConfig>>,
     revision: u64,
+    /// Whether the list of targets has been received, or could not be.
+    listed: bool,
 }
 
 impl KnownObjects {
@@ -25,7 +30,10 @@
     pub fn apply(&mut self, event: FeedEvent, now: Timestamp) -> Option<Arc<ServingConfig>> {
         let revision = self.revision;
         match event {
-            FeedEvent::Failed(_) => self.table.record_outage(now),
+            FeedEvent::Failed(kind) => {
+                self.listed |= kind == FeedKind::Targets;
+                self.table.record_outage(now);
+            }
             FeedEvent::Snapshot(items) => {
                 let mut targets = Vec::new();
                 for item in items {
@@ -37,6 +45,7 @@
                 if !targets.is_empty() {
                     log::info!(targets = targets.len(); "target list received");
                     self.table.replace(targets, now);
+                    self.listed = true;
                 }
             }
             FeedEvent::Changes(items) => {
@@ -55,6 +64,43 @@
         self.config.as_ref()
     }
 
+    /// Publishes the hosts of the agents in the process's region, once anything is known of targets.
+    pub fn publish_agent_hosts(
+        &self,
+        locality: &Locality,
+        hosts: &watch::Sender<Option<Vec<IpAddr>>>,
+    ) {
+        if !self.listed {
+            return;
+        }
+        let found = self.agent_hosts(locality);
+        hosts.send_if_modified(|hosts| {
+            let changed = hosts.as_ref() != Some(&found);
+            if changed {
+                *hosts = Some(found);
+            }
+            changed
+        });
+    }
+
+    /// Returns the hosts of the agents in the process's region. Agents run beside engines; before
+    /// the first configuration names the services with engines, beside targets that hold models.
+    fn agent_hosts(&self, locality: &Locality) -> Vec<IpAddr> {
+        let is_engine = |target: &Target| match &self.config {
+            Some(config) => config.engine(&target.service).is_some(),
+            None => !target.models.is_empty(),
+        };
+        let near = self
+            .table
+            .all()
+            .filter(|t| !locality.is_remote(&t.data_centre));
+        let engines = near.filter(|t| is_engine(t));
+        let mut hosts: Vec<IpAddr> = engines.map(|t| t.address.ip()).collect();
+        hosts.sort_unstable();
+        hosts.dedup();
+        hosts
+    }
+
     /// Applies one object, except a listed target, which is returned for the caller to apply.
     fn apply_item(&mut self, item: FeedItem, now: Timestamp) -> Option<Target> {
         match item {
--- a/crates/serving/tests/agent.rs
+++ b/crates/serving/tests/agent.rs
@@ -4,6 +4,7 @@
 //! agent, against backlog that one entry adds and another can't see, and against reports sent to
 //! agents that don't need them.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -17,6 +18,7 @@
 use kumquatkeel_serving::gossip::{
     BacklogQuery, BacklogUpdate, Datagram, EntryHeartbeat, GossipSocket, Stamp,
 };
+use kumquatkeel_serving::locality::Locality;
 use kumquatkeel_serving::platform::{
     EngineClient, FeedBatch, FeedItem, FeedKind, ObjectFeed, OrderReply, PlatformError, ReadMode,
     TargetStatus,
@@ -170,6 +172,10 @@
         gossip: ([127, 0, 0, 1], 0).into(),
         metrics: None,
         target: engine_address(),
+        locality: Locality {
+            data_centre: Arc::from("a"),
+            regions: BTreeMap::new(),
+        },
     };
     let agent = Agent::start(settings, engine.clone()).await.unwrap();
     let address = agent.gossip();
