fix(serving): processes that start before the targets are listed follow agents too

The hosts of agents were published only after a list of targets that wasn't empty. A process that starts before the first target is listed, as all do on a new site, learned of the targets by changes and went on reading the store for good.

--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -159,7 +159,7 @@
             own: self.settings.gossip,
             patience: CONFIG_PATIENCE,
         };
-        let hosts = watch::Sender::new(None);
+        let hosts = watch::Sender::new(Vec::new());
         let instruments = self.instruments.clone();
         let follower = ConfigFollower::new(
             config,
--- a/crates/serving/src/config_relay/follower.rs
+++ b/crates/serving/src/config_relay/follower.rs
@@ -46,8 +46,8 @@
 pub(crate) struct ConfigFollower {
     settings: FollowerSettings,
     upstream: ConfigUpstream,
-    /// The hosts of the region's agents; `None` until they are first known.
-    hosts: watch::Receiver<Option<Vec<IpAddr>>>,
+    /// The hosts of the region's agents.
+    hosts: watch::Receiver<Vec<IpAddr>>,
     store: Follower,
     /// The events of `store`, which pass through the hub.
     stored: mpsc::Receiver<FeedEvent>,
@@ -63,7 +63,7 @@
     pub(crate) fn new(
         settings: FollowerSettings,
         feed: Arc<dyn ObjectFeed>,
-        hosts: watch::Receiver<Option<Vec<IpAddr>>>,
+        hosts: watch::Receiver<Vec<IpAddr>>,
         hub: ConfigHub,
         events: mpsc::Sender<FeedEvent>,
         instruments: Instruments,
@@ -91,8 +91,12 @@
 
     /// Follows the configuration until the receiver of the events is dropped.
     pub(crate) async fn run(mut self) {
-        // An error means that the other side is gone, which the first event notices as well.
-        let _ = timeout(HOSTS_TIMEOUT, self.hosts.wait_for(Option::is_some)).await;
+        // Without a list of targets in time, the store is read.
+        let _ = timeout(
+            HOSTS_TIMEOUT,
+            self.hosts.wait_for(|hosts| !hosts.is_empty()),
+        )
+        .await;
         while self.step().await.is_ok() {}
     }
 
@@ -118,7 +122,7 @@
 
     /// Passes the known agents on to the decision; returns whether the preferred upstream changed.
     fn update_hosts(&mut self) -> bool {
-        let hosts = self.hosts.borrow_and_update().clone().unwrap_or_default();
+        let hosts = self.hosts.borrow_and_update().clone();
         let changed = self.upstream.set_hosts(self.settings.own.ip(), hosts);
         if changed {
             let next = self.upstream.next_step(self.clock.now());
--- a/crates/serving/src/entry/state.rs
+++ b/crates/serving/src/entry/state.rs
@@ -61,8 +61,8 @@
     pub(super) origins_version: watch::Sender<u64>,
     /// The targets that are stalled, as of the last sweep.
     stalled: watch::Sender<BTreeSet<TargetId>>,
-    /// The hosts of the region's agents; `None` before the first event of the target list.
-    pub(super) agent_hosts: watch::Sender<Option<Vec<IpAddr>>>,
+    /// The hosts of the region's agents.
+    pub(super) agent_hosts: watch::Sender<Vec<IpAddr>>,
     pub(super) gossip: GossipSocket,
     state: Mutex<State>,
 }
@@ -130,7 +130,7 @@
             backlog_version: watch::Sender::new(0),
             origins_version: watch::Sender::new(0),
             stalled: watch::Sender::new(BTreeSet::new()),
-            agent_hosts: watch::Sender::new(None),
+            agent_hosts: watch::Sender::new(Vec::new()),
             state: Mutex::new(State {
                 active: None,
                 objects: KnownObjects::default(),
--- a/crates/serving/src/objects.rs
+++ b/crates/serving/src/objects.rs
@@ -9,7 +9,7 @@
 
 use crate::feed::FeedEvent;
 use crate::locality::Locality;
-use crate::platform::{FeedItem, FeedKind};
+use crate::platform::FeedItem;
 
 /// The newest objects received from the feed.
 #[derive(Debug, Clone, Default)]
@@ -18,8 +18,6 @@
     pub table: TargetTable,
     config: Option<Arc<ServingConfig>>,
     revision: u64,
-    /// Whether the list of targets has been received, or could not be.
-    listed: bool,
 }
 
 impl KnownObjects {
@@ -30,10 +28,7 @@
     pub fn apply(&mut self, event: FeedEvent, now: Timestamp) -> Option<Arc<ServingConfig>> {
         let revision = self.revision;
         match event {
-            FeedEvent::Failed(kind) => {
-                self.listed |= kind == FeedKind::Targets;
-                self.table.record_outage(now);
-            }
+            FeedEvent::Failed(_) => self.table.record_outage(now),
             FeedEvent::Snapshot(items) => {
                 let mut targets = Vec::new();
                 for item in items {
@@ -45,7 +40,6 @@
                 if !targets.is_empty() {
                     log::info!(targets = targets.len(); "target list received");
                     self.table.replace(targets, now);
-                    self.listed = true;
                 }
             }
             FeedEvent::Changes(items) => {
@@ -64,21 +58,12 @@
         self.config.as_ref()
     }
 
-    /// Publishes the hosts of the agents in the process's region, once anything is known of targets.
-    pub fn publish_agent_hosts(
-        &self,
-        locality: &Locality,
-        hosts: &watch::Sender<Option<Vec<IpAddr>>>,
-    ) {
-        if !self.listed {
-            return;
-        }
+    /// Publishes the hosts of the agents in the process's region.
+    pub fn publish_agent_hosts(&self, locality: &Locality, hosts: &watch::Sender<Vec<IpAddr>>) {
         let found = self.agent_hosts(locality);
         hosts.send_if_modified(|hosts| {
-            let changed = hosts.as_ref() != Some(&found);
-            if changed {
-                *hosts = Some(found);
-            }
+            let changed = *hosts != found;
+            *hosts = found;
             changed
         });
     }
