feat(serving): log the shared parts of the prompts of attempts that end early

The logs of the incident of crashing targets can't relate a crash to the prompt that caused it: no line names the parts of a request's prompt. Lines of failed attempts and of streams that broke off do now. The last part belongs to one request and is left out.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod memory;
 pub mod placement;
 pub mod plugin;
+pub mod quarantine;
 pub mod request;
 pub mod response;
 pub mod retry;
--- a/crates/core/src/serving/request.rs
+++ b/crates/core/src/serving/request.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::config::CallKind;
+use crate::quarantine::PartId;
 
 /// Token counts of a generation.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -42,6 +43,9 @@
     pub adapter: Option<Arc<str>>,
     /// Token counts; zero if not stated.
     pub usage: Usage,
+    /// The parts of the prompt that requests may share, in order; without the last, which belongs to
+    /// the request alone.
+    pub parts: Arc<[PartId]>,
     /// The stream that the request resumes; `None` for a new request.
     pub resume: Option<ResumedStream>,
 }
--- a/crates/serving/src/entry/exchange.rs
+++ b/crates/serving/src/entry/exchange.rs
@@ -235,7 +235,8 @@
                 self.runs += u8::from(failure.end == AttemptEnd::Lost);
                 log::info!(
                     request:% = self.request.attempt, target_id:% = target,
-                    end:? = failure.end, reason = failure.reason;
+                    end:? = failure.end, reason = failure.reason,
+                    parts:serde = self.request.parts;
                     "attempt failed"
                 );
             }
--- a/crates/serving/src/entry/relay.rs
+++ b/crates/serving/src/entry/relay.rs
@@ -151,7 +151,8 @@
             log::info!(
                 request:% = self.exchange.request.attempt, target_id:% = self.guard.target(),
                 framing:%, events = scanner.events(),
-                inside_event = scanner.is_inside_event(), fault;
+                inside_event = scanner.is_inside_event(), fault,
+                parts:serde = self.exchange.request.parts;
                 "stream of the target ended"
             );
         }
