fix(serving): an agent at a port that the system chooses finds one for followers too

serving/agent failed twice in five runs: with port 0 the system chose a port for datagrams that a connection of another test had in use (bind the address for followers: address already in use). The agent then tries another port. Deployments set the port, and fail at once as before.

--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -10,7 +10,6 @@
 };
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_types::Timestamp;
-use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
 
@@ -26,7 +25,7 @@
 use crate::objects::KnownObjects;
 use crate::platform::{EngineClient, FeedKind, ObjectFeed, OrderReply, ReadMode};
 use crate::signals::{ProcessSignal, Signals};
-use crate::start::{StartError, bind_gossip, start_metrics};
+use crate::start::{StartError, bind_internal, start_metrics};
 
 /// Interval between two reads of the engine's state.
 const ENGINE_POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -104,11 +103,8 @@
         mut settings: AgentSettings,
         engine: Arc<dyn EngineClient>,
     ) -> Result<Self, StartError> {
-        let (gossip, address) = bind_gossip(settings.gossip).await?;
+        let (gossip, followers, address) = bind_internal(settings.gossip).await?;
         settings.gossip = address;
-        let followers = TcpListener::bind(address).await;
-        let followers =
-            followers.map_err(StartError::at("bind the address for followers", address))?;
         let hub = ConfigHub::new();
         tokio::spawn(serve_followers(followers, hub.clone()));
         let instruments = start_metrics(settings.metrics).await?;
--- a/crates/serving/src/start.rs
+++ b/crates/serving/src/start.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use derive_more::{Display, Error};
+use tokio::net::TcpListener;
 
 use crate::gossip::GossipSocket;
 use crate::metrics::Instruments;
@@ -59,3 +60,30 @@
     let bound = socket.address().map_err(StartError::at(STEP, address))?;
     Ok((socket, bound))
 }
+
+/// Attempts to find a port that is free for both datagrams and connections.
+const PORT_ATTEMPTS: usize = 16;
+
+/// Binds the socket for datagrams as [`bind_gossip`] does, and a listener at the same port.
+///
+/// # Errors
+///
+/// Returns an error when the address can't be bound for both.
+pub async fn bind_internal(
+    address: SocketAddr,
+) -> Result<(GossipSocket, TcpListener, SocketAddr), StartError> {
+    const STEP: &str = "bind the address for followers";
+    let mut attempts = PORT_ATTEMPTS;
+    loop {
+        let (socket, bound) = bind_gossip(address).await?;
+        match TcpListener::bind(bound).await {
+            Ok(listener) => return Ok((socket, listener, bound)),
+            // The system chose a port that is free for datagrams only.
+            Err(error) if address.port() == 0 && attempts > 1 => {
+                log::debug!(address:% = bound, error:%; "port in use; trying another");
+                attempts -= 1;
+            }
+            Err(error) => return Err(StartError::at(STEP, bound)(error)),
+        }
+    }
+}
