feat(serving): verdicts on parts of prompts outlast all processes

A power loss of all agents and entries would have lost the quarantine, and the part would have crashed targets again.

--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -15,6 +15,7 @@
 
 use super::peers::Peers;
 use super::quarantine::QuarantineState;
+use super::verdicts::sync_verdicts;
 use crate::config_relay::{ConfigFollower, ConfigHub, FollowerSettings, serve_followers};
 use crate::feed::{EVENT_CAPACITY, FollowOptions, follow};
 use crate::gossip::{
@@ -24,7 +25,7 @@
 use crate::locality::Locality;
 use crate::metrics::Instruments;
 use crate::objects::KnownObjects;
-use crate::platform::{EngineClient, FeedKind, ObjectFeed, OrderReply, ReadMode};
+use crate::platform::{EngineClient, FeedKind, ObjectFeed, OrderReply, ReadMode, VerdictStore};
 use crate::signals::{ProcessSignal, Signals};
 use crate::start::{StartError, bind_internal, start_metrics};
 
@@ -75,6 +76,8 @@
     pub(super) origins: OriginTable,
     /// What is known of prompts that crash targets.
     pub(super) quarantine: QuarantineState,
+    /// Where verdicts are kept; `None` if they end with the processes.
+    pub(super) verdict_store: Option<Arc<dyn VerdictStore>>,
     pub(super) orders: OrderQueue,
     pub(super) planner: Planner,
     pub(super) planning: bool,
@@ -124,6 +127,7 @@
             peers: Peers::default(),
             origins: OriginTable::default(),
             quarantine: QuarantineState::default(),
+            verdict_store: None,
             orders: OrderQueue::default(),
             planner: Planner::default(),
             planning: false,
@@ -141,6 +145,13 @@
         })
     }
 
+    /// Keeps the verdicts on parts of prompts in a store, where agents that start find them.
+    #[must_use]
+    pub fn keep_verdicts(mut self, store: Arc<dyn VerdictStore>) -> Self {
+        self.verdict_store = Some(store);
+        self
+    }
+
     /// Returns the bound address for datagrams.
     pub const fn gossip(&self) -> SocketAddr {
         self.settings.gossip
@@ -170,6 +181,11 @@
             instruments,
         );
         tokio::spawn(follower.run());
+        let (found, mut stored_verdicts) = mpsc::channel(1);
+        if let Some(store) = self.verdict_store.take() {
+            let known = self.quarantine.known.subscribe();
+            tokio::spawn(sync_verdicts(store, known, found));
+        }
         let mut poll = interval(ENGINE_POLL_INTERVAL);
         poll.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut last = self.clock.now();
@@ -189,6 +205,7 @@
                     self.objects
                         .publish_agent_hosts(&self.settings.locality, &hosts);
                 }
+                Some(verdicts) = stored_verdicts.recv() => self.merge_verdicts(verdicts),
                 signal = signals.next() => match signal {
                     ProcessSignal::Stop => break,
                     ProcessSignal::Reload => log::info!("reload ignored: settings are fixed"),
--- a/crates/serving/src/agent/mod.rs
+++ b/crates/serving/src/agent/mod.rs
@@ -8,5 +8,6 @@
 mod peers;
 mod planning;
 mod quarantine;
+mod verdicts;
 
 pub use daemon::{Agent, AgentSettings};
--- a/crates/serving/src/agent/quarantine.rs
+++ b/crates/serving/src/agent/quarantine.rs
@@ -6,6 +6,7 @@
 
 use kumquatkeel_core::quarantine::{CrashEvidence, PartId, QuarantineTable, Verdict};
 use kumquatkeel_types::Timestamp;
+use tokio::sync::watch;
 
 use super::daemon::Agent;
 use crate::gossip::{CrashReport, QuarantineNotice, send_notice};
@@ -24,6 +25,8 @@
 pub(super) struct QuarantineState {
     evidence: CrashEvidence,
     verdicts: QuarantineTable,
+    /// All verdicts, for the store.
+    pub(super) known: watch::Sender<Vec<Verdict>>,
     last_report: Option<Timestamp>,
     last_notice: Timestamp,
     /// The entries that have reported a crash, which may not send heartbeats to this agent while its
@@ -66,8 +69,13 @@
 
     /// Takes over the verdicts that an entry knows.
     pub(super) fn handle_notice(&mut self, notice: QuarantineNotice) {
+        self.merge_verdicts(notice.verdicts);
+    }
+
+    /// Takes over verdicts that others have reached.
+    pub(super) fn merge_verdicts(&mut self, verdicts: Vec<Verdict>) {
         let now = self.clock.now();
-        let newer = self.quarantine.verdicts.merge(notice.verdicts, now);
+        let newer = self.quarantine.verdicts.merge(verdicts, now);
         self.announce(&newer);
     }
 
@@ -94,6 +102,8 @@
         if verdicts.is_empty() {
             return;
         }
+        let known = self.quarantine.verdicts.verdicts().collect();
+        self.quarantine.known.send_replace(known);
         for verdict in verdicts {
             let quarantined = verdict.is_quarantined();
             self.instruments.record_verdict(quarantined);
--- a/crates/serving/src/platform.rs
+++ b/crates/serving/src/platform.rs
@@ -8,6 +8,7 @@
 use async_trait::async_trait;
 use derive_more::{Display, Error};
 use http::{HeaderMap, StatusCode};
+use kumquatkeel_core::quarantine::Verdict;
 use kumquatkeel_core::serving::{
     CallerRequest, EngineOrder, EngineReport, ServingConfig, Target, TargetId,
 };
@@ -115,6 +116,24 @@
     ) -> Result<FeedBatch, PlatformError>;
 }
 
+/// The platform's store as the place where verdicts on parts of prompts outlast all processes.
+#[async_trait]
+pub trait VerdictStore: Send + Sync {
+    /// Reads all verdicts.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the store can't be read.
+    async fn read_verdicts(&self) -> Result<Vec<Verdict>, PlatformError>;
+
+    /// Writes a verdict unless the store has one of the same or a higher epoch.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the verdict may not have been written.
+    async fn write_verdict(&self, verdict: &Verdict) -> Result<(), PlatformError>;
+}
+
 /// What the entry adds to a caller's request when it forwards it to a target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ForwardOptions {
