fix(serving): an event without end is given up after 256 KiB

What callers saw: nothing yet; found by the users' new term that bytes may come without end.

Change: EventStreamCheck gives up an event of more than 256 KiB. The transfer of one configuration between processes ends after 2.5 s, as its parts may arrive slowly without end.

--- a/crates/core/src/response/body.rs
+++ b/crates/core/src/response/body.rs
@@ -16,7 +16,7 @@
     let media_type = content_type.split(';').next().unwrap_or_default().trim();
     if media_type.eq_ignore_ascii_case("text/event-stream") {
         let mut check = EventStreamCheck::new(framing);
-        check.push(body);
+        check.push(body)?;
         return check.end();
     }
     let is_json = media_type.eq_ignore_ascii_case("application/json");
--- a/crates/core/src/response/event_scanner.rs
+++ b/crates/core/src/response/event_scanner.rs
@@ -21,6 +21,8 @@
     events: u64,
     inside_event: bool,
     inside_line: bool,
+    /// Bytes since the last complete event.
+    pending: usize,
     /// Whether the last byte was a carriage return; a line feed after it ends no further line.
     after_return: bool,
 }
@@ -50,6 +52,10 @@
                 complete = index + 1;
             }
         }
+        self.pending = match complete {
+            0 => self.pending.saturating_add(bytes.len()),
+            complete => bytes.len() - complete,
+        };
         complete
     }
 
@@ -58,6 +64,11 @@
         self.events
     }
 
+    /// Returns the number of bytes since the last complete event.
+    pub const fn pending(&self) -> usize {
+        self.pending
+    }
+
     /// Returns whether the last event is incomplete.
     pub const fn is_inside_event(&self) -> bool {
         self.inside_event
--- a/crates/core/src/response/event_stream_check.rs
+++ b/crates/core/src/response/event_stream_check.rs
@@ -2,6 +2,9 @@
 
 use super::{EventScanner, Framing, Truncation};
 
+/// Largest event, in bytes.
+pub const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 /// Checks whether an event stream is whole.
 ///
 /// # Examples
@@ -10,7 +13,7 @@
 /// use kumquatkeel_core::response::{EventStreamCheck, Framing, Truncation};
 ///
 /// let mut check = EventStreamCheck::new(Framing::Connection);
-/// check.push(b"data: a\n\nda");
+/// assert_eq!(check.push(b"data: a\n\nda"), Ok(9));
 /// assert_eq!(check.end(), Err(Truncation::InsideEvent));
 /// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -29,8 +32,17 @@
     }
 
     /// Scans the next bytes and returns how many of them belong to events that are now complete.
-    pub fn push(&mut self, bytes: &[u8]) -> usize {
-        self.scanner.push(bytes)
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Truncation::OversizedEvent`] if an event has more than [`MAX_EVENT_BYTES`] without
+    /// an end: the stream may never have one.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<usize, Truncation> {
+        let complete = self.scanner.push(bytes);
+        if self.scanner.pending() > MAX_EVENT_BYTES {
+            return Err(Truncation::OversizedEvent);
+        }
+        Ok(complete)
     }
 
     /// Returns how the end of the stream is marked.
--- a/crates/core/src/response/mod.rs
+++ b/crates/core/src/response/mod.rs
@@ -13,6 +13,6 @@
 pub use body::check_body;
 pub use event_ids::{EventIdFault, EventIds};
 pub use event_scanner::EventScanner;
-pub use event_stream_check::EventStreamCheck;
+pub use event_stream_check::{EventStreamCheck, MAX_EVENT_BYTES};
 pub use framing::Framing;
 pub use truncation::Truncation;
--- a/crates/core/src/response/truncation.rs
+++ b/crates/core/src/response/truncation.rs
@@ -8,6 +8,9 @@
     /// The last event is incomplete.
     #[display("the stream ended inside an event")]
     InsideEvent,
+    /// An event is too large to be read to its end.
+    #[display("the event is too large")]
+    OversizedEvent,
     /// A stream without an end mark has no event.
     #[display("the stream ended without an event")]
     NoEvent,
--- a/crates/core/tests/response.rs
+++ b/crates/core/tests/response.rs
@@ -1,7 +1,9 @@
 //! Boundaries of server-sent events, whatever the line ends and however the bytes are cut, and
 //! whether a body is whole.
 
-use kumquatkeel_core::response::{EventIds, EventScanner, Framing, Truncation, check_body};
+use kumquatkeel_core::response::{
+    EventIds, EventScanner, EventStreamCheck, Framing, MAX_EVENT_BYTES, Truncation, check_body,
+};
 use proptest::collection::vec;
 use proptest::prelude::*;
 use rstest::rstest;
@@ -81,3 +83,18 @@
         prop_assert_eq!(complete, expected);
     }
 }
+
+#[test]
+fn an_event_without_end_is_given_up() {
+    let mut check = EventStreamCheck::new(Framing::Delimited);
+    let chunk = [b'x'; 1_024];
+    for _ in 0..MAX_EVENT_BYTES / chunk.len() {
+        assert_eq!(check.push(&chunk), Ok(0));
+    }
+    assert_eq!(check.push(b"x"), Err(Truncation::OversizedEvent));
+
+    let mut check = EventStreamCheck::new(Framing::Delimited);
+    for _ in 0..MAX_EVENT_BYTES {
+        assert_eq!(check.push(b"data: a\n\n"), Ok(9));
+    }
+}
--- a/crates/serving/src/config_relay/frame.rs
+++ b/crates/serving/src/config_relay/frame.rs
@@ -12,6 +12,8 @@
 
 /// Version of the message format; a connection with another one is closed.
 const FORMAT: u8 = 1;
+/// Longest time for the transfer of a configuration; another agent may be faster.
+const CONFIG_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Largest encoded configuration, in bytes.
 const MAX_CONFIG_BYTES: u32 = 16 * 1024 * 1024;
 
@@ -62,7 +64,8 @@
         stream.write_all(config).await
     }
 
-    /// Reads an update whose parts arrive with pauses of at most `pause`.
+    /// Reads an update whose parts arrive with pauses of at most `pause`, the configuration within
+    /// [`CONFIG_TIMEOUT`].
     pub(super) async fn read(
         stream: &mut (impl AsyncRead + Unpin),
         pause: Duration,
@@ -80,7 +83,8 @@
                 "a configuration of {length} bytes"
             )));
         }
-        let config = read_config(stream, length as usize, pause).await?;
+        let config = read_config(stream, length as usize, pause);
+        let config = timeout(CONFIG_TIMEOUT, config).await??;
         Ok(Self {
             revision: number(0..8),
             age: Duration::from_millis(number(8..12)),
--- a/crates/serving/src/entry/relay.rs
+++ b/crates/serving/src/entry/relay.rs
@@ -131,8 +131,9 @@
         };
         self.guard.record_bytes();
         let complete = match self.check.push(&data) {
-            0 => 0,
-            complete => self.partial.len() + complete,
+            Ok(0) => 0,
+            Ok(complete) => self.partial.len() + complete,
+            Err(truncation) => return ReadStep::Broken(truncation.to_string()),
         };
         if !std::mem::replace(&mut self.started, true) {
             self.exchange
