--- a/crates/serving/src/config_relay/follower.rs
+++ b/crates/serving/src/config_relay/follower.rs
@@ -31,7 +31,7 @@
 const HOSTS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Wait of one watch call to the store. Each answer is a confirmation for all followers, so it is
 /// well below [`MAX_CONFIRMATION_AGE`].
-const WATCH_WAIT: Duration = Duration::from_millis(700);
+const WATCH_WAIT: Duration = Duration::from_millis(900);
 
 /// The place of a process among the followers.
 #[derive(Debug, Clone)]
--- /dev/null
+++ b/crates/serving/tests/message_sizes.rs
@@ -0,0 +1,145 @@
+//! Sizes of the messages between processes on the largest site.
+//!
+//! Guards against datagrams that outgrow their limit with the number of models, adapters or parts,
+//! and against an encoded configuration that grows faster than its routes.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquatkeel_core::quarantine::{PartId, Verdict};
+use kumquatkeel_core::serving::{
+    AdapterKey, Backlog, CallKind, ClientLimits, EngineReport, ModelDemand, ResidentModel, Route,
+    RouteShare, ServingConfig, TargetId,
+};
+use kumquatkeel_serving::gossip::{
+    AgentHeartbeat, CrashReport, Datagram, EntryHeartbeat, QuarantineNotice, Stamp,
+};
+use rstest::rstest;
+
+const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
+
+fn names(prefix: &str, count: usize) -> Vec<Arc<str>> {
+    let name = |index| Arc::from(format!("{prefix}-{index:06}"));
+    (0..count).map(name).collect()
+}
+
+fn stamp() -> Stamp {
+    Stamp {
+        incarnation: u64::MAX,
+        count: 1 << 40,
+    }
+}
+
+fn target() -> TargetId {
+    TargetId::from("i-0123456789")
+}
+
+fn demand(models: usize) -> Datagram {
+    let demand = names("model", models).into_iter().map(|model| ModelDemand {
+        model,
+        rate_us: 1_000_000,
+    });
+    let key = |model: Arc<str>| -> AdapterKey { (model, Arc::from("a123")) };
+    Datagram::Entry(EntryHeartbeat {
+        stamp: stamp(),
+        target: target(),
+        backlog: Backlog::default(),
+        adapters: names("model", 8).into_iter().map(key).collect(),
+        remote: true,
+        demand: demand.collect(),
+    })
+}
+
+fn report(models: usize, adapters: usize, cached: usize) -> Datagram {
+    let model = |name: Arc<str>| ResidentModel {
+        name,
+        adapters: names("a", adapters),
+    };
+    let report = EngineReport {
+        models: names("model", models).into_iter().map(model).collect(),
+        ..EngineReport::default()
+    };
+    Datagram::Agent(AgentHeartbeat {
+        stamp: stamp(),
+        target: target(),
+        report,
+        cached: Some(names("model", cached)),
+        planner: true,
+        entries: 330,
+        others: Backlog::default(),
+        interval_ms: 500,
+    })
+}
+
+fn parts(count: usize) -> Vec<PartId> {
+    let part = |index| PartId::of(format!("{index:048}"));
+    (0..count).map(part).collect()
+}
+
+fn notice(suspects: usize, verdicts: usize) -> Datagram {
+    let verdict = |part| Verdict { part, epoch: 1 };
+    Datagram::Quarantine(QuarantineNotice {
+        suspects: parts(suspects),
+        verdicts: parts(verdicts).into_iter().map(verdict).collect(),
+    })
+}
+
+fn crash(count: usize) -> Datagram {
+    Datagram::Crash(CrashReport {
+        target: target(),
+        parts: parts(count),
+    })
+}
+
+#[rstest]
+#[case::demand_for_300_models(demand(300))]
+#[case::report_of_an_engine(report(8, 16, 32))]
+#[case::notice(notice(32, 64))]
+#[case::crash_report(crash(128))]
+#[case::objection(Datagram::Sound(parts(32)))]
+fn a_datagram_fits_on_the_largest_site(#[case] datagram: Datagram) {
+    let bytes = postcard::to_allocvec(&datagram).unwrap().len();
+    println!("{bytes} bytes");
+    assert!(bytes <= MAX_DATAGRAM_BYTES, "{bytes} bytes");
+}
+
+#[test]
+fn an_encoded_configuration_grows_with_its_routes_only() {
+    let route = |index: usize| Route {
+        name: Arc::from(format!("r-{index:08}")),
+        host: Arc::from("gode46.example"),
+        prefix: Arc::from(format!("/{index:08}/")),
+        kind: CallKind::Stream,
+        deadline: Duration::from_secs(4),
+        objective: Duration::from_millis(800),
+        gap: Some(Duration::from_millis(300)),
+        priority: 1,
+        attempts: 2,
+        resumable: true,
+        shares: vec![RouteShare {
+            service: Arc::from("survey-assist"),
+            weight: 1.0,
+        }],
+    };
+    let size = |routes: usize| {
+        let config = ServingConfig {
+            version: 1,
+            routes: (0..routes).map(|index| Arc::new(route(index))).collect(),
+            services: BTreeMap::new(),
+            limits: ClientLimits {
+                header_bytes: 16_384,
+                body_bytes: 65_536,
+                header_timeout: Duration::from_secs(3),
+                idle_timeout: Duration::from_secs(15),
+            },
+        };
+        postcard::to_allocvec(&config).unwrap().len()
+    };
+    let (small, large) = (size(1_000), size(10_000));
+    println!("1,000 routes: {small} bytes; 10,000 routes: {large} bytes");
+    assert!(
+        large <= 10 * small && large <= 1_000_000,
+        "{small}, {large}"
+    );
+}
