--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -147,7 +147,9 @@
                 (count == most && count >= CONVICTING_CRASHES) || on_probation(part)
             };
             let found = groups.iter().filter(|(part, groups)| {
-                is_culprit(part, groups.len()) && self.first_crash(part).is_some_and(ripe)
+                !culprits.contains(*part)
+                    && is_culprit(part, groups.len())
+                    && self.first_crash(part).is_some_and(ripe)
             });
             let found: Vec<PartId> = found.map(|(part, _)| part.clone()).collect();
             if found.is_empty() {
