fix(platform): a large answer is read as long as its parts arrive

Change: the limit holds for the head and for each pause within the body; the whole body has 30 s.

Test: a_large_answer_is_read_as_long_as_its_parts_arrive failed before.

--- a/crates/platform/src/http/transport.rs
+++ b/crates/platform/src/http/transport.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::request::Builder;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -13,6 +13,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::de::DeserializeOwned;
+use tokio::time::timeout;
 
 use crate::wire::MAX_VALUE_BYTES;
 use crate::{CallCounts, CallKind, StoreError, StoreFault};
@@ -20,6 +21,10 @@
 /// Largest body accepted from the platform, in bytes.
 const MAX_REPLY_BYTES: usize = 64 * MAX_VALUE_BYTES;
 
+/// Longest time for reading a body. A large object through a busy link may take long, and another call
+/// would begin with its first byte again.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Time after which an idle connection is closed.
 const POOL_IDLE: Duration = Duration::from_secs(20);
 
@@ -28,7 +33,8 @@
 pub struct HttpOptions {
     /// Time limit for connecting.
     pub connect: Duration,
-    /// Time limit of a call, in addition to the wait of a watch.
+    /// Time limit for the head of an answer, in addition to the wait of a watch, and for each pause
+    /// within its body.
     pub call: Duration,
 }
 
@@ -114,11 +120,9 @@
             .request
             .body(Full::new(call.body))
             .map_err(|_| self.error(step, StoreFault::Unavailable))?;
-        let limit = self.options.call + call.wait;
-        match tokio::time::timeout(limit, self.exchange(kind, request)).await {
-            Err(_) => Err(self.error(step, lost_answer_fault(kind))),
-            Ok(Err(fault)) => Err(self.error(step, fault)),
-            Ok(Ok(reply)) => match reply.status {
+        match self.exchange(kind, request, call.wait).await {
+            Err(fault) => Err(self.error(step, fault)),
+            Ok(reply) => match reply.status {
                 StatusCode::TOO_MANY_REQUESTS => Err(self.error(step, StoreFault::RateLimited)),
                 StatusCode::SERVICE_UNAVAILABLE => Err(self.error(step, StoreFault::Unavailable)),
                 _ => Ok(reply),
@@ -130,17 +134,20 @@
         &self,
         kind: CallKind,
         request: Request<Full<Bytes>>,
+        wait: Duration,
     ) -> Result<Reply, StoreFault> {
-        let response = self.client.request(request).await.map_err(|error| {
+        let limit = self.options.call;
+        let response = timeout(limit + wait, self.client.request(request)).await;
+        let response = response.map_err(|_| lost_answer_fault(kind))?;
+        let response = response.map_err(|error| {
             if error.is_connect() {
                 StoreFault::Unavailable
             } else {
                 lost_answer_fault(kind)
             }
         })?;
-        read_reply(response)
-            .await
-            .ok_or_else(|| lost_answer_fault(kind))
+        let reply = timeout(BODY_TIMEOUT, read_reply(response, limit)).await;
+        reply.ok().flatten().ok_or_else(|| lost_answer_fault(kind))
     }
 
     /// Decodes the JSON body of an answer.
@@ -168,12 +175,19 @@
     }
 }
 
-async fn read_reply(response: Response<Incoming>) -> Option<Reply> {
+/// Reads the body, whose parts arrive with pauses of at most `pause`; `None` if it is incomplete or
+/// too large.
+async fn read_reply(response: Response<Incoming>, pause: Duration) -> Option<Reply> {
     let (head, body) = response.into_parts();
-    let body = Limited::new(body, MAX_REPLY_BYTES).collect().await.ok()?;
+    let (mut body, mut received) = (Limited::new(body, MAX_REPLY_BYTES), BytesMut::new());
+    while let Some(frame) = timeout(pause, body.frame()).await.ok()? {
+        if let Ok(data) = frame.ok()?.into_data() {
+            received.extend_from_slice(&data);
+        }
+    }
     Some(Reply {
         status: head.status,
-        body: body.to_bytes(),
+        body: received.freeze(),
     })
 }
 
--- a/crates/platform/tests/http.rs
+++ b/crates/platform/tests/http.rs
@@ -1,7 +1,8 @@
 //! The HTTP clients against a server with a fixed behaviour.
 //!
 //! The tests guard against a failed write that is reported as certain when its outcome is unknown,
-//! and against reads that take a failure for an absent object.
+//! against reads that take a failure for an absent object, and against large answers that are given up
+//! while they arrive.
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -20,7 +21,9 @@
     ObjectKey, ObjectStore, ObjectVersion, Precondition, StoreFault, WriteId,
 };
 use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
+use tokio::time::sleep;
 
 const OPTIONS: HttpOptions = HttpOptions {
     connect: Duration::from_millis(500),
@@ -175,3 +178,39 @@
     assert!(store.get(&ObjectKey::from(key)).await.is_err());
     assert_eq!(store.counts().totals().gets, 0);
 }
+
+/// Starts a server that sends an object in parts, with a pause after each.
+async fn serve_slowly(parts: usize, pause: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let _ = stream.read(&mut [0; 4_096]).await;
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n",
+            OBJECT.len()
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        for part in OBJECT.as_bytes().chunks(OBJECT.len().div_ceil(parts)) {
+            if stream.write_all(part).await.is_err() {
+                return;
+            }
+            sleep(pause).await;
+        }
+    });
+    address
+}
+
+#[rstest]
+#[case::parts_arrive(8, OPTIONS.call / 2, true)]
+#[case::the_body_stops(2, OPTIONS.call * 4, false)]
+#[tokio::test]
+async fn a_large_answer_is_read_as_long_as_its_parts_arrive(
+    #[case] parts: usize,
+    #[case] pause: Duration,
+    #[case] read: bool,
+) {
+    let address = serve_slowly(parts, pause).await;
+    let object = store(address).get(&ObjectKey::from("a")).await;
+    assert_eq!(object.is_ok(), read, "{object:?}");
+}
