--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -81,6 +81,19 @@
     assert_eq!(culprits(&evidence, 5), [part("bad")]);
 }
 
+#[test]
+fn two_parts_that_crash_targets_are_both_found() {
+    let mut evidence = CrashEvidence::default();
+    for second in 1..=7 {
+        crash(
+            &mut evidence,
+            second,
+            if second < 5 { &["bad"] } else { &["worse"] },
+        );
+    }
+    assert_eq!(culprits(&evidence, 8), [part("bad"), part("worse")]);
+}
+
 #[test]
 fn a_part_is_not_blamed_before_entries_can_object() {
     let mut evidence = CrashEvidence::default();
