--- a/crates/core/src/serving/config_upstream.rs
+++ b/crates/core/src/serving/config_upstream.rs
@@ -93,6 +93,11 @@
         changed
     }
 
+    /// Returns the preferred agent to follow; `None` if the process watches the store.
+    pub fn preferred(&self) -> Option<IpAddr> {
+        self.candidates.first().copied()
+    }
+
     /// Returns what the process does next.
     pub fn next_step(&mut self, now: Timestamp) -> UpstreamStep {
         if self.candidates.is_empty() {
--- a/crates/serving/src/config_relay/follower.rs
+++ b/crates/serving/src/config_relay/follower.rs
@@ -125,8 +125,8 @@
         let hosts = self.hosts.borrow_and_update().clone();
         let changed = self.upstream.set_hosts(self.settings.own.ip(), hosts);
         if changed {
-            let next = self.upstream.next_step(self.clock.now());
-            log::info!(next:?; "configuration upstream changed");
+            let agent = self.upstream.preferred();
+            log::info!(agent:?; "configuration upstream changed");
         }
         changed
     }
--- a/crates/serving/src/config_relay/server.rs
+++ b/crates/serving/src/config_relay/server.rs
@@ -10,7 +10,7 @@
 
 use super::frame::{Hello, Update};
 use super::hub::{ConfigHub, HeldConfig};
-use crate::net::set_socket_options;
+use crate::net::{accept, set_socket_options};
 
 /// Most followers at a time; others are turned away and find another upstream.
 const MAX_FOLLOWERS: usize = 64;
@@ -23,14 +23,7 @@
 pub(crate) async fn serve_followers(listener: TcpListener, hub: ConfigHub) {
     let places = Arc::new(Semaphore::new(MAX_FOLLOWERS));
     loop {
-        let (stream, peer) = match listener.accept().await {
-            Ok(accepted) => accepted,
-            Err(error) => {
-                log::warn!(step = "accept", error:%; "accepting a connection failed");
-                tokio::time::sleep(Duration::from_millis(50)).await;
-                continue;
-            }
-        };
+        let (stream, peer) = accept(&listener).await;
         let Ok(place) = places.clone().try_acquire_owned() else {
             log::info!(peer:%; "follower turned away; too many of them");
             continue;
--- a/crates/serving/src/net/mod.rs
+++ b/crates/serving/src/net/mod.rs
@@ -9,4 +9,5 @@
 pub(crate) use connection::set_socket_options;
 pub use connection::{CallError, CallLimits, Connection, RequestBody, call, open};
 pub use pool::{Pool, PoolLimits, PooledConnection};
+pub(crate) use serve::accept;
 pub use serve::{ServeOptions, serve_connection, serve_listener};
--- a/crates/serving/src/net/serve.rs
+++ b/crates/serving/src/net/serve.rs
@@ -20,6 +20,8 @@
 
 /// Smallest buffer that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
+/// Pause after a failure to accept a connection, as when no descriptor is left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Longest idle time of a connection that [`serve_listener`] accepted.
 const LISTENER_IDLE: Duration = Duration::from_secs(30);
 
@@ -85,20 +87,26 @@
     }
 }
 
+/// Waits for the next connection; logs failures and goes on.
+pub(crate) async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
+    loop {
+        match listener.accept().await {
+            Ok(accepted) => return accepted,
+            Err(error) => {
+                log::warn!(step = "accept", error:%; "accepting a connection failed");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Accepts connections and answers each request with `respond`, for as long as the process runs.
 pub async fn serve_listener<F>(listener: TcpListener, respond: F)
 where
     F: Fn(&Request<Incoming>, SocketAddr) -> Response<Full<Bytes>> + Clone + Send + Sync + 'static,
 {
     loop {
-        let (stream, peer) = match listener.accept().await {
-            Ok(accepted) => accepted,
-            Err(error) => {
-                log::warn!(step = "accept", error:%; "accepting a connection failed");
-                tokio::time::sleep(Duration::from_millis(50)).await;
-                continue;
-            }
-        };
+        let (stream, peer) = accept(&listener).await;
         let respond = respond.clone();
         tokio::spawn(async move {
             let service = service_fn(|request: Request<Incoming>| {
