--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -136,6 +136,8 @@
 
     /// Returns the parts that are to blame for crashes.
     ///
+    /// The part at the most crashes comes first: what it explains counts against no other part.
+    ///
     /// `on_probation` tells which parts were in quarantine before; one crash convicts them again.
     pub fn culprits(&self, on_probation: impl Fn(&PartId) -> bool, now: Timestamp) -> Vec<PartId> {
         let ripe = |at: Timestamp| now.since(at) >= OBJECTION_TIME;
--- a/crates/serving/src/entry/quarantine.rs
+++ b/crates/serving/src/entry/quarantine.rs
@@ -73,7 +73,7 @@
         self.verdicts.find(parts, now)
     }
 
-    /// Records a crash; returns the parts to report.
+    /// Records a crash; returns how many parts are suspected of it.
     fn record_crash(&mut self, target: &TargetId, parts: &[PartId], now: Timestamp) -> usize {
         let evidence = &self.evidence;
         let suspected = parts.iter().filter(|part| !evidence.is_sound(part, now));
