--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -138,7 +138,7 @@
     ///
     /// The part at the most crashes comes first: what it explains counts against no other part.
     ///
-    /// `on_probation` tells which parts were in quarantine before; one crash convicts them again.
+    /// `on_probation` returns whether a part was in quarantine before; one crash convicts it again.
     pub fn culprits(&self, on_probation: impl Fn(&PartId) -> bool, now: Timestamp) -> Vec<PartId> {
         let ripe = |at: Timestamp| now.since(at) >= OBJECTION_TIME;
         let mut culprits = BTreeSet::new();
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -1,6 +1,6 @@
 //! Finds the parts of prompts that crash each target that runs them, and keeps them from others.
 //!
-//! A crash ends all requests at a target, most of them sound, so no single crash tells which one
+//! A crash ends all requests at a target, most of them sound, so no single crash shows which one
 //! caused it. [`CrashEvidence`] relates the crashes of many targets: the part that caused them was at
 //! each, and no request with it has ever completed. [`QuarantineTable`] holds the resulting verdicts,
 //! which all processes exchange until each knows the newest.
--- a/crates/serving/src/config_relay/hub.rs
+++ b/crates/serving/src/config_relay/hub.rs
@@ -14,7 +14,7 @@
     pub(super) confirmed: Instant,
 }
 
-/// Holds the newest configuration and tells followers of each change and confirmation.
+/// Holds the newest configuration and notifies followers of each change and confirmation.
 #[derive(Debug, Clone)]
 pub(crate) struct ConfigHub {
     held: watch::Sender<Option<HeldConfig>>,
--- a/crates/serving/src/entry/quarantine.rs
+++ b/crates/serving/src/entry/quarantine.rs
@@ -208,7 +208,7 @@
 }
 
 impl State {
-    /// Remembers the hosts of the listed engines, beside which agents run.
+    /// Records the hosts of the listed engines, beside which agents run.
     pub(super) fn remember_agent_hosts(&mut self, now: Timestamp) {
         let targets = self.objects.table.all();
         let engines = targets.filter(|t| self.engine_spec(&t.service).is_some());
