feat(serving): log the limits that targets name in their answers

The dialect reads the header into a checked rate, the entry logs and counts changes. Nothing is decided by it yet.

--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -13,17 +13,20 @@
 mod eviction;
 mod failures;
 mod holders;
+mod limit_table;
 mod orders;
 mod origin_table;
 mod planner;
 mod prefill;
 mod quota;
 mod request;
+mod request_rate;
 mod routes;
 mod stream_origin;
 mod stream_scope;
 mod table;
 mod target;
+mod target_notice;
 
 pub use band_rates::BandRates;
 pub use config::{
@@ -41,6 +44,7 @@
 pub use eviction::{AdapterKey, AdapterStep, AdapterUse};
 pub use failures::FailureMeter;
 pub use holders::{crash_holders, origin_holders};
+pub use limit_table::LimitTable;
 pub use orders::{EngineOrder, OrderQueue};
 pub use origin_table::OriginTable;
 pub use planner::{LoadCommand, Planner, PlannerInput, PlannerSettings};
@@ -49,8 +53,10 @@
 pub use request::{
     AttemptEnd, CallerRequest, Recovery, ResumedStream, Usage, after_attempt, may_run_again,
 };
+pub use request_rate::{InvalidRate, RequestRate};
 pub use routes::{RouteMatch, RouteTable};
 pub use stream_origin::StreamOrigin;
 pub use stream_scope::StreamScope;
 pub use table::{TableChange, TargetTable};
 pub use target::{Target, TargetId, TargetState};
+pub use target_notice::{StatedLimit, TargetNotice};
--- a/crates/serving/src/entry/attempt.rs
+++ b/crates/serving/src/entry/attempt.rs
@@ -187,6 +187,7 @@
     let class = shared
         .dialect
         .classify_response(parts.status, &parts.headers, &outgoing.attempt);
+    shared.record_notice(&plan.target, class, &parts.headers);
     let success = match class {
         ResponseClass::Success => true,
         ResponseClass::Failure => false,
--- a/crates/serving/src/entry/mod.rs
+++ b/crates/serving/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod exchange;
 mod handler;
 mod in_flight;
+mod notice;
 mod origin;
 mod quarantine;
 mod relay;
--- a/crates/serving/src/entry/state.rs
+++ b/crates/serving/src/entry/state.rs
@@ -8,8 +8,8 @@
 use kumquatkeel_core::retry::{AttemptResult, Ejector};
 use kumquatkeel_core::serving::{
     AdapterKey, Backlog, BandRates, Candidate, DemandMeter, DrainPlan, EngineReport, EngineSpec,
-    EngineState, FailureMeter, OriginTable, PrefillEstimator, ResidentModel, RetryQuota,
-    RouteTable, ServingConfig, StreamScope, Target, TargetId, origin_holders,
+    EngineState, FailureMeter, LimitTable, OriginTable, PrefillEstimator, ResidentModel,
+    RetryQuota, RouteTable, ServingConfig, StreamScope, Target, TargetId, origin_holders,
 };
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_types::Timestamp;
@@ -104,6 +104,8 @@
     pub(super) rates: BandRates,
     /// Origins of streams that this entry has begun or asked for.
     pub(super) origins: OriginTable,
+    /// The limits that targets name.
+    pub(super) limits: LimitTable,
     /// What is known of prompts that crash targets.
     pub(super) quarantine: QuarantineState,
     agents: HashMap<SocketAddr, AgentPeer>,
@@ -149,6 +151,7 @@
                 failures: FailureMeter::default(),
                 rates: BandRates::default(),
                 origins: OriginTable::default(),
+                limits: LimitTable::default(),
                 quarantine: QuarantineState::default(),
                 agents: HashMap::new(),
                 last_heartbeats: HashMap::new(),
@@ -533,6 +536,7 @@
         self.last_heartbeats.retain(|agent, _| listed(agent));
         self.ejector.retain(|id| table.get(id).is_some());
         self.failures.retain(|id| table.get(id).is_some());
+        self.limits.retain(|id| table.get(id).is_some());
     }
 }
 
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -29,6 +29,7 @@
     orders: Counter<u64>,
     stream_ends: Counter<u64>,
     verdicts: Counter<u64>,
+    limit_changes: Counter<u64>,
     first_byte: Histogram<f64>,
     predicted: Histogram<f64>,
     duration: Histogram<f64>,
@@ -56,6 +57,7 @@
             orders: meter.u64_counter("orders").build(),
             stream_ends: meter.u64_counter("stream_ends").build(),
             verdicts: meter.u64_counter("quarantine_verdicts").build(),
+            limit_changes: meter.u64_counter("target_limit_changes").build(),
             first_byte: histogram("first_byte"),
             predicted: histogram("first_byte_predicted"),
             duration: histogram("request_duration"),
@@ -101,6 +103,11 @@
         self.verdicts.add(1, &attributes);
     }
 
+    /// Counts a change of the limit that a target names.
+    pub fn record_limit_change(&self) {
+        self.limit_changes.add(1, &[]);
+    }
+
     /// Records the predicted and the observed time to the first byte.
     pub fn record_first_byte(&self, predicted: Duration, seen: Duration) {
         self.predicted.record(predicted.as_secs_f64(), &[]);
--- a/crates/serving/src/platform.rs
+++ b/crates/serving/src/platform.rs
@@ -10,7 +10,7 @@
 use http::{HeaderMap, StatusCode};
 use kumquatkeel_core::quarantine::Verdict;
 use kumquatkeel_core::serving::{
-    CallerRequest, EngineOrder, EngineReport, ServingConfig, Target, TargetId,
+    CallerRequest, EngineOrder, EngineReport, ServingConfig, Target, TargetId, TargetNotice,
 };
 
 /// A failed call to the platform or a target.
@@ -194,6 +194,9 @@
         attempt: &str,
     ) -> ResponseClass;
 
+    /// Reads what a target states about itself in the headers of a response.
+    fn read_notice(&self, headers: &HeaderMap) -> TargetNotice;
+
     /// Returns the headers of a target's response that are relayed to the caller.
     fn relay_headers(&self, headers: &HeaderMap) -> HeaderMap;
 
