fix(serving): a target that names a limit gets no more than it from all entries

Cause: no process read the limit, so the choice of a target went by prefill work alone. Keeping it at each entry alone would not do: n buckets of depth b send 4 N + n b in 4 s, and with 330 entries not one may save up a request.

Change: one agent issues a permit for each request to a target with a limit, the agent beside the target or one that all entries choose alike. Its bucket holds 1 + N / 2; urgent requests may take all of it, others leave half. A target without a permit is left out of the choice; if no other is left the request is refused with the time at which a permit is expected. Limits are spread with the time of the statement, so that the end of one is known to entries without permits. Copies of hot models behind a limit don't count for the planner.

--- a/crates/core/src/serving/dispatch.rs
+++ b/crates/core/src/serving/dispatch.rs
@@ -48,6 +48,8 @@
     Draining,
     /// A part of the prompt has crashed several targets.
     Quarantined,
+    /// All targets that could run the request name a limit that is used up.
+    TargetLimit,
     /// The software version that began the stream is unknown, and not all targets have the same.
     UnknownOrigin,
 }
@@ -64,6 +66,9 @@
     /// Whether to use the target only if no other is left: it is ejected after failures, or its
     /// agent is silent, as on a stalled instance.
     pub avoided: bool,
+    /// Time until the target accepts a request, by what it states about itself; `None` if it does
+    /// now.
+    pub closed: Option<Duration>,
 }
 
 /// What a request for a generation needs, and how long it may take.
@@ -133,11 +138,18 @@
     if holders.is_empty() {
         return await_or_refuse(candidates, input);
     }
-    let any_usable = holders.iter().any(|i| !candidates[*i].avoided);
+    let open: Vec<usize> = (holders.iter().copied())
+        .filter(|i| candidates[*i].closed.is_none())
+        .collect();
+    if open.is_empty() {
+        let closed = holders.iter().filter_map(|i| candidates[*i].closed);
+        return refuse(RefusalReason::TargetLimit, closed.min().unwrap_or_default());
+    }
+    let any_usable = open.iter().any(|i| !candidates[*i].avoided);
     let usable = |i: &&usize| !any_usable || !candidates[**i].avoided;
     let best = |band: Band| {
         let ranked = |i: &usize| rank(candidates, input, band, *i);
-        holders.iter().filter(usable).map(ranked).min()
+        open.iter().filter(usable).map(ranked).min()
     };
     let limit = input.objective.mul_f64(OBJECTIVE_SHARE);
     let found = best(input.band).filter(|found| found.predicted <= limit);
@@ -173,7 +185,8 @@
 pub fn engines_to_query(candidates: &[Candidate<'_>], input: &DispatchInput<'_>) -> Vec<usize> {
     let holders = (0..candidates.len()).filter(|i| {
         let candidate = &candidates[*i];
-        !candidate.avoided && candidate.engine.report.holds(input.model)
+        let usable = !candidate.avoided && candidate.closed.is_none();
+        usable && candidate.engine.report.holds(input.model)
     });
     let mut best: Vec<usize> = holders.collect();
     best.sort_by_cached_key(|i| rank(candidates, input, input.band, *i));
@@ -185,7 +198,12 @@
 ///
 /// `slots` states how many requests each candidate runs at once, in the order of `candidates`.
 pub fn choose_target(candidates: &[Candidate<'_>], slots: &[u32]) -> DispatchDecision {
-    let any_usable = candidates.iter().any(|c| !c.avoided);
+    let open = |c: &Candidate<'_>| c.closed.is_none();
+    if !candidates.is_empty() && !candidates.iter().any(open) {
+        let closed = candidates.iter().filter_map(|c| c.closed).min();
+        return refuse(RefusalReason::TargetLimit, closed.unwrap_or_default());
+    }
+    let any_usable = candidates.iter().any(|c| open(c) && !c.avoided);
     let score = |i: usize| {
         let candidate = &candidates[i];
         let load = f64::from(candidate.engine.running) / f64::from(slots[i].max(1));
@@ -194,7 +212,7 @@
             + Duration::from_millis(30).mul_f64(load)
     };
     let best = (0..candidates.len())
-        .filter(|i| !any_usable || !candidates[*i].avoided)
+        .filter(|i| open(&candidates[*i]) && (!any_usable || !candidates[*i].avoided))
         .map(|i| (score(i), i))
         .min();
     best.map_or_else(
--- a/crates/core/src/serving/holders.rs
+++ b/crates/core/src/serving/holders.rs
@@ -23,6 +23,11 @@
     holders(CRASH_KEY, hosts, CRASH_HOLDERS)
 }
 
+/// Returns the host whose agent issues the permits for requests to a target that has no agent.
+pub fn permit_host(target: &str, hosts: impl IntoIterator<Item = IpAddr>) -> Option<IpAddr> {
+    holders(target, hosts, 1).first().copied()
+}
+
 /// Returns the first hosts in the order of a key.
 ///
 /// Each host ranks by a hash of its own with the key, so that few keys change their hosts when a host
--- /dev/null
+++ b/crates/core/src/serving/permit_issuer.rs
@@ -0,0 +1,148 @@
+//! Permits for requests to targets that name a limit.
+//!
+//! A limit holds over all entries together. Dividing it among them fails where it is lower than the
+//! number of entries: an entry that may save up one request already takes more than its share, and
+//! one that may not never sends any. So one process, which all entries choose alike, hands out each
+//! single request as a permit, at the rate of the limit.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use kumquatkeel_types::Timestamp;
+use serde::{Deserialize, Serialize};
+
+use super::request_rate::RequestRate;
+use super::target::TargetId;
+
+/// Time for which unused permits accumulate.
+const BURST_WINDOW: Duration = Duration::from_millis(500);
+
+/// The urgency of a request that needs a permit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Urgency {
+    /// The request comes before others.
+    Urgent,
+    /// The request leaves permits for urgent ones.
+    Normal,
+}
+
+/// The decision on a request for a permit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PermitDecision {
+    /// The target names no limit.
+    NotNeeded,
+    /// One request may be sent.
+    Granted {
+        /// Time after which it may be sent, in milliseconds.
+        delay_ms: u32,
+    },
+    /// No request may be sent now.
+    Denied {
+        /// Time until a permit is available, in milliseconds.
+        retry_ms: u32,
+    },
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Bucket {
+    rate: RequestRate,
+    /// Permits that are available; negative while permits with a delay are outstanding.
+    permits: f64,
+    refilled: Timestamp,
+}
+
+impl Bucket {
+    fn capacity(&self) -> f64 {
+        1.0 + self.rate.per_second() * BURST_WINDOW.as_secs_f64()
+    }
+
+    fn refill(&mut self, now: Timestamp) {
+        let gain = now.since(self.refilled).as_secs_f64() * self.rate.per_second();
+        self.permits = (self.permits + gain).min(self.capacity());
+        self.refilled = self.refilled.max(now);
+    }
+
+    fn request(&mut self, urgency: Urgency, patience: Duration) -> PermitDecision {
+        // Other requests leave half of what accumulates, so that urgent ones come first.
+        let reserve = match urgency {
+            Urgency::Urgent => 0.0,
+            Urgency::Normal => (self.capacity() - 1.0) / 2.0,
+        };
+        let missing = (1.0 + reserve - self.permits).max(0.0);
+        let wait = Duration::from_secs_f64(missing / self.rate.per_second());
+        let wait_ms = wait.as_micros().div_ceil(1_000).min(u128::from(u32::MAX)) as u32;
+        if wait <= patience {
+            self.permits -= 1.0;
+            return PermitDecision::Granted { delay_ms: wait_ms };
+        }
+        PermitDecision::Denied { retry_ms: wait_ms }
+    }
+}
+
+/// Issues the permits for targets that name a limit.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use kumquatkeel_core::serving::{
+///     PermitDecision, PermitIssuer, RequestRate, TargetId, Urgency,
+/// };
+/// use kumquatkeel_types::Timestamp;
+///
+/// let target = TargetId::from("t1");
+/// let limit = RequestRate::try_from(2.0).ok();
+/// let mut issuer = PermitIssuer::default();
+/// let mut request = |ms| {
+///     issuer.request(&target, limit, Urgency::Urgent, Duration::ZERO, Timestamp::from_millis(ms))
+/// };
+/// assert_eq!(request(0), PermitDecision::Denied { retry_ms: 500 });
+/// assert_eq!(request(500), PermitDecision::Granted { delay_ms: 0 });
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct PermitIssuer {
+    buckets: HashMap<TargetId, Bucket>,
+}
+
+impl PermitIssuer {
+    /// Decides on a request for a permit by the limit that the target names.
+    ///
+    /// The first one waits for a permit, as a predecessor of this issuer may just have issued some.
+    /// Urgent requests come before others. A permit that is available within `patience` is granted
+    /// with that delay.
+    pub fn request(
+        &mut self,
+        target: &TargetId,
+        limit: Option<RequestRate>,
+        urgency: Urgency,
+        patience: Duration,
+        now: Timestamp,
+    ) -> PermitDecision {
+        let Some(rate) = limit else {
+            self.buckets.remove(target);
+            return PermitDecision::NotNeeded;
+        };
+        let bucket = self.buckets.entry(target.clone()).or_insert(Bucket {
+            rate,
+            permits: 0.0,
+            refilled: now,
+        });
+        bucket.refill(now);
+        bucket.rate = rate;
+        bucket.refill(now);
+        bucket.request(urgency, patience)
+    }
+
+    /// Returns the targets for which this process has issued permits.
+    pub fn targets(&self) -> impl Iterator<Item = &TargetId> {
+        self.buckets.keys()
+    }
+
+    /// Drops the targets for which `keep` returns `false`.
+    pub fn retain(&mut self, mut keep: impl FnMut(&TargetId) -> bool) {
+        self.buckets.retain(|id, _| keep(id));
+    }
+}
--- a/crates/core/src/serving/planner.rs
+++ b/crates/core/src/serving/planner.rs
@@ -5,7 +5,7 @@
 //! lowers the total cost most. The cost adds up the engines' squared utilisation and the models
 //! that no engine holds; a model in demand that no engine holds costs most.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -43,6 +43,8 @@
 const MIN_LOCAL_GAIN: f64 = 0.06;
 /// Demand per remaining copy of a model up to which one of its copies may be evicted.
 const MAX_EVICT_DEMAND: f64 = 0.6;
+/// Demand up to which a copy at an engine with a limit counts, in engines.
+const MAX_LIMITED_DEMAND: f64 = 0.1;
 /// Maximum number of models considered for a further copy in one step.
 const MAX_CANDIDATES: usize = 6;
 /// Maximum number of commands in one round.
@@ -80,6 +82,8 @@
     pub demand: &'a HashMap<Arc<str>, f64>,
     /// The engines that accept work and have reported recently.
     pub engines: &'a BTreeMap<TargetId, EngineReport>,
+    /// The engines whose targets name a limit on the rate of requests.
+    pub limited: &'a BTreeSet<TargetId>,
     /// Capacity and models of the engines' service.
     pub spec: &'a EngineSpec,
 }
@@ -94,6 +98,8 @@
     serving: Vec<Arc<str>>,
     /// Whether the engine can take a command.
     free: bool,
+    /// Whether the engine's target names a limit on the rate of requests.
+    limited: bool,
     cached: Vec<Arc<str>>,
 }
 
@@ -195,7 +201,8 @@
             let serving: Vec<Arc<str>> = report.models.iter().map(|m| m.name.clone()).collect();
             let mut held = serving.clone();
             let sent = self.sent.get(id).map(|(_, model)| model.clone());
-            let free = report.loading.is_empty() && sent.is_none() && !report.busy;
+            let limited = input.limited.contains(id);
+            let free = report.loading.is_empty() && sent.is_none() && !report.busy && !limited;
             let pending = report.loading.iter().map(|load| load.model.clone());
             for model in pending.chain(sent) {
                 if !held.contains(&model) {
@@ -207,6 +214,7 @@
                 held,
                 serving,
                 free,
+                limited,
                 cached: report.cached.clone(),
             }
         };
@@ -225,8 +233,11 @@
 impl<'a> Step<'a> {
     fn new(engines: &'a [PlannedEngine], input: &'a PlannerInput<'a>) -> Self {
         let mut copies = HashMap::new();
-        for model in engines.iter().flat_map(|e| &e.held) {
-            *copies.entry(model.clone()).or_insert(0) += 1;
+        for engine in engines {
+            let counted = engine.held.iter().filter(|m| counts(engine, m, input));
+            for model in counted {
+                *copies.entry(model.clone()).or_insert(0) += 1;
+            }
         }
         Self {
             engines,
@@ -235,6 +246,11 @@
         }
     }
 
+    /// Returns whether an engine serves a model now, as far as its demand goes.
+    fn serves(&self, engine: &PlannedEngine, model: &Arc<str>) -> bool {
+        engine.serving.contains(model) && counts(engine, model, self.input)
+    }
+
     fn demand(&self, model: &str) -> f64 {
         self.input.demand.get(model).copied().unwrap_or(0.0)
     }
@@ -301,7 +317,7 @@
                 .enumerate()
                 .filter(|(i, _)| Some(*i) != without);
             others
-                .filter(|(_, engine)| engine.serving.contains(name))
+                .filter(|(_, engine)| self.serves(engine, name))
                 .count()
         };
         let per_copy = self.demand(&model.name) / serving(&model.name, None).max(1) as f64;
@@ -346,7 +362,7 @@
         let others = self.engines.iter().enumerate().filter(|(i, _)| *i != index);
         others
             .map(|(_, engine)| engine)
-            .any(|engine| engine.serving.contains(model))
+            .any(|engine| self.serves(engine, model))
     }
 
     /// Returns by how much the total cost falls if engine `index` holds a copy of `model`, if any,
@@ -365,6 +381,9 @@
         let mut gain = 0.0;
         for (i, engine) in self.engines.iter().enumerate() {
             let affected = |m: &Arc<str>| Some(m) == model || evict.contains(m);
+            if engine.limited {
+                continue;
+            }
             if i != index && !engine.held.iter().any(affected) {
                 continue;
             }
@@ -388,6 +407,13 @@
     }
 }
 
+/// Returns whether an engine's copy of a model counts: one behind a limit can't serve a model in
+/// demand.
+fn counts(engine: &PlannedEngine, model: &Arc<str>, input: &PlannerInput<'_>) -> bool {
+    let demand = input.demand.get(model).copied().unwrap_or(0.0);
+    !engine.limited || demand <= MAX_LIMITED_DEMAND
+}
+
 /// Returns the cost of an engine's utilisation: its square, continued by the tangent above 1, so
 /// that a model in great demand never costs less while no engine holds it.
 fn utilisation_cost(utilisation: f64) -> f64 {
--- a/crates/core/tests/dispatch_support/mod.rs
+++ b/crates/core/tests/dispatch_support/mod.rs
@@ -29,6 +29,7 @@
         path_cost: Duration::from_millis(1),
         penalty: Duration::ZERO,
         avoided: false,
+        closed: None,
     }
 }
 
--- a/crates/core/tests/serving_dispatch.rs
+++ b/crates/core/tests/serving_dispatch.rs
@@ -44,6 +44,27 @@
     ));
 }
 
+#[test]
+fn a_target_that_accepts_nothing_now_is_not_chosen() {
+    let idle = holder(&[]);
+    let busy = engine_with_backlog(Band::Urgent, Duration::from_millis(100));
+    let mut candidates = [candidate(&idle), candidate(&busy)];
+    candidates[0].closed = Some(Duration::from_millis(300));
+    let index = |decision| match decision {
+        DispatchDecision::Send { index, .. } => Some(index),
+        _ => None,
+    };
+    assert_eq!(index(choose_engine(&candidates, &input())), Some(1));
+    assert_eq!(index(choose_target(&candidates, &[8, 8])), Some(1));
+    candidates[1].closed = Some(Duration::from_millis(200));
+    let expected = DispatchDecision::Refuse {
+        reason: RefusalReason::TargetLimit,
+        retry_after: Duration::from_millis(200),
+    };
+    assert_eq!(choose_engine(&candidates, &input()), expected);
+    assert_eq!(choose_target(&candidates, &[8, 8]), expected);
+}
+
 #[test]
 fn the_first_band_does_not_wait_for_urgent_work() {
     let engines = [engine_with_backlog(Band::Urgent, Duration::from_secs(2))];
--- a/crates/core/tests/serving_planner.rs
+++ b/crates/core/tests/serving_planner.rs
@@ -1,6 +1,6 @@
 //! Placement of models: absent models, hot models, engine memory and the weight store's rate.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,6 +10,7 @@
 };
 use kumquatkeel_types::Timestamp;
 use proptest::prelude::*;
+use rstest::rstest;
 
 const SETTINGS: PlannerSettings = PlannerSettings {
     rate: 100.0,
@@ -65,12 +66,23 @@
     spec: &EngineSpec,
     demand: &HashMap<Arc<str>, f64>,
     settings: PlannerSettings,
+) -> Vec<LoadCommand> {
+    plan_limited(engines, &BTreeSet::new(), spec, demand, settings)
+}
+
+fn plan_limited(
+    engines: &BTreeMap<TargetId, EngineReport>,
+    limited: &BTreeSet<TargetId>,
+    spec: &EngineSpec,
+    demand: &HashMap<Arc<str>, f64>,
+    settings: PlannerSettings,
 ) -> Vec<LoadCommand> {
     let mut planner = Planner::default();
     let mut input = PlannerInput {
         now: Timestamp::from_millis(0),
         demand,
         engines,
+        limited,
         spec,
     };
     // A new planner starts without tokens for loads from the weight store.
@@ -102,6 +114,20 @@
     }
 }
 
+#[rstest]
+#[case::hot(1.0, true)]
+#[case::rare(0.05, false)]
+fn a_hot_model_is_not_left_behind_a_limit(#[case] rate: f64, #[case] loaded: bool) {
+    let spec = spec(&[("hot", 90.0), ("other", 90.0)]);
+    let engines = fleet(&[&["hot"], &["other"], &["other"]]);
+    let limited = BTreeSet::from([TargetId::from("e0")]);
+    let demand = demand(&[("hot", rate)]);
+    let commands = plan_limited(&engines, &limited, &spec, &demand, SETTINGS);
+    let loads = commands.iter().filter(|c| &*c.model == "hot").count();
+    assert_eq!(loads > 0, loaded, "{commands:?}");
+    assert!(commands.iter().all(|c| !limited.contains(&c.target)));
+}
+
 /// Demand moves to a model with one copy while idle models take up memory.
 #[test]
 fn a_hot_model_gets_copies_and_every_model_keeps_one() {
@@ -219,6 +245,7 @@
                 now: Timestamp::from_millis(millis),
                 demand: &demand,
                 engines: &engines,
+                limited: &BTreeSet::new(),
                 spec: &spec,
             };
             !planner.plan_round(&input, SETTINGS).is_empty()
@@ -250,6 +277,7 @@
             now: Timestamp::from_millis(millis),
             demand: &rates,
             engines: &loading,
+            limited: &BTreeSet::new(),
             spec: &spec,
         };
         for command in planner.plan_round(&input, settings) {
--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
 
 use super::peers::Peers;
+use super::permits::PermitState;
 use super::quarantine::QuarantineState;
 use super::verdicts::sync_verdicts;
 use crate::config_relay::{ConfigFollower, ConfigHub, FollowerSettings, serve_followers};
@@ -74,6 +75,8 @@
     pub(super) peers: Peers,
     /// Origins of streams that entries have asked this agent to keep.
     pub(super) origins: OriginTable,
+    /// What is known of targets that name a limit.
+    pub(super) permits: PermitState,
     /// What is known of prompts that crash targets.
     pub(super) quarantine: QuarantineState,
     /// Where verdicts are kept; `None` if they end with the processes.
@@ -126,6 +129,7 @@
             objects: KnownObjects::default(),
             peers: Peers::default(),
             origins: OriginTable::default(),
+            permits: PermitState::default(),
             quarantine: QuarantineState::default(),
             verdict_store: None,
             orders: OrderQueue::default(),
@@ -256,7 +260,10 @@
             Datagram::Crash(report) => self.handle_crash(from, report),
             Datagram::Sound(parts) => self.handle_sound(parts),
             Datagram::Quarantine(notice) => self.handle_notice(notice),
-            Datagram::Count(_) | Datagram::Origin(_) => {
+            Datagram::Permit(request) => self.handle_permit_request(from, &request),
+            Datagram::Limit(record) => self.handle_limit(&record),
+            Datagram::LimitNotice(record) => self.handle_limit_notice(&record),
+            Datagram::Count(_) | Datagram::Origin(_) | Datagram::PermitReply(_) => {
                 log::debug!(peer:% = from; "ignored datagram for entries");
             }
             Datagram::Agent(heartbeat) => self.peers.record_agent(from, heartbeat, now),
@@ -345,6 +352,7 @@
         }
         self.send_heartbeats();
         self.judge_crashes();
+        self.publish_limits();
         self.plan();
     }
 
@@ -365,6 +373,7 @@
                     self.last_models = held.collect();
                 }
                 self.report = Some(status.report);
+                self.record_reported_limit(status.notice.limit);
             }
             Err(error) => {
                 if !std::mem::replace(&mut self.engine_unreachable, true) {
--- a/crates/serving/src/agent/mod.rs
+++ b/crates/serving/src/agent/mod.rs
@@ -6,6 +6,7 @@
 
 mod daemon;
 mod peers;
+mod permits;
 mod planning;
 mod quarantine;
 mod verdicts;
--- a/crates/serving/src/agent/peers.rs
+++ b/crates/serving/src/agent/peers.rs
@@ -182,6 +182,11 @@
         self.entries.keys().copied()
     }
 
+    /// Returns the addresses of the known agents.
+    pub(super) fn agents(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.agents.keys().copied()
+    }
+
     /// Returns the number of known entries.
     pub(super) fn entry_count(&self) -> usize {
         self.entries.len()
--- a/crates/serving/src/agent/planning.rs
+++ b/crates/serving/src/agent/planning.rs
@@ -76,6 +76,7 @@
             now,
             demand: &demand,
             engines: &engines,
+            limited: &self.permits.limited_among(engines.keys()),
             spec,
         };
         self.log_top_model(&demand, &engines);
--- a/crates/serving/src/entry/attempt.rs
+++ b/crates/serving/src/entry/attempt.rs
@@ -45,6 +45,8 @@
     pub(super) at_most_once: bool,
     /// The predicted time to the first byte.
     pub(super) predicted: Duration,
+    /// How long the request may wait for a permit if the target names a limit.
+    pub(super) patience: Duration,
     pub(super) guard: InFlightGuard,
 }
 
--- a/crates/serving/src/entry/daemon.rs
+++ b/crates/serving/src/entry/daemon.rs
@@ -203,6 +203,8 @@
             Datagram::Count(reply) => shared.handle_backlog_reply(&reply),
             Datagram::Origin(record) => shared.handle_origin(record),
             Datagram::Quarantine(notice) => shared.handle_quarantine_notice(from, notice),
+            Datagram::PermitReply(reply) => shared.handle_permit_reply(reply),
+            Datagram::LimitNotice(record) => shared.handle_limit_notice(&record),
             Datagram::Entry(_)
             | Datagram::Alive(_)
             | Datagram::Want(_)
@@ -212,6 +214,8 @@
             | Datagram::Began(_)
             | Datagram::FindOrigin(_)
             | Datagram::Crash(_)
+            | Datagram::Permit(_)
+            | Datagram::Limit(_)
             | Datagram::Sound(_) => {
                 log::debug!(peer:% = from; "ignoring a datagram meant for an agent");
             }
--- a/crates/serving/src/entry/exchange.rs
+++ b/crates/serving/src/entry/exchange.rs
@@ -156,7 +156,7 @@
             }
             state_version.mark_unchanged();
             self.refresh_backlogs().await;
-            match self.next_step() {
+            match self.next_permitted_step().await {
                 Step::Refuse(reason, retry_after) => return Ok(self.refuse(reason, retry_after)),
                 Step::Wait(limit) => {
                     self.waited = true;
@@ -205,7 +205,7 @@
             if !allowed || Instant::now() >= self.deadline {
                 return None;
             }
-            let Step::Send(mut plan) = self.next_step() else {
+            let Step::Send(mut plan) = self.next_permitted_step().await else {
                 return None;
             };
             plan.terms.resume_after = last_event;
@@ -370,6 +370,7 @@
             RefusalReason::Overload => "overload",
             RefusalReason::Draining => "draining",
             RefusalReason::Quarantined => "quarantined",
+            RefusalReason::TargetLimit => "target_limit",
             RefusalReason::UnknownOrigin => "unknown_origin",
         };
         self.shared.instruments.record_refusal(name);
--- a/crates/serving/src/entry/mod.rs
+++ b/crates/serving/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod in_flight;
 mod notice;
 mod origin;
+mod permit;
 mod quarantine;
 mod relay;
 mod response;
--- a/crates/serving/src/entry/notice.rs
+++ b/crates/serving/src/entry/notice.rs
@@ -1,7 +1,7 @@
 //! What targets state about themselves in their answers.
 
 use http::HeaderMap;
-use kumquatkeel_core::serving::{RequestRate, StatedLimit, Target};
+use kumquatkeel_core::serving::{RequestRate, StatedLimit, Target, TargetId};
 
 use super::state::Shared;
 use crate::platform::ResponseClass;
@@ -17,13 +17,22 @@
             | (ResponseClass::NotRun, StatedLimit::Absent) => return,
             (_, limit) => limit,
         };
-        let mut state = self.lock();
-        let changed = state.limits.record(&target.id, limit);
-        let per_second = state.limits.limit(&target.id).map(RequestRate::per_second);
-        drop(state);
+        let now = self.now();
+        let changed = self.lock().limits.record(&target.id, limit, now);
         if changed {
-            self.instruments.record_limit_change();
-            log::info!(target_id:% = target.id, per_second:serde; "limit of a target changed");
+            self.record_limit_change(&target.id);
+            self.report_limit(target);
         }
     }
+
+    /// Logs and counts a changed limit, and wakes the requests that wait.
+    pub(super) fn record_limit_change(&self, target: &TargetId) {
+        let mut state = self.lock();
+        state.permits.reset(target);
+        let per_second = state.limits.limit(target).map(RequestRate::per_second);
+        drop(state);
+        self.instruments.record_limit_change();
+        log::info!(target_id:% = target, per_second:serde; "limit of a target changed");
+        self.notify();
+    }
 }
--- a/crates/serving/src/entry/selection.rs
+++ b/crates/serving/src/entry/selection.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use kumquatkeel_core::serving::{
-    Band, CallKind, DispatchDecision, DispatchInput, DrainPlan, RefusalReason, Target, TargetId,
-    choose_engine, choose_target, engines_to_query,
+    Band, CallKind, Candidate, DispatchDecision, DispatchInput, DrainPlan, RefusalReason, Target,
+    TargetId, choose_engine, choose_target, engines_to_query,
 };
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
@@ -53,6 +53,9 @@
 const OUTPUT_DIVISOR: u64 = 2;
 /// Expected time per output token on a busy engine.
 const OUTPUT_TOKEN_TIME: Duration = Duration::from_millis(25);
+/// Share of the time left until the objective for which a request may wait for a permit where no other
+/// target can take it.
+const PERMIT_WAIT_SHARE: f64 = 0.5;
 /// Longest wait for a response while another attempt is allowed, in multiples of the objective.
 const RESEND_WAIT_FACTOR: u32 = 3;
 
@@ -124,7 +127,7 @@
         let mut state = shared.lock();
         let now = shared.now();
         let targets = state.eligible_targets(&self.service, &self.tried, &self.scope, now);
-        let candidates = state.candidates(shared, &targets, now);
+        let candidates = state.candidates(shared, &targets, self.urgency(), now);
         let input = self.dispatch_input(&state, model);
         let mut queried = Vec::new();
         for index in engines_to_query(&candidates, &input) {
@@ -152,7 +155,7 @@
             return Step::Refuse(RefusalReason::Quarantined, left);
         }
         let targets = state.eligible_targets(&self.service, &self.tried, &self.scope, now);
-        let candidates = state.candidates(&shared, &targets, now);
+        let candidates = state.candidates(&shared, &targets, self.urgency(), now);
         let (decision, prefill) = if let Some(model) = &self.request.model {
             let input = self.dispatch_input(&state, model);
             (choose_engine(&candidates, &input), input.prefill)
@@ -179,16 +182,33 @@
                 band,
             } => {
                 let age = candidates[index].engine.age(now);
+                let alone = self.is_only_choice(&candidates, index);
                 let (target, engines) = (targets[index].clone(), targets.len());
                 let entries = state.entries();
                 state.rates.set_fleet_size(entries, engines);
                 state.rates.record(prefill, band, now);
                 drop(state);
-                Step::Send(self.plan_attempt(target, predicted, band, prefill, age))
+                let mut plan = self.plan_attempt(target, predicted, band, prefill, age);
+                if alone {
+                    plan.patience = self.remaining_objective().mul_f64(PERMIT_WAIT_SHARE);
+                }
+                Step::Send(plan)
             }
         }
     }
 
+    /// Returns whether no other candidate can take the request now.
+    fn is_only_choice(&self, candidates: &[Candidate<'_>], index: usize) -> bool {
+        let holds = |candidate: &Candidate<'_>| {
+            let model = self.request.model.as_ref();
+            model.is_none_or(|model| candidate.engine.report.holds(model))
+        };
+        let others = (candidates.iter().enumerate()).filter(|(i, _)| *i != index);
+        !others
+            .map(|(_, candidate)| candidate)
+            .any(|c| c.closed.is_none() && !c.avoided && holds(c))
+    }
+
     /// Returns whether the model is loaded or being loaded at targets to which the stream may not go,
     /// so that no load at those of its own version is to be expected.
     fn is_model_outside_scope(&self, state: &State) -> bool {
@@ -300,6 +320,7 @@
             deadline: now + wait,
             at_most_once: !repeatable,
             predicted,
+            patience: Duration::ZERO,
             guard: InFlightGuard::new(shared, target.id.clone(), prefill, band, adapter),
             target,
         }
--- a/crates/serving/src/entry/state.rs
+++ b/crates/serving/src/entry/state.rs
@@ -8,19 +8,21 @@
 use kumquatkeel_core::retry::{AttemptResult, Ejector};
 use kumquatkeel_core::serving::{
     AdapterKey, Backlog, BandRates, Candidate, DemandMeter, DrainPlan, EngineReport, EngineSpec,
-    EngineState, FailureMeter, LimitTable, OriginTable, PrefillEstimator, ResidentModel,
-    RetryQuota, RouteTable, ServingConfig, StreamScope, Target, TargetId, origin_holders,
+    EngineState, FailureMeter, LimitTable, OriginTable, PermitHolder, PrefillEstimator,
+    ResidentModel, RetryQuota, RouteTable, ServingConfig, StreamScope, Target, TargetId, Urgency,
+    origin_holders,
 };
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_types::Timestamp;
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
 
 use super::daemon::EntrySettings;
 use super::quarantine::QuarantineState;
 use crate::feed::FeedEvent;
 use crate::gossip::{
-    AgentHeartbeat, BacklogReply, BacklogUpdate, Datagram, GossipSocket, OriginRecord, Stamp,
+    AgentHeartbeat, BacklogReply, BacklogUpdate, Datagram, GossipSocket, OriginRecord, PermitReply,
+    Stamp,
 };
 use crate::metrics::Instruments;
 use crate::net::{Pool, PoolLimits};
@@ -106,6 +108,11 @@
     pub(super) origins: OriginTable,
     /// The limits that targets name.
     pub(super) limits: LimitTable,
+    pub(super) permits: PermitHolder,
+    /// The requests that wait for a permit, by the number of their request for it.
+    pub(super) permit_waiters: HashMap<u64, oneshot::Sender<PermitReply>>,
+    /// The number of the last request for a permit.
+    pub(super) next_permit: u64,
     /// What is known of prompts that crash targets.
     pub(super) quarantine: QuarantineState,
     agents: HashMap<SocketAddr, AgentPeer>,
@@ -152,6 +159,9 @@
                 rates: BandRates::default(),
                 origins: OriginTable::default(),
                 limits: LimitTable::default(),
+                permits: PermitHolder::new(rand::random()),
+                permit_waiters: HashMap::new(),
+                next_permit: 0,
                 quarantine: QuarantineState::default(),
                 agents: HashMap::new(),
                 last_heartbeats: HashMap::new(),
@@ -383,6 +393,7 @@
         &'a self,
         shared: &Shared,
         targets: &'a [Arc<Target>],
+        urgency: Urgency,
         now: Timestamp,
     ) -> Vec<Candidate<'a>> {
         let candidate = |target: &'a Arc<Target>| {
@@ -397,6 +408,7 @@
                 },
                 penalty: self.failures.penalty(&target.id),
                 avoided: self.is_avoided(&target.id, now),
+                closed: self.closed_for(&target.id, urgency, now),
             }
         };
         targets.iter().map(candidate).collect()
@@ -414,6 +426,13 @@
         self.engines.get(id).is_some_and(|e| e.is_silent(now)) || self.ejector.is_ejected(id, now)
     }
 
+    /// Returns the time until a target accepts a request, by what it states about itself; `None` if
+    /// it does now.
+    fn closed_for(&self, id: &TargetId, urgency: Urgency, now: Timestamp) -> Option<Duration> {
+        self.limits.limit(id)?;
+        self.permits.closed_for(id, urgency, now)
+    }
+
     /// Returns whether an engine holds a model or is loading it.
     pub(super) fn expects_model(&self, id: &TargetId, model: &str) -> bool {
         let report = self.engines.get(id).map(|engine| &engine.report);
@@ -537,6 +556,7 @@
         self.ejector.retain(|id| table.get(id).is_some());
         self.failures.retain(|id| table.get(id).is_some());
         self.limits.retain(|id| table.get(id).is_some());
+        self.permits.retain(|id| table.get(id).is_some());
     }
 }
 
--- a/crates/serving/src/gossip.rs
+++ b/crates/serving/src/gossip.rs
@@ -6,11 +6,14 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use kumquatkeel_core::quarantine::{PartId, Verdict};
 use kumquatkeel_core::serving::{
-    AdapterKey, Backlog, EngineReport, LoadCommand, ModelDemand, StreamOrigin, TargetId,
+    AdapterKey, Backlog, EngineReport, LimitTable, LoadCommand, ModelDemand, PermitDecision,
+    RequestRate, StreamOrigin, TargetId, Urgency,
 };
+use kumquatkeel_types::Timestamp;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
@@ -173,6 +176,63 @@
     pub verdicts: Vec<Verdict>,
 }
 
+/// What a target last stated about the rate of requests that it accepts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct LimitRecord {
+    /// The incarnation that stated it.
+    pub target: TargetId,
+    /// The limit; `None` if the target names none any more.
+    pub rate: Option<RequestRate>,
+    /// How long ago the target stated it, in milliseconds.
+    pub age_ms: u32,
+}
+
+impl LimitRecord {
+    /// Returns what a table has on a target; `None` if the target has never named a limit.
+    pub fn from_table(table: &LimitTable, target: &TargetId, now: Timestamp) -> Option<Self> {
+        let (rate, stated) = table.statement(target)?;
+        Some(Self {
+            target: target.clone(),
+            rate,
+            age_ms: now.since(stated).as_millis().min(u128::from(u32::MAX)) as u32,
+        })
+    }
+
+    /// Takes the record over into a table; returns whether the limit changed.
+    pub fn merge_into(&self, table: &mut LimitTable, now: Timestamp) -> bool {
+        let age = Duration::from_millis(u64::from(self.age_ms));
+        let stated = Timestamp::from_micros(now.as_micros().saturating_sub(age.as_micros() as u64));
+        table.merge(&self.target, self.rate, stated)
+    }
+}
+
+/// Asks for a permit to send a request to a target that names a limit.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct PermitRequest {
+    /// Identifies the request among those of the sender.
+    pub number: u64,
+    /// The limit as the sender knows it.
+    pub limit: LimitRecord,
+    /// The urgency of the caller's request.
+    pub urgency: Urgency,
+    /// How long the caller's request may wait for the permit, in milliseconds.
+    pub patience_ms: u32,
+}
+
+/// The answer to a [`PermitRequest`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct PermitReply {
+    /// The number of the request.
+    pub number: u64,
+    /// The limit as the issuer knows it; `None` if the target has never named one.
+    pub limit: Option<LimitRecord>,
+    /// Whether and when the request may be sent.
+    pub decision: PermitDecision,
+}
+
 /// A datagram, encoded with postcard.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -205,6 +265,14 @@
     Sound(Vec<PartId>),
     /// From an entry to an agent and back: parts of prompts that crash targets.
     Quarantine(QuarantineNotice),
+    /// From an entry to the agent that issues permits for a target: request for a permit.
+    Permit(PermitRequest),
+    /// From an agent to an entry: answer to a request for a permit.
+    PermitReply(PermitReply),
+    /// From an entry to the agent that issues permits for a target: the target's limit has changed.
+    Limit(LimitRecord),
+    /// From the agent that issues permits to entries and other agents: a target's limit.
+    LimitNotice(LimitRecord),
 }
 
 /// Most suspects in one notice.
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -7,6 +7,7 @@
 use http::{Response, StatusCode};
 use http_body_util::Full;
 use kumquatkeel_core::response::Framing;
+use kumquatkeel_core::serving::PermitDecision;
 use kumquatkeel_daemon::metrics::{METRICS_CONTENT_TYPE, Metrics, MetricsError};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
@@ -30,6 +31,7 @@
     stream_ends: Counter<u64>,
     verdicts: Counter<u64>,
     limit_changes: Counter<u64>,
+    permits: Counter<u64>,
     first_byte: Histogram<f64>,
     predicted: Histogram<f64>,
     duration: Histogram<f64>,
@@ -57,6 +59,7 @@
             orders: meter.u64_counter("orders").build(),
             stream_ends: meter.u64_counter("stream_ends").build(),
             verdicts: meter.u64_counter("quarantine_verdicts").build(),
+            permits: meter.u64_counter("target_permits").build(),
             limit_changes: meter.u64_counter("target_limit_changes").build(),
             first_byte: histogram("first_byte"),
             predicted: histogram("first_byte_predicted"),
@@ -108,6 +111,16 @@
         self.limit_changes.add(1, &[]);
     }
 
+    /// Counts a decision on a request for a permit.
+    pub fn record_permit(&self, decision: PermitDecision) {
+        let decision = match decision {
+            PermitDecision::NotNeeded => "not_needed",
+            PermitDecision::Granted { .. } => "granted",
+            PermitDecision::Denied { .. } => "denied",
+        };
+        self.permits.add(1, &[KeyValue::new("decision", decision)]);
+    }
+
     /// Records the predicted and the observed time to the first byte.
     pub fn record_first_byte(&self, predicted: Duration, seen: Duration) {
         self.predicted.record(predicted.as_secs_f64(), &[]);
--- a/crates/serving/src/platform.rs
+++ b/crates/serving/src/platform.rs
@@ -229,6 +229,8 @@
     pub born: u64,
     /// The engine's state.
     pub report: EngineReport,
+    /// What the target states about itself in the head of its report.
+    pub notice: TargetNotice,
 }
 
 /// The client through which an agent reads and controls the target beside it.
--- a/crates/serving/tests/agent.rs
+++ b/crates/serving/tests/agent.rs
@@ -12,7 +12,7 @@
 use async_trait::async_trait;
 use kumquatkeel_core::serving::{
     Backlog, Band, ClientLimits, EngineOrder, EngineReport, EngineSpec, ModelSpec, ResidentModel,
-    ServiceSpec, ServingConfig, Target, TargetId, TargetState,
+    ServiceSpec, ServingConfig, Target, TargetId, TargetNotice, TargetState,
 };
 use kumquatkeel_serving::agent::{Agent, AgentSettings};
 use kumquatkeel_serving::gossip::{
@@ -64,7 +64,11 @@
 impl EngineClient for Engine {
     async fn report(&self) -> Result<TargetStatus, PlatformError> {
         let (born, report) = self.state.lock().unwrap().clone();
-        Ok(TargetStatus { born, report })
+        Ok(TargetStatus {
+            born,
+            report,
+            notice: TargetNotice::default(),
+        })
     }
 
     async fn order(&self, _: &TargetId, order: &EngineOrder) -> Result<OrderReply, PlatformError> {
