feat(quarantine): a suspect is a part of prompts or a whole request; log requests by digest

The digest covers method, host, path with query, caller and body. PartId becomes Suspect, which both kinds have in common; text, stored objects and the command line keep the names of parts. Nothing is blamed on requests yet.

--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -6,11 +6,13 @@
 //! which all processes exchange until each knows the newest.
 
 mod evidence;
-mod part;
+mod request_digest;
+mod suspect;
 mod table;
 mod verdict;
 
 pub use evidence::{CONVICTING_CRASHES, CrashEvidence, OBJECTION_TIME};
-pub use part::PartId;
+pub use request_digest::RequestDigest;
+pub use suspect::Suspect;
 pub use table::{QUARANTINE_TTL, QuarantineTable};
 pub use verdict::Verdict;
--- a/crates/core/src/quarantine/table.rs
+++ b/crates/core/src/quarantine/table.rs
@@ -5,10 +5,10 @@
 
 use kumquatkeel_types::Timestamp;
 
-use super::part::PartId;
+use super::suspect::Suspect;
 use super::verdict::Verdict;
 
-/// How long a part stays in quarantine. Afterwards a single crash brings it back.
+/// How long a suspect stays in quarantine. Afterwards a single crash brings it back.
 pub const QUARANTINE_TTL: Duration = Duration::from_mins(15);
 /// Most verdicts that are kept; those in quarantine go before others, and newer ones before older.
 const MAX_VERDICTS: usize = 256;
@@ -20,35 +20,35 @@
     since: Timestamp,
 }
 
-/// The verdicts on parts of prompts; tables of several processes merge to the same content.
+/// The verdicts on suspects; tables of several processes merge to the same content.
 ///
 /// # Examples
 ///
 /// ```
-/// use kumquatkeel_core::quarantine::{PartId, QuarantineTable};
+/// use kumquatkeel_core::quarantine::{Suspect, QuarantineTable};
 /// use kumquatkeel_types::Timestamp;
 ///
-/// let (part, now) = (PartId::of("5c1e07a2"), Timestamp::ZERO);
+/// let (suspect, now) = (Suspect::part("5c1e07a2"), Timestamp::ZERO);
 /// let mut agent = QuarantineTable::default();
-/// agent.convict(part.clone(), now);
+/// agent.convict(suspect.clone(), now);
 /// let mut entry = QuarantineTable::default();
 /// entry.merge(agent.verdicts(), now);
-/// assert!(entry.find(&[part], now).is_some());
+/// assert!(entry.find(&[suspect], now).is_some());
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct QuarantineTable {
-    records: BTreeMap<PartId, Record>,
+    records: BTreeMap<Suspect, Record>,
 }
 
 impl QuarantineTable {
-    /// Puts a part in quarantine; returns the verdict if that is new.
-    pub fn convict(&mut self, part: PartId, now: Timestamp) -> Option<Verdict> {
-        self.decide(part, true, now)
+    /// Puts a suspect in quarantine; returns the verdict if that is new.
+    pub fn convict(&mut self, suspect: Suspect, now: Timestamp) -> Option<Verdict> {
+        self.decide(suspect, true, now)
     }
 
-    /// Ends the quarantine of a part; returns the verdict if that is new.
-    pub fn release(&mut self, part: PartId, now: Timestamp) -> Option<Verdict> {
-        self.decide(part, false, now)
+    /// Ends the quarantine of a suspect; returns the verdict if that is new.
+    pub fn release(&mut self, suspect: Suspect, now: Timestamp) -> Option<Verdict> {
+        self.decide(suspect, false, now)
     }
 
     /// Takes over the verdicts that are newer than the known ones; returns those.
@@ -59,7 +59,7 @@
     ) -> Vec<Verdict> {
         let mut newer = Vec::new();
         for verdict in verdicts {
-            let known = self.records.get(&verdict.part).map_or(0, |r| r.epoch);
+            let known = self.records.get(&verdict.suspect).map_or(0, |r| r.epoch);
             if verdict.epoch > known {
                 self.insert(verdict.clone(), now);
                 newer.push(verdict);
@@ -68,59 +68,65 @@
         newer
     }
 
-    /// Returns a part that is in quarantine, and for how much longer; `None` if none of `parts` is.
-    pub fn find<'a>(&self, parts: &'a [PartId], now: Timestamp) -> Option<(&'a PartId, Duration)> {
-        let quarantined = parts.iter().filter_map(|part| {
-            let record = self.records.get(part)?;
+    /// Returns a suspect that is in quarantine, and for how much longer; `None` if none of `suspects` is.
+    pub fn find<'a>(
+        &self,
+        suspects: &'a [Suspect],
+        now: Timestamp,
+    ) -> Option<(&'a Suspect, Duration)> {
+        let quarantined = suspects.iter().filter_map(|suspect| {
+            let record = self.records.get(suspect)?;
             let left = QUARANTINE_TTL.saturating_sub(now.since(record.since));
-            (record.epoch % 2 == 1).then_some((part, left))
+            (record.epoch % 2 == 1).then_some((suspect, left))
         });
         quarantined.max_by_key(|(_, left)| *left)
     }
 
-    /// Returns whether a part has ever been in quarantine.
-    pub fn was_convicted(&self, part: &PartId) -> bool {
-        self.records.contains_key(part)
+    /// Returns whether a suspect has ever been in quarantine.
+    pub fn was_convicted(&self, suspect: &Suspect) -> bool {
+        self.records.contains_key(suspect)
     }
 
     /// Ends quarantines that have lasted for [`QUARANTINE_TTL`]; returns the new verdicts.
     pub fn expire(&mut self, now: Timestamp) -> Vec<Verdict> {
         let over = |r: &Record| r.epoch % 2 == 1 && now.since(r.since) >= QUARANTINE_TTL;
         let over = self.records.iter().filter(|(_, r)| over(r));
-        let parts: Vec<PartId> = over.map(|(part, _)| part.clone()).collect();
-        let released = parts.into_iter().filter_map(|part| self.release(part, now));
+        let suspects: Vec<Suspect> = over.map(|(suspect, _)| suspect.clone()).collect();
+        let released = suspects
+            .into_iter()
+            .filter_map(|suspect| self.release(suspect, now));
         released.collect()
     }
 
     /// Returns all verdicts, for other processes.
     pub fn verdicts(&self) -> impl Iterator<Item = Verdict> + '_ {
-        let verdict = |(part, record): (&PartId, &Record)| Verdict {
-            part: part.clone(),
+        let verdict = |(suspect, record): (&Suspect, &Record)| Verdict {
+            suspect: suspect.clone(),
             epoch: record.epoch,
         };
         self.records.iter().map(verdict)
     }
 
-    fn decide(&mut self, part: PartId, quarantine: bool, now: Timestamp) -> Option<Verdict> {
-        let epoch = self.records.get(&part).map_or(0, |r| r.epoch);
+    fn decide(&mut self, suspect: Suspect, quarantine: bool, now: Timestamp) -> Option<Verdict> {
+        let epoch = self.records.get(&suspect).map_or(0, |r| r.epoch);
         if (epoch % 2 == 1) == quarantine {
             return None;
         }
         let epoch = epoch + 1;
-        let verdict = Verdict { part, epoch };
+        let verdict = Verdict { suspect, epoch };
         self.insert(verdict.clone(), now);
         Some(verdict)
     }
 
-    fn insert(&mut self, Verdict { part, epoch }: Verdict, now: Timestamp) {
-        self.records.insert(part, Record { epoch, since: now });
+    fn insert(&mut self, Verdict { suspect, epoch }: Verdict, now: Timestamp) {
+        self.records.insert(suspect, Record { epoch, since: now });
         if self.records.len() > MAX_VERDICTS {
             let least = self
                 .records
                 .iter()
                 .min_by_key(|(_, r)| (r.epoch % 2, r.since));
-            if let Some(part) = least.map(|(part, _)| part.clone()) {
-                self.records.remove(&part);
+            if let Some(suspect) = least.map(|(suspect, _)| suspect.clone()) {
+                self.records.remove(&suspect);
             }
         }
     }
--- a/crates/core/src/serving/request.rs
+++ b/crates/core/src/serving/request.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::config::CallKind;
-use crate::quarantine::PartId;
+use crate::quarantine::Suspect;
 
 /// Token counts of a generation.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -45,7 +45,7 @@
     pub usage: Usage,
     /// The parts of the prompt that requests may share, in order; without the last, which belongs to
     /// the request alone.
-    pub parts: Arc<[PartId]>,
+    pub parts: Arc<[Suspect]>,
     /// The stream that the request resumes; `None` for a new request.
     pub resume: Option<ResumedStream>,
 }
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use kumquatkeel_core::quarantine::{
-    CONVICTING_CRASHES, CrashEvidence, OBJECTION_TIME, PartId, QUARANTINE_TTL, QuarantineTable,
+    CONVICTING_CRASHES, CrashEvidence, OBJECTION_TIME, QUARANTINE_TTL, QuarantineTable, Suspect,
     Verdict,
 };
 use kumquatkeel_types::Timestamp;
@@ -20,8 +20,8 @@
     Timestamp::from_millis(milliseconds)
 }
 
-fn part(name: &str) -> PartId {
-    PartId::of(name)
+fn part(name: &str) -> Suspect {
+    Suspect::part(name)
 }
 
 /// Records a crash of another target each second.
@@ -30,7 +30,7 @@
     evidence.record_crash(&format!("t{second}"), parts, at(second * 1_000));
 }
 
-fn culprits(evidence: &CrashEvidence, second: u64) -> Vec<PartId> {
+fn culprits(evidence: &CrashEvidence, second: u64) -> Vec<Suspect> {
     evidence.culprits(|_| false, at(second * 1_000))
 }
 
@@ -177,7 +177,7 @@
 }
 
 /// Requests in flight at one target, each with its parts.
-type Running = Vec<Vec<PartId>>;
+type Running = Vec<Vec<Suspect>>;
 
 /// Simulates targets that crash on one part or at random, entries that lose reports, and one agent
 /// that judges.
@@ -211,7 +211,7 @@
         }
     }
 
-    fn sound_request(&mut self) -> Vec<PartId> {
+    fn sound_request(&mut self) -> Vec<Suspect> {
         let shared = self.rng.random_range(0..3);
         let topic = self.rng.random_range(0..90);
         vec![
@@ -221,7 +221,7 @@
     }
 
     /// Sends a request to a random target, unless it is rejected.
-    fn send(&mut self, parts: Vec<PartId>, bad: bool, now: u64) {
+    fn send(&mut self, parts: Vec<Suspect>, bad: bool, now: u64) {
         let rejected = self.table.find(&parts, at(now)).is_some();
         if !bad {
             *self.sound_rejected.entry(rejected).or_default() += 1;
@@ -244,7 +244,7 @@
             let entry = self.rng.random_range(0..self.entries.len());
             let entry = &self.entries[entry];
             let suspected = parts.into_iter().filter(|p| !entry.is_sound(p, at(now)));
-            let suspected: Vec<PartId> = suspected.collect();
+            let suspected: Vec<Suspect> = suspected.collect();
             // Each report is sent several times.
             if !self.rng.random_bool(self.loss.powi(3)) {
                 self.agent.record_crash(&id, suspected, at(now));
@@ -253,7 +253,7 @@
     }
 
     /// Runs the requests of 50 ms: those of a target with the bad part crash it, others complete.
-    fn step(&mut self, bad: &PartId, now: u64) {
+    fn step(&mut self, bad: &Suspect, now: u64) {
         for target in 0..self.targets.len() {
             if self.targets[target].iter().any(|parts| parts.contains(bad)) {
                 self.bad_crashes.push(now);
@@ -311,9 +311,9 @@
         count(true) as f64 / (count(true) + count(false)) as f64
     }
 
-    fn quarantined(&self) -> BTreeSet<PartId> {
+    fn quarantined(&self) -> BTreeSet<Suspect> {
         let verdicts = self.table.verdicts().filter(Verdict::is_quarantined);
-        verdicts.map(|v| v.part).collect()
+        verdicts.map(|v| v.suspect).collect()
     }
 }
 
--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -77,7 +77,7 @@
     pub(super) origins: OriginTable,
     /// What is known of targets that name a limit.
     pub(super) permits: PermitState,
-    /// What is known of prompts that crash targets.
+    /// What is known of requests that crash targets.
     pub(super) quarantine: QuarantineState,
     /// Where verdicts are kept; `None` if they end with the processes.
     pub(super) verdict_store: Option<Arc<dyn VerdictStore>>,
@@ -149,7 +149,7 @@
         })
     }
 
-    /// Keeps the verdicts on parts of prompts in a store, where agents that start find them.
+    /// Keeps the verdicts on suspects in a store, where agents that start find them.
     #[must_use]
     pub fn keep_verdicts(mut self, store: Arc<dyn VerdictStore>) -> Self {
         self.verdict_store = Some(store);
--- a/crates/serving/src/agent/quarantine.rs
+++ b/crates/serving/src/agent/quarantine.rs
@@ -1,10 +1,10 @@
-//! Judges parts of prompts by the crashes that entries report, and spreads the verdicts.
+//! Judges suspects by the crashes that entries report, and spreads the verdicts.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use kumquatkeel_core::quarantine::{CrashEvidence, PartId, QuarantineTable, Verdict};
+use kumquatkeel_core::quarantine::{CrashEvidence, QuarantineTable, Suspect, Verdict};
 use kumquatkeel_types::Timestamp;
 use tokio::sync::watch;
 
@@ -20,7 +20,7 @@
 /// How long an entry that has reported a crash is sent notices without a heartbeat of its own.
 const REPORTER_TTL: Duration = Duration::from_secs(10);
 
-/// What an agent knows of prompts that crash targets.
+/// What an agent knows of requests that crash targets.
 #[derive(Debug, Default)]
 pub(super) struct QuarantineState {
     evidence: CrashEvidence,
@@ -45,25 +45,25 @@
             .retain(|(entry, at)| *entry != from && now.since(*at) < REPORTER_TTL);
         state.reporters.push((from, now));
         log::info!(
-            target_id:% = report.target, entry:% = from, parts:serde = report.parts;
+            target_id:% = report.target, entry:% = from, suspects:serde = report.suspects;
             "crash reported"
         );
         let target = report.target.as_str();
-        state.evidence.record_crash(target, report.parts, now);
+        state.evidence.record_crash(target, report.suspects, now);
         if now.since(state.last_notice) >= MIN_NOTICE_INTERVAL {
             self.send_notices();
         }
     }
 
-    /// Records that an entry has seen requests with suspected parts complete.
-    pub(super) fn handle_sound(&mut self, parts: Vec<PartId>) {
+    /// Records that an entry has seen requests with suspects complete.
+    pub(super) fn handle_sound(&mut self, suspects: Vec<Suspect>) {
         let now = self.clock.now();
         let state = &mut self.quarantine;
-        let released = parts
+        let released = suspects
             .iter()
             .filter_map(|p| state.verdicts.release(p.clone(), now));
         let released: Vec<Verdict> = released.collect();
-        state.evidence.record_sound(parts, now);
+        state.evidence.record_sound(suspects, now);
         self.announce(&released);
     }
 
@@ -85,10 +85,10 @@
         let QuarantineState {
             evidence, verdicts, ..
         } = &mut self.quarantine;
-        let culprits = evidence.culprits(|part| verdicts.was_convicted(part), now);
+        let culprits = evidence.culprits(|suspect| verdicts.was_convicted(suspect), now);
         let convicted = culprits
             .into_iter()
-            .filter_map(|part| verdicts.convict(part, now));
+            .filter_map(|suspect| verdicts.convict(suspect, now));
         let mut decided: Vec<Verdict> = convicted.collect();
         decided.extend(verdicts.expire(now));
         self.announce(&decided);
@@ -107,7 +107,7 @@
         for verdict in verdicts {
             let quarantined = verdict.is_quarantined();
             self.instruments.record_verdict(quarantined);
-            log::warn!(part:% = verdict.part, quarantined; "verdict on a part of prompts");
+            log::warn!(suspect:% = verdict.suspect, quarantined; "quarantine verdict");
         }
         self.send_notices();
     }
--- a/crates/serving/src/agent/verdicts.rs
+++ b/crates/serving/src/agent/verdicts.rs
@@ -1,10 +1,10 @@
-//! Keeps the verdicts on parts of prompts in the platform's store.
+//! Keeps the verdicts on suspects in the platform's store.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use kumquatkeel_core::quarantine::{PartId, Verdict};
+use kumquatkeel_core::quarantine::{Suspect, Verdict};
 use rand::RngExt;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
@@ -60,14 +60,14 @@
     known: &[Verdict],
 ) -> Result<Vec<Verdict>, PlatformError> {
     let stored = store.read_verdicts().await?;
-    let epochs = |verdicts: &[Verdict]| -> HashMap<PartId, u32> {
-        let epoch = |v: &Verdict| (v.part.clone(), v.epoch);
+    let epochs = |verdicts: &[Verdict]| -> HashMap<Suspect, u32> {
+        let epoch = |v: &Verdict| (v.suspect.clone(), v.epoch);
         verdicts.iter().map(epoch).collect()
     };
     let (in_store, here) = (epochs(&stored), epochs(known));
-    let is_newer = |verdict: &Verdict, others: &HashMap<PartId, u32>| {
+    let is_newer = |verdict: &Verdict, others: &HashMap<Suspect, u32>| {
         others
-            .get(&verdict.part)
+            .get(&verdict.suspect)
             .is_none_or(|epoch| *epoch < verdict.epoch)
     };
     for verdict in known.iter().filter(|v| is_newer(v, &in_store)) {
--- a/crates/serving/src/entry/exchange.rs
+++ b/crates/serving/src/entry/exchange.rs
@@ -1,10 +1,13 @@
 //! Drives one caller's request: selects a target, sends, waits, resends, refuses or responds.
 
 use std::io;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use http::{Response, StatusCode};
+use http::header::HOST;
+use http::uri::PathAndQuery;
+use http::{HeaderValue, Response, StatusCode};
+use kumquatkeel_core::quarantine::{RequestDigest, Suspect};
 use kumquatkeel_core::serving::{
     AttemptEnd, CallKind, CallerRequest, Recovery, RefusalReason, Route, StreamScope, TargetId,
     after_attempt, may_run_again,
@@ -49,6 +52,8 @@
     pub(super) broken_runs: u8,
     /// Whether the request has waited for a model or an adapter.
     pub(super) waited: bool,
+    /// What a crash under the request may be blamed on; empty until it is asked for.
+    suspects: OnceLock<Arc<[Suspect]>>,
     /// The outcome for logs and metrics; `None` until it is decided.
     pub(super) outcome: Option<&'static str>,
 }
@@ -78,10 +83,36 @@
             sends: 0,
             broken_runs: 0,
             waited: false,
+            suspects: OnceLock::new(),
             outcome: None,
         }
     }
 
+    /// Returns what a crash under the request may be blamed on: the request itself, and the shared parts
+    /// of its prompt.
+    pub(super) fn suspects(&self) -> &Arc<[Suspect]> {
+        self.suspects.get_or_init(|| {
+            let request = Suspect::Request(self.digest());
+            let parts = self.request.parts.iter().cloned();
+            std::iter::once(request).chain(parts).collect()
+        })
+    }
+
+    /// Returns the identity of the request: its method, host, path with query, caller and body.
+    fn digest(&self) -> RequestDigest {
+        let outgoing = &self.outgoing;
+        let host = outgoing.headers.get(HOST).map(HeaderValue::as_bytes);
+        let path = outgoing.uri.path_and_query().map(PathAndQuery::as_str);
+        let mut fields = vec![
+            outgoing.method.as_str().as_bytes(),
+            host.unwrap_or_default(),
+            path.unwrap_or_default().as_bytes(),
+            &outgoing.body,
+        ];
+        fields.extend(self.shared.dialect.caller_identity(&outgoing.headers));
+        RequestDigest::of(fields)
+    }
+
     pub(super) const fn deadline(&self) -> Instant {
         self.deadline
     }
@@ -241,7 +272,7 @@
                 log::info!(
                     request:% = self.request.attempt, target_id:% = target,
                     end:? = failure.end, reason = failure.reason,
-                    parts:serde = self.request.parts;
+                    suspects:serde = self.suspects();
                     "attempt failed"
                 );
             }
@@ -400,6 +431,7 @@
             outgoing: self.outgoing.clone(),
             scope: self.scope.clone(),
             tried: self.tried.clone(),
+            suspects: self.suspects.clone(),
             outcome,
             ..*self
         }
--- a/crates/serving/src/entry/quarantine.rs
+++ b/crates/serving/src/entry/quarantine.rs
@@ -1,7 +1,7 @@
-//! The entry's part in finding prompts that crash targets, and its knowledge of those found.
+//! The entry's part in finding requests that crash targets, and its knowledge of those found.
 //!
 //! An entry finds out which targets crashed under its requests, reports what it had there to a few
-//! agents, and objects if they suspect a part that it has seen complete. The agents' verdicts come
+//! agents, and objects if they suspect one that it has seen complete. The agents' verdicts come
 //! back with notices, which the entry spreads to all agents.
 
 use std::collections::{BTreeSet, HashMap};
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kumquatkeel_core::quarantine::{CrashEvidence, PartId, QuarantineTable};
+use kumquatkeel_core::quarantine::{CrashEvidence, QuarantineTable, Suspect};
 use kumquatkeel_core::serving::{TargetId, crash_holders};
 use kumquatkeel_types::Timestamp;
 use tokio::net::TcpStream;
@@ -30,7 +30,7 @@
 const NOTICE_INTERVAL: Duration = Duration::from_secs(1);
 /// How long the host of an agent is remembered after its target was last listed.
 const HOST_TTL: Duration = Duration::from_secs(30);
-/// Most parts in one report.
+/// Most suspects in one report.
 const MAX_REPORTED: usize = 128;
 
 /// How a run of a prompt ended.
@@ -47,14 +47,14 @@
 /// A crash that is being reported.
 #[derive(Debug)]
 struct Report {
-    parts: BTreeSet<PartId>,
+    suspects: BTreeSet<Suspect>,
     until: Timestamp,
 }
 
-/// What an entry knows of prompts that crash targets.
+/// What an entry knows of requests that crash targets.
 #[derive(Debug, Default)]
 pub(super) struct QuarantineState {
-    /// The parts that this entry has seen complete.
+    /// The suspects that this entry has seen complete.
     evidence: CrashEvidence,
     verdicts: QuarantineTable,
     reports: HashMap<TargetId, Report>,
@@ -64,38 +64,42 @@
 }
 
 impl QuarantineState {
-    /// Returns a part that is in quarantine, and for how much longer.
+    /// Returns a suspect that is in quarantine, and for how much longer.
     pub(super) fn find<'a>(
         &self,
-        parts: &'a [PartId],
+        suspects: &'a [Suspect],
         now: Timestamp,
-    ) -> Option<(&'a PartId, Duration)> {
-        self.verdicts.find(parts, now)
+    ) -> Option<(&'a Suspect, Duration)> {
+        self.verdicts.find(suspects, now)
     }
 
-    /// Records a crash; returns how many parts are suspected of it.
-    fn record_crash(&mut self, target: &TargetId, parts: &[PartId], now: Timestamp) -> usize {
+    /// Records a crash; returns how many suspects are suspected of it.
+    fn record_crash(&mut self, target: &TargetId, suspects: &[Suspect], now: Timestamp) -> usize {
         let evidence = &self.evidence;
-        let suspected = parts.iter().filter(|part| !evidence.is_sound(part, now));
+        let suspected = suspects
+            .iter()
+            .filter(|suspect| !evidence.is_sound(suspect, now));
         let report = self.reports.entry(target.clone()).or_insert(Report {
-            parts: BTreeSet::new(),
+            suspects: BTreeSet::new(),
             until: now.after(REPORT_TIME),
         });
-        report.parts.extend(suspected.cloned());
+        report.suspects.extend(suspected.cloned());
         report.until = now.after(REPORT_TIME);
-        report.parts.len()
+        report.suspects.len()
     }
 
     /// Returns the reports that are still to be sent.
     fn due_reports(&mut self, now: Timestamp) -> Vec<CrashReport> {
         self.reports.retain(|_, report| now < report.until);
         let reports = self.reports.iter().flat_map(|(target, report)| {
-            let parts: Vec<PartId> = report.parts.iter().cloned().collect();
-            let chunks: Vec<Vec<PartId>> =
-                parts.chunks(MAX_REPORTED).map(<[PartId]>::to_vec).collect();
-            chunks.into_iter().map(|parts| CrashReport {
+            let suspects: Vec<Suspect> = report.suspects.iter().cloned().collect();
+            let chunks: Vec<Vec<Suspect>> = suspects
+                .chunks(MAX_REPORTED)
+                .map(<[Suspect]>::to_vec)
+                .collect();
+            chunks.into_iter().map(|suspects| CrashReport {
                 target: target.clone(),
-                parts,
+                suspects,
             })
         });
         reports.collect()
@@ -103,48 +107,48 @@
 }
 
 impl Shared {
-    /// Records how a run of a prompt with these parts ended; where that may be a crash, calls the
+    /// Records how a run of a prompt with these suspects ended; where that may be a crash, calls the
     /// target to find out.
     pub(super) fn investigate(
         self: &Arc<Self>,
         target: &TargetId,
-        parts: &Arc<[PartId]>,
+        suspects: &Arc<[Suspect]>,
         end: RunEnd,
     ) {
-        if parts.is_empty() {
+        if suspects.is_empty() {
             return;
         }
         if end == RunEnd::Complete {
-            self.record_sound(parts);
+            self.record_sound(suspects);
             return;
         }
         let Some(address) = self.lock().objects.table.get(target).map(|t| t.address) else {
             return;
         };
-        let (shared, target, parts) = (self.clone(), target.clone(), parts.clone());
+        let (shared, target, suspects) = (self.clone(), target.clone(), suspects.clone());
         tokio::spawn(async move {
             sleep(PROBE_DELAY).await;
             match timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
-                Ok(Ok(_)) if end == RunEnd::Unmarked => shared.record_sound(&parts),
+                Ok(Ok(_)) if end == RunEnd::Unmarked => shared.record_sound(&suspects),
                 Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-                    shared.record_crash(&target, &parts);
+                    shared.record_crash(&target, &suspects);
                 }
                 _ => {}
             }
         });
     }
 
-    fn record_sound(&self, parts: &[PartId]) {
+    fn record_sound(&self, suspects: &[Suspect]) {
         let now = self.now();
         let mut state = self.lock();
         let evidence = &mut state.quarantine.evidence;
-        evidence.record_sound(parts.iter().cloned(), now);
+        evidence.record_sound(suspects.iter().cloned(), now);
     }
 
-    fn record_crash(&self, target: &TargetId, parts: &[PartId]) {
+    fn record_crash(&self, target: &TargetId, suspects: &[Suspect]) {
         let now = self.now();
-        let suspected = self.lock().quarantine.record_crash(target, parts, now);
-        log::warn!(target_id:% = target, parts:serde = parts, suspected; "target crashed under a request");
+        let suspected = self.lock().quarantine.record_crash(target, suspects, now);
+        log::warn!(target_id:% = target, suspects:serde = suspects, suspected; "target crashed under a request");
         self.send_crash_reports();
     }
 
@@ -195,11 +199,11 @@
         let mut state = self.lock();
         for verdict in state.quarantine.verdicts.merge(notice.verdicts, now) {
             let quarantined = verdict.is_quarantined();
-            log::warn!(part:% = verdict.part, quarantined; "verdict on a part of prompts");
+            log::warn!(suspect:% = verdict.suspect, quarantined; "quarantine verdict");
         }
         let evidence = &state.quarantine.evidence;
         let suspects = notice.suspects.into_iter();
-        let sound: Vec<PartId> = suspects.filter(|p| evidence.is_sound(p, now)).collect();
+        let sound: Vec<Suspect> = suspects.filter(|p| evidence.is_sound(p, now)).collect();
         drop(state);
         if !sound.is_empty() {
             self.gossip.send(from, &Datagram::Sound(sound));
--- a/crates/serving/src/entry/relay.rs
+++ b/crates/serving/src/entry/relay.rs
@@ -171,7 +171,7 @@
                 request:% = self.exchange.request.attempt, target_id:% = self.guard.target(),
                 framing:%, events = scanner.events(),
                 inside_event = scanner.is_inside_event(), fault,
-                parts:serde = self.exchange.request.parts;
+                suspects:serde = self.exchange.suspects();
                 "stream of the target ended"
             );
         }
--- a/crates/serving/src/entry/state.rs
+++ b/crates/serving/src/entry/state.rs
@@ -113,7 +113,7 @@
     pub(super) permit_waiters: HashMap<u64, oneshot::Sender<PermitReply>>,
     /// The number of the last request for a permit.
     pub(super) next_permit: u64,
-    /// What is known of prompts that crash targets.
+    /// What is known of requests that crash targets.
     pub(super) quarantine: QuarantineState,
     agents: HashMap<SocketAddr, AgentPeer>,
     /// When each agent was last sent a heartbeat.
--- a/crates/serving/src/gossip.rs
+++ b/crates/serving/src/gossip.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kumquatkeel_core::quarantine::{PartId, Verdict};
+use kumquatkeel_core::quarantine::{Suspect, Verdict};
 use kumquatkeel_core::serving::{
     AdapterKey, Backlog, EngineReport, LimitTable, LoadCommand, ModelDemand, PermitDecision,
     RequestRate, StreamOrigin, TargetId, Urgency,
@@ -160,18 +160,18 @@
 pub struct CrashReport {
     /// The incarnation that crashed.
     pub target: TargetId,
-    /// The shared parts of the prompts that the sender had there, without those that the sender has
-    /// seen complete.
-    pub parts: Vec<PartId>,
+    /// The requests that the sender had there and the shared parts of their prompts, without those that
+    /// the sender has seen complete.
+    pub suspects: Vec<Suspect>,
 }
 
-/// What the sender knows of parts of prompts that crash targets.
+/// What the sender knows of requests that crash targets.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct QuarantineNotice {
-    /// Parts that were at a crash; entries answer with those that they have seen complete. Only
+    /// Suspects that were at a crash; entries answer with those that they have seen complete. Only
     /// agents send them.
-    pub suspects: Vec<PartId>,
+    pub suspects: Vec<Suspect>,
     /// The verdicts that the sender knows.
     pub verdicts: Vec<Verdict>,
 }
@@ -261,9 +261,9 @@
     Origin(OriginRecord),
     /// From an entry to an agent: a target has crashed.
     Crash(CrashReport),
-    /// From an entry to an agent: requests with these suspected parts have completed.
-    Sound(Vec<PartId>),
-    /// From an entry to an agent and back: parts of prompts that crash targets.
+    /// From an entry to an agent: requests with these suspects have completed.
+    Sound(Vec<Suspect>),
+    /// From an entry to an agent and back: suspects and verdicts.
     Quarantine(QuarantineNotice),
     /// From an entry to the agent that issues permits for a target: request for a permit.
     Permit(PermitRequest),
@@ -285,7 +285,7 @@
 pub fn send_notice(
     socket: &GossipSocket,
     to: SocketAddr,
-    suspects: &[PartId],
+    suspects: &[Suspect],
     verdicts: &[Verdict],
 ) {
     let mut suspects = suspects[..suspects.len().min(MAX_SUSPECTS)].to_vec();
--- a/crates/serving/src/platform.rs
+++ b/crates/serving/src/platform.rs
@@ -116,7 +116,7 @@
     ) -> Result<FeedBatch, PlatformError>;
 }
 
-/// The platform's store as the place where verdicts on parts of prompts outlast all processes.
+/// The platform's store as the place where verdicts on suspects outlast all processes.
 #[async_trait]
 pub trait VerdictStore: Send + Sync {
     /// Reads all verdicts.
@@ -182,6 +182,9 @@
     /// Returns an error when a required header is missing or a header's value can't be parsed.
     fn read_request(&self, headers: &HeaderMap) -> Result<CallerRequest, RequestError>;
 
+    /// Returns the values of the headers that tell callers apart, in a fixed order.
+    fn caller_identity<'a>(&self, headers: &'a HeaderMap) -> Vec<&'a [u8]>;
+
     /// Turns a caller's headers into those for a target: drops headers that only the system may
     /// set and headers of a single connection, and adds the options.
     fn write_request(&self, headers: &HeaderMap, options: &ForwardOptions) -> HeaderMap;
--- a/crates/serving/tests/message_sizes.rs
+++ b/crates/serving/tests/message_sizes.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kumquatkeel_core::quarantine::{PartId, Verdict};
+use kumquatkeel_core::quarantine::{Suspect, Verdict};
 use kumquatkeel_core::serving::{
     AdapterKey, Backlog, CallKind, ClientLimits, EngineReport, ModelDemand, ResidentModel, Route,
     RouteShare, ServingConfig, TargetId,
@@ -72,13 +72,16 @@
     })
 }
 
-fn parts(count: usize) -> Vec<PartId> {
-    let part = |index| PartId::of(format!("{index:048}"));
+fn parts(count: usize) -> Vec<Suspect> {
+    let part = |index| Suspect::part(format!("{index:048}"));
     (0..count).map(part).collect()
 }
 
 fn notice(suspects: usize, verdicts: usize) -> Datagram {
-    let verdict = |part| Verdict { part, epoch: 1 };
+    let verdict = |part| Verdict {
+        suspect: part,
+        epoch: 1,
+    };
     Datagram::Quarantine(QuarantineNotice {
         suspects: parts(suspects),
         verdicts: parts(verdicts).into_iter().map(verdict).collect(),
@@ -88,7 +91,7 @@
 fn crash(count: usize) -> Datagram {
     Datagram::Crash(CrashReport {
         target: target(),
-        parts: parts(count),
+        suspects: parts(count),
     })
 }
 
