fix(quarantine): requests that crash targets are rejected after three crashes

Cause: crashes were blamed on parts of prompts alone. A request without a prompt had no identity, its crash was not reported, and its second attempt took one more target along.

Change: one quarantine judges both kinds of suspects. A request is blamed after three crashes; crashes at the same time count singly if it was at all of them. A part is blamed only if at least two of its crashes are without any one request, so that a request that comes again does not take its parts along. Only requests that were at a crash are watched for completion, and digests are computed only while there are such. A request whose target crashed before it came this time is not sent to a second target. Entries that start are sent the verdicts with their first heartbeat.

The property tests of quarantine have resends, power losses and a request as the cause.

--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -19,11 +19,16 @@
 const EVIDENCE_TTL: Duration = Duration::from_mins(5);
 /// Most crashes that are kept; the oldest are dropped first.
 const MAX_CRASHES: usize = 256;
+/// Crashes that a part must be at without any one request; else that request may be the cause.
+const MIN_OTHER_CRASHES: usize = 2;
 /// Most suspects that are kept for one crash.
-const MAX_PARTS: usize = 1_024;
+const MAX_SUSPECTS: usize = 1_024;
 /// Most suspects that are remembered as sound; the oldest are dropped first.
 const MAX_SOUND: usize = 16_384;
 
+/// The crashes of a suspect that count, by the number of their group.
+type CrashGroups = BTreeMap<u64, usize>;
+
 #[derive(Debug, Clone)]
 struct Crash {
     at: Timestamp,
@@ -35,8 +40,12 @@
 /// What is known of crashes and of suspects that did not cause them.
 ///
 /// A suspect is blamed if requests with it were at [`CONVICTING_CRASHES`] crashes that no other blamed
-/// suspect explains, and none has completed. A suspect that requests often have is safe from that, however
-/// many crashes it is at, as its other requests complete.
+/// suspect explains, and none has completed. A part that requests often have is safe from that, however
+/// many crashes it is at, as its other requests complete. Crashes at the same time count once, unless a
+/// request was at all of them.
+///
+/// A request that comes again takes the parts of its prompt from crash to crash, so a part is blamed only
+/// if at least two of its crashes are without any one request.
 ///
 /// # Examples
 ///
@@ -91,7 +100,7 @@
             self.crashes.insert(Arc::from(target), crash);
         }
         if let Some(crash) = self.crashes.get_mut(target) {
-            let room = MAX_PARTS.saturating_sub(crash.suspects.len());
+            let room = MAX_SUSPECTS.saturating_sub(crash.suspects.len());
             crash.suspects.extend(suspects.into_iter().take(room));
         }
         if self.crashes.len() > MAX_CRASHES {
@@ -125,10 +134,10 @@
     /// Returns the suspects that were at a crash and are not known to be sound, those at the most
     /// crashes first.
     pub fn suspects(&self, now: Timestamp) -> Vec<Suspect> {
-        let groups = self.groups(&BTreeSet::new(), now);
-        let mut suspects: Vec<(usize, Suspect)> = groups
+        let support = self.support(&BTreeSet::new(), now);
+        let mut suspects: Vec<(usize, Suspect)> = support
             .iter()
-            .map(|(suspect, groups)| (groups.len(), suspect.clone()))
+            .map(|(suspect, groups)| (crash_count(groups), suspect.clone()))
             .collect();
         suspects.sort_unstable_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
         suspects.into_iter().map(|(_, suspect)| suspect).collect()
@@ -136,7 +145,7 @@
 
     /// Returns the suspects that are to blame for crashes.
     ///
-    /// The suspect at the most crashes comes first: what it explains counts against no other suspect.
+    /// The suspect at the most crashes comes first: what it explains counts against no other.
     ///
     /// `on_probation` returns whether a suspect was in quarantine before; one crash convicts it again.
     pub fn culprits(
@@ -146,18 +155,25 @@
     ) -> Vec<Suspect> {
         let ripe = |at: Timestamp| now.since(at) >= OBJECTION_TIME;
         let mut culprits = BTreeSet::new();
+        let all = self.support(&culprits, now);
         loop {
-            let groups = self.groups(&culprits, now);
-            let most = groups.values().map(BTreeSet::len).max().unwrap_or_default();
-            let is_culprit = |suspect: &Suspect, count: usize| {
-                (count == most && count >= CONVICTING_CRASHES) || on_probation(suspect)
+            let support = self.support(&culprits, now);
+            let is_convictable = |suspect: &Suspect, groups: &CrashGroups| {
+                crash_count(groups) >= CONVICTING_CRASHES
+                    && (suspect.is_request() || has_other_requests(groups, &all))
             };
-            let found = groups.iter().filter(|(suspect, groups)| {
+            let convictable = support.iter().filter(|(suspect, groups)| {
                 !culprits.contains(*suspect)
-                    && is_culprit(suspect, groups.len())
+                    && (on_probation(suspect) || is_convictable(suspect, groups))
                     && self.first_crash(suspect).is_some_and(ripe)
             });
-            let found: Vec<Suspect> = found.map(|(suspect, _)| suspect.clone()).collect();
+            let counts = convictable.map(|(suspect, groups)| (suspect, crash_count(groups)));
+            let counts: Vec<(&Suspect, usize)> = counts.collect();
+            let most = counts.iter().map(|(_, count)| *count).max();
+            let found: Vec<Suspect> = (counts.into_iter())
+                .filter(|(suspect, count)| Some(*count) == most || on_probation(suspect))
+                .map(|(suspect, _)| suspect.clone())
+                .collect();
             if found.is_empty() {
                 return culprits.into_iter().collect();
             }
@@ -165,27 +181,47 @@
         }
     }
 
-    /// Returns the groups of crashes at which each suspect was that is not known to be sound, without
-    /// the crashes that `explained` suspects were at.
-    fn groups(
+    /// Returns the crashes at which each suspect was that is not known to be sound, without those that
+    /// `explained` suspects account for.
+    ///
+    /// A blamed request accounts for no crash of a part: whether the part is to blame as well shows in
+    /// the crashes of other requests.
+    fn support(
         &self,
         explained: &BTreeSet<Suspect>,
         now: Timestamp,
-    ) -> BTreeMap<Suspect, BTreeSet<u64>> {
-        let mut groups = BTreeMap::<Suspect, BTreeSet<u64>>::new();
-        let recent = self
-            .crashes
-            .values()
-            .filter(|c| now.since(c.at) < EVIDENCE_TTL);
-        for crash in recent.filter(|c| c.suspects.is_disjoint(explained)) {
-            for suspect in crash.suspects.iter().filter(|p| !self.is_sound(p, now)) {
-                groups
-                    .entry(suspect.clone())
-                    .or_default()
-                    .insert(crash.group);
+    ) -> BTreeMap<Suspect, CrashGroups> {
+        let recent = |crash: &&Crash| now.since(crash.at) < EVIDENCE_TTL;
+        let mut sizes = CrashGroups::new();
+        let mut support = BTreeMap::<Suspect, CrashGroups>::new();
+        for crash in self.crashes.values().filter(recent) {
+            *sizes.entry(crash.group).or_default() += 1;
+            let mut explaining = crash.suspects.intersection(explained).peekable();
+            let by_any = explaining.peek().is_some();
+            let by_part = explaining.any(|suspect| !suspect.is_request());
+            let open = |suspect: &&Suspect| {
+                let accounted = if suspect.is_request() {
+                    by_any
+                } else {
+                    by_part
+                };
+                !accounted && !self.is_sound(suspect, now)
+            };
+            for suspect in crash.suspects.iter().filter(open) {
+                let groups = support.entry(suspect.clone()).or_default();
+                *groups.entry(crash.group).or_default() += 1;
             }
         }
-        groups
+        for (suspect, groups) in &mut support {
+            for (group, count) in groups {
+                // A power loss also ends targets where the request is not.
+                let at_all = sizes.get(group) == Some(count);
+                if !suspect.is_request() || !at_all {
+                    *count = 1;
+                }
+            }
+        }
+        support
     }
 
     fn first_crash(&self, suspect: &Suspect) -> Option<Timestamp> {
@@ -201,3 +237,19 @@
         self.sound.retain(|_, at| now.since(*at) < EVIDENCE_TTL);
     }
 }
+
+fn crash_count(groups: &CrashGroups) -> usize {
+    groups.values().sum()
+}
+
+/// Returns whether no single request accounts for the crashes of a part.
+fn has_other_requests(part: &CrashGroups, support: &BTreeMap<Suspect, CrashGroups>) -> bool {
+    let requests = support.iter().filter(|(suspect, _)| suspect.is_request());
+    let without = |request: &CrashGroups| {
+        let others = part.keys().filter(|group| !request.contains_key(group));
+        others.count()
+    };
+    requests
+        .map(|(_, groups)| without(groups))
+        .all(|others| others >= MIN_OTHER_CRASHES)
+}
--- a/crates/core/src/quarantine/table.rs
+++ b/crates/core/src/quarantine/table.rs
@@ -82,6 +82,11 @@
         quarantined.max_by_key(|(_, left)| *left)
     }
 
+    /// Returns whether there is a verdict on a request.
+    pub fn has_requests(&self) -> bool {
+        self.records.keys().any(Suspect::is_request)
+    }
+
     /// Returns whether a suspect has ever been in quarantine.
     pub fn was_convicted(&self, suspect: &Suspect) -> bool {
         self.records.contains_key(suspect)
--- a/crates/core/src/serving/request.rs
+++ b/crates/core/src/serving/request.rs
@@ -76,14 +76,16 @@
     Fail,
 }
 
-/// Runs of one prompt that may end with the connection to their target. A third might crash a third
+/// Runs of one request that may end with the connection to their target. A third might crash a third
 /// target.
 const MAX_BROKEN_RUNS: u8 = 2;
 
-/// Returns whether a prompt may be sent to another target after this many of its runs ended with the
-/// connection to their target, as those of a prompt that crashes targets do.
-pub const fn may_run_again(broken_runs: u8) -> bool {
-    broken_runs < MAX_BROKEN_RUNS
+/// Returns whether a request may be sent to another target after this many of its runs ended with the
+/// connection to their target, as those of a request that crashes targets do.
+///
+/// `suspected` states whether a target had crashed under the request before it came this time.
+pub const fn may_run_again(broken_runs: u8, suspected: bool) -> bool {
+    broken_runs < MAX_BROKEN_RUNS && !(suspected && broken_runs > 0)
 }
 
 /// Returns the recovery from an attempt that ended with `end`.
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -7,14 +7,15 @@
 use std::time::Duration;
 
 use kumquatkeel_core::quarantine::{
-    CONVICTING_CRASHES, CrashEvidence, OBJECTION_TIME, QUARANTINE_TTL, QuarantineTable, Suspect,
-    Verdict,
+    CONVICTING_CRASHES, CrashEvidence, OBJECTION_TIME, QUARANTINE_TTL, QuarantineTable,
+    RequestDigest, Suspect, Verdict,
 };
 use kumquatkeel_types::Timestamp;
 use proptest::prelude::*;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use rstest::rstest;
 
 fn at(milliseconds: u64) -> Timestamp {
     Timestamp::from_millis(milliseconds)
@@ -24,6 +25,10 @@
     Suspect::part(name)
 }
 
+fn request(name: &str) -> Suspect {
+    Suspect::Request(RequestDigest::of([name.as_bytes()]))
+}
+
 /// Records a crash of another target each second.
 fn crash(evidence: &mut CrashEvidence, second: u64, parts: &[&str]) {
     let parts = parts.iter().map(|name| part(name));
@@ -109,6 +114,80 @@
     );
 }
 
+/// Records a crash of another target each second, with requests and parts.
+fn crash_under(evidence: &mut CrashEvidence, second: u64, suspects: &[Suspect]) {
+    let id = format!("t{second}");
+    evidence.record_crash(&id, suspects.iter().cloned(), at(second * 1_000));
+}
+
+#[test]
+fn a_part_is_not_blamed_for_one_request_that_comes_again() {
+    let mut evidence = CrashEvidence::default();
+    for second in 1..=4 {
+        crash_under(&mut evidence, second, &[request("bad"), part("rare")]);
+    }
+    crash_under(&mut evidence, 5, &[request("other"), part("rare")]);
+    assert_eq!(culprits(&evidence, 6), [request("bad")]);
+}
+
+#[test]
+fn a_request_is_not_blamed_for_a_part_that_others_have_too() {
+    let mut evidence = CrashEvidence::default();
+    for second in 1..=3 {
+        let name = format!("request{second}");
+        crash_under(&mut evidence, second, &[request(&name), part("bad")]);
+    }
+    assert_eq!(culprits(&evidence, 4), [part("bad")]);
+}
+
+#[test]
+fn a_part_is_blamed_although_one_request_with_it_came_three_times() {
+    let mut evidence = CrashEvidence::default();
+    for second in 1..=3 {
+        crash_under(&mut evidence, second, &[request("first"), part("bad")]);
+    }
+    for second in 4..=5 {
+        let name = format!("request{second}");
+        crash_under(&mut evidence, second, &[request(&name), part("bad")]);
+    }
+    assert_eq!(culprits(&evidence, 6), [part("bad")]);
+}
+
+#[rstest]
+#[case::at_all_targets_that_crashed(3, true)]
+#[case::others_crashed_too(4, false)]
+fn a_request_at_targets_that_crash_at_once_is_no_victim_of_a_power_loss(
+    #[case] crashes: u64,
+    #[case] blamed: bool,
+) {
+    let mut evidence = CrashEvidence::default();
+    for crash in 0..crashes {
+        let suspects = (crash < 3).then(|| request("bad"));
+        evidence.record_crash(&format!("t{crash}"), suspects, at(1_000 + crash * 60));
+    }
+    let found = culprits(&evidence, 3);
+    assert_eq!(found.contains(&request("bad")), blamed);
+}
+
+#[test]
+fn a_sound_request_beside_a_culprit_is_not_blamed() {
+    let mut evidence = CrashEvidence::default();
+    for second in 1..=4 {
+        let beside = (second < 4).then(|| request("sound"));
+        let suspects: Vec<Suspect> = beside.into_iter().chain([request("bad")]).collect();
+        crash_under(&mut evidence, second, &suspects);
+    }
+    assert_eq!(culprits(&evidence, 5), [request("bad")]);
+}
+
+#[test]
+fn a_request_does_not_pass_for_a_part_of_the_same_name() {
+    let text = request("bad").to_string();
+    assert_eq!(Suspect::parse(&text), request("bad"));
+    assert_ne!(Suspect::part(&text).to_string(), text);
+    assert_eq!(Suspect::parse("request:12"), Suspect::part("request:12"));
+}
+
 #[test]
 fn a_released_part_returns_after_one_crash() {
     let mut table = QuarantineTable::default();
@@ -176,15 +255,24 @@
     }
 }
 
-/// Requests in flight at one target, each with its parts.
-type Running = Vec<Vec<Suspect>>;
+/// A request in flight at a target.
+#[derive(Debug, Clone)]
+struct Run {
+    /// The request and the parts of its prompt.
+    suspects: Vec<Suspect>,
+    bad: bool,
+    /// Whether an earlier run ended with a crash.
+    resent: bool,
+}
 
-/// Simulates targets that crash on one part or at random, entries that lose reports, and one agent
-/// that judges.
+/// Simulates targets that crash on one suspect or at random, entries that lose reports and send requests
+/// again, and one agent that judges.
 struct Simulation {
     rng: Pcg64Mcg,
-    targets: Vec<Running>,
+    targets: Vec<Vec<Run>>,
     incarnations: u64,
+    /// The number of requests so far.
+    requests: u64,
     /// What each entry has seen complete.
     entries: Vec<CrashEvidence>,
     agent: CrashEvidence,
@@ -199,8 +287,9 @@
     fn new(seed: u64, loss: f64) -> Self {
         Self {
             rng: Pcg64Mcg::seed_from_u64(seed),
-            targets: vec![Running::new(); 9],
+            targets: vec![Vec::new(); 9],
             incarnations: 0,
+            requests: 0,
             entries: vec![CrashEvidence::default(); 4],
             agent: CrashEvidence::default(),
             table: QuarantineTable::default(),
@@ -214,16 +303,19 @@
     fn sound_request(&mut self) -> Vec<Suspect> {
         let shared = self.rng.random_range(0..3);
         let topic = self.rng.random_range(0..90);
+        self.requests += 1;
         vec![
+            request(&self.requests.to_string()),
             part(&format!("shared{shared}")),
             part(&format!("topic{topic}")),
         ]
     }
 
     /// Sends a request to a random target, unless it is rejected.
-    fn send(&mut self, parts: Vec<Suspect>, bad: bool, now: u64) {
-        let rejected = self.table.find(&parts, at(now)).is_some();
-        if !bad {
+    fn send(&mut self, run: Run, now: u64) {
+        let rejected = self.table.find(&run.suspects, at(now)).is_some();
+        let bad = run.bad;
+        if !bad && !run.resent {
             *self.sound_rejected.entry(rejected).or_default() += 1;
         }
         if rejected {
@@ -233,40 +325,54 @@
             self.bad_arrivals.push(now);
         }
         let target = self.rng.random_range(0..self.targets.len());
-        self.targets[target].push(parts);
+        self.targets[target].push(run);
     }
 
     /// Ends a target with all that it runs; the entries report, and some reports are lost.
     fn crash(&mut self, target: usize, now: u64) {
         let id = format!("t{target}-{}", self.incarnations);
         self.incarnations += 1;
-        for parts in std::mem::take(&mut self.targets[target]) {
+        for run in std::mem::take(&mut self.targets[target]) {
             let entry = self.rng.random_range(0..self.entries.len());
             let entry = &self.entries[entry];
-            let suspected = parts.into_iter().filter(|p| !entry.is_sound(p, at(now)));
-            let suspected: Vec<Suspect> = suspected.collect();
+            let suspects = run.suspects.iter();
+            let suspected = suspects.filter(|p| !entry.is_sound(p, at(now)));
+            let suspected: Vec<Suspect> = suspected.cloned().collect();
             // Each report is sent several times.
             if !self.rng.random_bool(self.loss.powi(3)) {
                 self.agent.record_crash(&id, suspected, at(now));
             }
+            if !run.resent {
+                self.send(
+                    Run {
+                        resent: true,
+                        ..run
+                    },
+                    now,
+                );
+            }
         }
     }
 
-    /// Runs the requests of 50 ms: those of a target with the bad part crash it, others complete.
+    /// Runs the requests of 50 ms: those with the bad suspect crash their target, others complete.
     fn step(&mut self, bad: &Suspect, now: u64) {
+        let suspects: BTreeSet<Suspect> = self.agent.suspects(at(now)).into_iter().collect();
         for target in 0..self.targets.len() {
-            if self.targets[target].iter().any(|parts| parts.contains(bad)) {
+            if (self.targets[target].iter()).any(|run| run.suspects.contains(bad)) {
                 self.bad_crashes.push(now);
                 self.crash(target, now);
                 continue;
             }
             let running = std::mem::take(&mut self.targets[target]);
-            for parts in running {
+            for run in running {
                 if self.rng.random_bool(0.2) {
                     let entry = self.rng.random_range(0..self.entries.len());
-                    self.entries[entry].record_sound(parts, at(now));
+                    // Entries remember of suspected requests alone that they have completed.
+                    let known = (run.suspects.into_iter())
+                        .filter(|s| !s.is_request() || suspects.contains(s));
+                    self.entries[entry].record_sound(known, at(now));
                 } else {
-                    self.targets[target].push(parts);
+                    self.targets[target].push(run);
                 }
             }
         }
@@ -284,25 +390,52 @@
         }
     }
 
-    fn run(&mut self, seconds: u64, bad_rate: f64, crash_rate: f64) {
-        let bad = part("bad");
+    fn run(&mut self, bad: &Suspect, seconds: u64, bad_rate: f64, crash_rate: f64) {
+        // A request that comes again has the same parts each time.
+        let same_parts = self.sound_request().split_off(1);
         for now in (0..seconds * 1_000).step_by(50) {
             for _ in 0..2 {
-                let parts = self.sound_request();
-                self.send(parts, false, now);
+                let suspects = self.sound_request();
+                let (bad, resent) = (false, false);
+                self.send(
+                    Run {
+                        suspects,
+                        bad,
+                        resent,
+                    },
+                    now,
+                );
             }
             // The first seconds are without crashes, as sites have run for a while.
             if now > 5_000 && self.rng.random_bool(bad_rate) {
-                let mut parts = self.sound_request();
-                parts.insert(1, bad.clone());
-                self.send(parts, true, now);
+                let mut suspects = if bad.is_request() {
+                    same_parts.clone()
+                } else {
+                    self.sound_request()
+                };
+                suspects.push(bad.clone());
+                let (bad, resent) = (true, false);
+                self.send(
+                    Run {
+                        suspects,
+                        bad,
+                        resent,
+                    },
+                    now,
+                );
+            }
+            // A power loss ends all targets at once.
+            if now > 5_000 && self.rng.random_bool(crash_rate / 100.0) {
+                for target in 0..self.targets.len() {
+                    self.crash(target, now);
+                }
             }
             if now > 5_000 && self.rng.random_bool(crash_rate) {
                 let targets: Vec<usize> = (0..self.targets.len()).collect();
                 let target = targets.choose(&mut self.rng).copied().unwrap_or_default();
                 self.crash(target, now);
             }
-            self.step(&bad, now);
+            self.step(bad, now);
         }
     }
 
@@ -327,7 +460,7 @@
         seed in any::<u64>(), rate in 0.01..0.3_f64, crash_rate in 0.0..0.02_f64,
     ) {
         let mut simulation = Simulation::new(seed, 0.2);
-        simulation.run(90, rate, crash_rate);
+        simulation.run(&part("bad"), 90, rate, crash_rate);
         if let Some(fifth) = simulation.bad_crashes.get(4) {
             let late = simulation.bad_arrivals.iter().filter(|at| **at > fifth + 4_000);
             prop_assert!(late.count() <= 3, "{} crashes", simulation.bad_crashes.len());
@@ -336,11 +469,27 @@
         prop_assert!(rejected <= 0.1, "{rejected} of the sound requests rejected");
     }
 
+    /// The users' rule on requests: few retries reach targets from four seconds after the third crash on,
+    /// and sound requests go on, also those with the same parts.
+    #[test]
+    fn a_crashing_request_is_found_among_sound_ones(
+        seed in any::<u64>(), rate in 0.01..0.3_f64, crash_rate in 0.0..0.02_f64,
+    ) {
+        let mut simulation = Simulation::new(seed, 0.2);
+        simulation.run(&request("bad"), 90, rate, crash_rate);
+        if let Some(third) = simulation.bad_crashes.get(2) {
+            let late = simulation.bad_arrivals.iter().filter(|at| **at > third + 4_000);
+            prop_assert!(late.count() <= 3, "{} crashes", simulation.bad_crashes.len());
+        }
+        let rejected = simulation.share_of_sound_rejected();
+        prop_assert!(rejected <= 0.1, "{rejected} of the sound requests rejected");
+    }
+
     /// Crashes of other causes, one every few seconds, blame almost nothing.
     #[test]
     fn random_crashes_blame_no_frequent_part(seed in any::<u64>(), crash_rate in 0.0..0.05_f64) {
         let mut simulation = Simulation::new(seed, 0.2);
-        simulation.run(90, 0.0, crash_rate);
+        simulation.run(&part("bad"), 90, 0.0, crash_rate);
         let rejected = simulation.share_of_sound_rejected();
         prop_assert!(rejected <= 0.02, "{:?}: {rejected}", simulation.quarantined());
     }
--- a/crates/core/tests/serving_request.rs
+++ b/crates/core/tests/serving_request.rs
@@ -1,7 +1,7 @@
 //! Recovery from failed attempts: a caller is told "not run" only with proof, and only an
 //! idempotent request may run twice.
 
-use kumquatkeel_core::serving::{AttemptEnd, CallKind, Recovery, after_attempt};
+use kumquatkeel_core::serving::{AttemptEnd, CallKind, Recovery, after_attempt, may_run_again};
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -63,3 +63,16 @@
         prop_assert!(runs <= 1 || kind == CallKind::Idempotent);
     }
 }
+
+#[rstest]
+#[case::first_break(1, false, true)]
+#[case::second_break(2, false, false)]
+#[case::first_break_after_an_earlier_crash(1, true, false)]
+#[case::suspected_but_not_broken(0, true, true)]
+fn a_request_does_not_crash_one_target_after_the_other(
+    #[case] broken_runs: u8,
+    #[case] suspected: bool,
+    #[case] again: bool,
+) {
+    assert_eq!(may_run_again(broken_runs, suspected), again);
+}
--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -245,9 +245,13 @@
                     heartbeat.backlog = Backlog::default();
                     heartbeat.adapters.clear();
                 }
+                let is_new = !self.peers.knows_entry(from);
                 if self.peers.record_entry(from, &heartbeat, now) {
                     self.orders.record_use(&heartbeat.adapters, now);
                 }
+                if is_new {
+                    self.send_verdicts(from);
+                }
             }
             Datagram::Note(update) => {
                 if self.is_target(&update.target) {
--- a/crates/serving/src/agent/peers.rs
+++ b/crates/serving/src/agent/peers.rs
@@ -87,6 +87,11 @@
         true
     }
 
+    /// Returns whether an entry has been heard from recently.
+    pub(super) fn knows_entry(&self, entry: SocketAddr) -> bool {
+        self.entries.contains_key(&entry)
+    }
+
     /// Records the current backlog of an entry that is known.
     pub(super) fn record_backlog(
         &mut self,
--- a/crates/serving/src/agent/quarantine.rs
+++ b/crates/serving/src/agent/quarantine.rs
@@ -15,7 +15,7 @@
 const NOTICE_INTERVAL: Duration = Duration::from_millis(300);
 /// Shortest interval between two notices that follow from reports.
 const MIN_NOTICE_INTERVAL: Duration = Duration::from_millis(50);
-/// How long after the last report of a crash the suspects are sent.
+/// How long after the last report of a crash it is judged and the suspects are sent.
 const SUSPECT_TIME: Duration = Duration::from_secs(10);
 /// How long an entry that has reported a crash is sent notices without a heartbeat of its own.
 const REPORTER_TTL: Duration = Duration::from_secs(10);
@@ -34,6 +34,13 @@
     reporters: Vec<(SocketAddr, Timestamp)>,
 }
 
+impl QuarantineState {
+    /// Returns whether a crash was reported recently.
+    fn is_recent(&self, now: Timestamp) -> bool {
+        (self.last_report).is_some_and(|at| now.since(at) < SUSPECT_TIME)
+    }
+}
+
 impl Agent {
     /// Records a crash that an entry reports.
     pub(super) fn handle_crash(&mut self, from: SocketAddr, report: CrashReport) {
@@ -82,10 +89,15 @@
     /// Judges the reported crashes, and sends notices that are due.
     pub(super) fn judge_crashes(&mut self) {
         let now = self.clock.now();
+        let judges = self.quarantine.is_recent(now);
         let QuarantineState {
             evidence, verdicts, ..
         } = &mut self.quarantine;
-        let culprits = evidence.culprits(|suspect| verdicts.was_convicted(suspect), now);
+        let culprits = if judges {
+            evidence.culprits(|suspect| verdicts.was_convicted(suspect), now)
+        } else {
+            Vec::new()
+        };
         let convicted = culprits
             .into_iter()
             .filter_map(|suspect| verdicts.convict(suspect, now));
@@ -112,13 +124,20 @@
         self.send_notices();
     }
 
+    /// Sends the verdicts to an entry that has just started, which would pass on what others reject.
+    pub(super) fn send_verdicts(&self, entry: SocketAddr) {
+        let verdicts: Vec<Verdict> = self.quarantine.verdicts.verdicts().collect();
+        if !verdicts.is_empty() {
+            send_notice(&self.gossip, entry, &[], &verdicts);
+        }
+    }
+
     /// Sends the suspects and verdicts to all known entries, if there are any.
     fn send_notices(&mut self) {
         let now = self.clock.now();
         let state = &mut self.quarantine;
         state.last_notice = now;
-        let asks = (state.last_report).is_some_and(|at| now.since(at) < SUSPECT_TIME);
-        let suspects = if asks {
+        let suspects = if state.is_recent(now) {
             state.evidence.suspects(now)
         } else {
             Vec::new()
--- a/crates/serving/src/entry/exchange.rs
+++ b/crates/serving/src/entry/exchange.rs
@@ -8,10 +8,12 @@
 use http::uri::PathAndQuery;
 use http::{HeaderValue, Response, StatusCode};
 use kumquatkeel_core::quarantine::{RequestDigest, Suspect};
+use kumquatkeel_core::response::Framing;
 use kumquatkeel_core::serving::{
     AttemptEnd, CallKind, CallerRequest, Recovery, RefusalReason, Route, StreamScope, TargetId,
     after_attempt, may_run_again,
 };
+use kumquatkeel_types::Timestamp;
 use tokio::time::{Instant, timeout_at};
 
 use super::attempt::{
@@ -21,7 +23,7 @@
 use super::relay::Relay;
 use super::response::{ResponseBody, full_body, not_run_response, text_response};
 use super::selection::Step;
-use super::state::Shared;
+use super::state::{Shared, State};
 
 /// Largest `Retry-After` of a refusal, as a share of the caller's remaining time.
 const MAX_RETRY_AFTER_SHARE: f64 = 0.33;
@@ -292,8 +294,10 @@
             let Some(body) = read_full_body(from_target.body, head, self.deadline).await else {
                 let reason = "response body broke off, was too large or late";
                 let failure = AttemptFailure::new(AttemptEnd::Lost, reason);
+                self.record_broken_run(&from_target.guard.target().clone());
                 return self.recover(&failure, None);
             };
+            self.record_complete_run(from_target.guard.target(), from_target.framing);
             from_target.pooled.release();
             if !from_target.success {
                 let reason = format!("target failed with status {status}");
@@ -370,17 +374,53 @@
         }
     }
 
-    /// Returns whether the prompt may be sent to another target, as far as its broken runs decide.
+    /// Returns whether the request may be sent to another target, as far as its broken runs decide.
     fn may_run_again(&self) -> bool {
-        self.request.parts.is_empty() || may_run_again(self.broken_runs)
+        if self.broken_runs == 0 {
+            return true;
+        }
+        let is_request = |suspect: &&Suspect| suspect.is_request();
+        let request = self.suspects().iter().find(is_request);
+        let now = self.shared.now();
+        let state = self.shared.lock();
+        let suspected = request.is_some_and(|request| state.quarantine.is_suspected(request, now));
+        may_run_again(self.broken_runs, suspected)
+    }
+
+    /// Returns for how much longer the request is in quarantine, or a part of its prompt; `None` if
+    /// neither is.
+    pub(super) fn quarantine_left(&self, state: &State, now: Timestamp) -> Option<Duration> {
+        let found = state.quarantine.find(self.known_suspects(state), now);
+        found.map(|(_, left)| left)
+    }
+
+    /// Returns the suspects without the request itself where no request is known to be one, which
+    /// saves its digest.
+    fn known_suspects(&self, state: &State) -> &Arc<[Suspect]> {
+        if state.quarantine.concerns_requests() {
+            self.suspects()
+        } else {
+            &self.request.parts
+        }
+    }
+
+    /// Records a run whose answer is complete. The end of an answer that nothing marks may also be a
+    /// crash.
+    pub(super) fn record_complete_run(&self, target: &TargetId, framing: Framing) {
+        let end = match framing {
+            Framing::Connection => RunEnd::Unmarked,
+            Framing::Delimited => RunEnd::Complete,
+        };
+        let suspects = self.known_suspects(&self.shared.lock()).clone();
+        self.shared.investigate(target, &suspects, end);
     }
 
     /// Records a run that ended with the connection to its target, and finds out whether the target
     /// crashed.
     pub(super) fn record_broken_run(&mut self, target: &TargetId) {
         self.broken_runs += 1;
-        self.shared
-            .investigate(target, &self.request.parts, RunEnd::Broken);
+        let suspects = self.suspects();
+        self.shared.investigate(target, suspects, RunEnd::Broken);
     }
 
     fn refuse(&mut self, reason: RefusalReason, retry_after: Duration) -> Response<ResponseBody> {
--- a/crates/serving/src/entry/quarantine.rs
+++ b/crates/serving/src/entry/quarantine.rs
@@ -30,10 +30,14 @@
 const NOTICE_INTERVAL: Duration = Duration::from_secs(1);
 /// How long the host of an agent is remembered after its target was last listed.
 const HOST_TTL: Duration = Duration::from_secs(30);
+/// How long a request that was at a crash is watched.
+const WATCH_TTL: Duration = Duration::from_mins(5);
+/// Most requests that are watched; no others are added then.
+const MAX_WATCHED: usize = 8_192;
 /// Most suspects in one report.
 const MAX_REPORTED: usize = 128;
 
-/// How a run of a prompt ended.
+/// How a run of a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum RunEnd {
     /// With the end mark of its answer.
@@ -57,6 +61,9 @@
     /// The suspects that this entry has seen complete.
     evidence: CrashEvidence,
     verdicts: QuarantineTable,
+    /// The requests that were at a crash, and when that was learnt. Of no others is it remembered that
+    /// they have completed.
+    watched: HashMap<Suspect, Timestamp>,
     reports: HashMap<TargetId, Report>,
     /// When the target of each agent's host was last listed.
     hosts: HashMap<IpAddr, Timestamp>,
@@ -73,8 +80,43 @@
         self.verdicts.find(suspects, now)
     }
 
+    /// Returns whether a request may be a suspect, so that requests need their digests.
+    pub(super) fn concerns_requests(&self) -> bool {
+        !self.watched.is_empty() || self.verdicts.has_requests()
+    }
+
+    fn is_watched(&self, suspect: &Suspect) -> bool {
+        self.watched.contains_key(suspect)
+    }
+
+    /// Returns whether a target is known to have crashed under a request that has not completed since.
+    pub(super) fn is_suspected(&self, suspect: &Suspect, now: Timestamp) -> bool {
+        self.is_watched(suspect) && !self.evidence.is_sound(suspect, now)
+    }
+
+    /// Watches the requests among suspects.
+    fn watch<'a>(&mut self, suspects: impl IntoIterator<Item = &'a Suspect>, now: Timestamp) {
+        let requests = suspects.into_iter().filter(|suspect| suspect.is_request());
+        for request in requests {
+            if self.watched.len() < MAX_WATCHED || self.is_watched(request) {
+                self.watched.insert(request.clone(), now);
+            }
+        }
+    }
+
+    /// Records that a request with these suspects has completed.
+    fn record_sound(&mut self, suspects: &[Suspect], now: Timestamp) {
+        let is_known = |suspect: &&Suspect| {
+            let concerned = self.is_watched(suspect) || self.verdicts.was_convicted(suspect);
+            !suspect.is_request() || concerned
+        };
+        let known: Vec<Suspect> = suspects.iter().filter(is_known).cloned().collect();
+        self.evidence.record_sound(known, now);
+    }
+
     /// Records a crash; returns how many suspects are suspected of it.
     fn record_crash(&mut self, target: &TargetId, suspects: &[Suspect], now: Timestamp) -> usize {
+        self.watch(suspects, now);
         let evidence = &self.evidence;
         let suspected = suspects
             .iter()
@@ -91,6 +133,7 @@
     /// Returns the reports that are still to be sent.
     fn due_reports(&mut self, now: Timestamp) -> Vec<CrashReport> {
         self.reports.retain(|_, report| now < report.until);
+        self.watched.retain(|_, at| now.since(*at) < WATCH_TTL);
         let reports = self.reports.iter().flat_map(|(target, report)| {
             let suspects: Vec<Suspect> = report.suspects.iter().cloned().collect();
             let chunks: Vec<Vec<Suspect>> = suspects
@@ -107,7 +150,7 @@
 }
 
 impl Shared {
-    /// Records how a run of a prompt with these suspects ended; where that may be a crash, calls the
+    /// Records how a run of a request with these suspects ended; where that may be a crash, calls the
     /// target to find out.
     pub(super) fn investigate(
         self: &Arc<Self>,
@@ -141,8 +184,7 @@
     fn record_sound(&self, suspects: &[Suspect]) {
         let now = self.now();
         let mut state = self.lock();
-        let evidence = &mut state.quarantine.evidence;
-        evidence.record_sound(suspects.iter().cloned(), now);
+        state.quarantine.record_sound(suspects, now);
     }
 
     fn record_crash(&self, target: &TargetId, suspects: &[Suspect]) {
@@ -201,6 +243,7 @@
             let quarantined = verdict.is_quarantined();
             log::warn!(suspect:% = verdict.suspect, quarantined; "quarantine verdict");
         }
+        state.quarantine.watch(&notice.suspects, now);
         let evidence = &state.quarantine.evidence;
         let suspects = notice.suspects.into_iter();
         let sound: Vec<Suspect> = suspects.filter(|p| evidence.is_sound(p, now)).collect();
--- a/crates/serving/src/entry/relay.rs
+++ b/crates/serving/src/entry/relay.rs
@@ -14,7 +14,6 @@
 use super::attempt::TargetResponse;
 use super::exchange::Exchange;
 use super::in_flight::InFlightGuard;
-use super::quarantine::RunEnd;
 use super::response::ResponseBody;
 use crate::net::PooledConnection;
 
@@ -86,7 +85,8 @@
                 ReadStep::Emit(bytes) => return Some(Ok(bytes)),
                 ReadStep::End => {
                     self.record_end(None);
-                    self.record_complete_run();
+                    let (target, framing) = (self.guard.target(), self.check.framing());
+                    self.exchange.record_complete_run(target, framing);
                     self.done = true;
                     if let Some(pooled) = self.pooled.take() {
                         pooled.release();
@@ -177,19 +177,6 @@
         }
     }
 
-    /// Records that a run of the prompt has completed. The end of a stream without an end mark may
-    /// also be a crash.
-    fn record_complete_run(&self) {
-        let end = match self.check.framing() {
-            Framing::Connection => RunEnd::Unmarked,
-            Framing::Delimited => RunEnd::Complete,
-        };
-        let Exchange {
-            shared, request, ..
-        } = &self.exchange;
-        shared.investigate(self.guard.target(), &request.parts, end);
-    }
-
     /// Takes the complete events, which are the first `length` bytes, from the buffer.
     fn take_events(&mut self, length: usize) -> ReadStep {
         let events = self.partial.split_to(length).freeze();
--- a/crates/serving/src/entry/selection.rs
+++ b/crates/serving/src/entry/selection.rs
@@ -151,7 +151,7 @@
         let shared = self.shared.clone();
         let mut state = shared.lock();
         let now = shared.now();
-        if let Some((_, left)) = state.quarantine.find(&self.request.parts, now) {
+        if let Some(left) = self.quarantine_left(&state, now) {
             return Step::Refuse(RefusalReason::Quarantined, left);
         }
         let targets = state.eligible_targets(&self.service, &self.tried, &self.scope, now);
