fix(serving): a target that states in its answers that it leaves gets no new requests

The statement holds for the incarnation, also against a stale entry; an agent learns it from the engine's report.

--- a/crates/core/src/serving/table.rs
+++ b/crates/core/src/serving/table.rs
@@ -45,6 +45,9 @@
     records: BTreeMap<TargetId, Record>,
     /// The targets of each service that accept new work.
     services: HashMap<Arc<str>, Vec<Arc<Target>>>,
+    /// The incarnations that have stated that they leave, by id, with their start. The list may show them
+    /// as ready for a while.
+    leaving: HashMap<TargetId, u64>,
     /// When the list was last found unavailable.
     outage: Option<Timestamp>,
     /// Service and software version of removed targets, and the time of the removal.
@@ -57,6 +60,19 @@
         self.outage = Some(now);
     }
 
+    /// Records that a target's present incarnation has stated that it leaves; returns whether that is
+    /// new.
+    pub fn record_leaving(&mut self, id: &TargetId) -> bool {
+        let Some(born) = self.get(id).map(|target| target.born) else {
+            return false;
+        };
+        let is_new = self.leaving.insert(id.clone(), born) != Some(born);
+        if is_new {
+            self.index();
+        }
+        is_new
+    }
+
     /// Applies a change; returns whether the usable targets changed.
     pub fn apply(&mut self, change: TableChange, now: Timestamp) -> bool {
         let changed = match change {
@@ -188,6 +204,7 @@
     }
 
     fn drop_record(&mut self, id: &TargetId, now: Timestamp) {
+        self.leaving.remove(id);
         if let Some(record) = self.records.remove(id) {
             self.record_former_version(&record.target, now);
         }
@@ -231,7 +248,8 @@
         self.services.clear();
         for record in self.records.values() {
             let current = newest.get(&record.target.address) == Some(&record.target.born);
-            if current && record.target.state == TargetState::Ready {
+            let leaves = self.leaving.get(&record.target.id) == Some(&record.target.born);
+            if current && !leaves && record.target.state == TargetState::Ready {
                 let service = self.services.entry(record.target.service.clone());
                 service.or_default().push(record.target.clone());
             }
--- a/crates/core/src/serving/target_notice.rs
+++ b/crates/core/src/serving/target_notice.rs
@@ -19,4 +19,6 @@
 pub struct TargetNotice {
     /// The requests per second that the target accepts from all entries together.
     pub limit: StatedLimit,
+    /// Whether the target finishes the work that it has and then stops.
+    pub leaving: bool,
 }
--- a/crates/core/tests/serving_table.rs
+++ b/crates/core/tests/serving_table.rs
@@ -53,6 +53,21 @@
     assert!(ready(&table).is_empty());
 }
 
+#[test]
+fn a_stale_entry_does_not_bring_a_leaving_target_back() {
+    let mut table = TargetTable::default();
+    let id = TargetId::from("one");
+    table.apply(TableChange::Listed(target("one", 1, 1)), at(0));
+    assert!(table.record_leaving(&id));
+    assert!(!table.record_leaving(&id));
+    let mut changed = target("one", 1, 1);
+    changed.models = vec![Arc::from("m")];
+    table.apply(TableChange::Listed(changed), at(10));
+    assert!(ready(&table).is_empty());
+    table.apply(TableChange::Listed(target("one", 1, 2)), at(20));
+    assert_eq!(ready(&table), ["one"]);
+}
+
 #[test]
 fn a_leaving_target_gets_no_work() {
     let mut table = TargetTable::default();
--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -378,6 +378,11 @@
                 }
                 self.report = Some(status.report);
                 self.record_reported_limit(status.notice.limit);
+                if status.notice.leaving
+                    && let Some(target) = self.target()
+                {
+                    self.objects.table.record_leaving(&target.id);
+                }
             }
             Err(error) => {
                 if !std::mem::replace(&mut self.engine_unreachable, true) {
--- a/crates/serving/src/entry/notice.rs
+++ b/crates/serving/src/entry/notice.rs
@@ -12,11 +12,24 @@
     /// Only an answer of the target itself shows by a missing statement that it no longer holds.
     pub(super) fn record_notice(&self, target: &Target, class: ResponseClass, headers: &HeaderMap) {
         let notice = self.dialect.read_notice(headers);
-        let limit = match (class, notice.limit) {
-            (ResponseClass::WrongTarget | ResponseClass::Invalid, _)
-            | (ResponseClass::NotRun, StatedLimit::Absent) => return,
-            (_, limit) => limit,
-        };
+        if matches!(class, ResponseClass::WrongTarget | ResponseClass::Invalid) {
+            return;
+        }
+        if notice.leaving {
+            self.record_leaving(&target.id);
+        }
+        if class != ResponseClass::NotRun || notice.limit != StatedLimit::Absent {
+            self.record_limit(target, notice.limit);
+        }
+    }
+
+    fn record_leaving(&self, target: &TargetId) {
+        if self.lock().objects.table.record_leaving(target) {
+            log::info!(target_id:% = target; "target leaves, as its answer states");
+        }
+    }
+
+    fn record_limit(&self, target: &Target, limit: StatedLimit) {
         let now = self.now();
         let changed = self.lock().limits.record(&target.id, limit, now);
         if changed {
