fix(serving): a target that asks for a pause gets no request until its end

Pauses are kept by entry and incarnation, end up to 0.2 s later at each entry so that the first requests come apart, and close the target to the choice like a used-up limit. Where all targets are closed the caller gets 503 with the time that is known; the reason is named targets_closed now.

--- a/crates/core/src/serving/dispatch.rs
+++ b/crates/core/src/serving/dispatch.rs
@@ -48,8 +48,8 @@
     Draining,
     /// A part of the prompt has crashed several targets.
     Quarantined,
-    /// All targets that could run the request name a limit that is used up.
-    TargetLimit,
+    /// All targets that could run the request name a limit that is used up, or have asked for a pause.
+    TargetsClosed,
     /// The software version that began the stream is unknown, and not all targets have the same.
     UnknownOrigin,
 }
@@ -143,7 +143,10 @@
         .collect();
     if open.is_empty() {
         let closed = holders.iter().filter_map(|i| candidates[*i].closed);
-        return refuse(RefusalReason::TargetLimit, closed.min().unwrap_or_default());
+        return refuse(
+            RefusalReason::TargetsClosed,
+            closed.min().unwrap_or_default(),
+        );
     }
     let any_usable = open.iter().any(|i| !candidates[*i].avoided);
     let usable = |i: &&usize| !any_usable || !candidates[**i].avoided;
@@ -201,7 +204,7 @@
     let open = |c: &Candidate<'_>| c.closed.is_none();
     if !candidates.is_empty() && !candidates.iter().any(open) {
         let closed = candidates.iter().filter_map(|c| c.closed).min();
-        return refuse(RefusalReason::TargetLimit, closed.unwrap_or_default());
+        return refuse(RefusalReason::TargetsClosed, closed.unwrap_or_default());
     }
     let any_usable = candidates.iter().any(|c| open(c) && !c.avoided);
     let score = |i: usize| {
--- a/crates/core/src/serving/target_notice.rs
+++ b/crates/core/src/serving/target_notice.rs
@@ -1,5 +1,7 @@
 //! What a target states about itself in the head of an answer.
 
+use std::time::Duration;
+
 use super::request_rate::RequestRate;
 
 /// What an answer says of the rate of requests that its target accepts.
@@ -21,4 +23,6 @@
     pub limit: StatedLimit,
     /// Whether the target finishes the work that it has and then stops.
     pub leaving: bool,
+    /// How long the target wants no request from the receiver.
+    pub pause: Option<Duration>,
 }
--- a/crates/core/tests/serving_dispatch.rs
+++ b/crates/core/tests/serving_dispatch.rs
@@ -58,7 +58,7 @@
     assert_eq!(index(choose_target(&candidates, &[8, 8])), Some(1));
     candidates[1].closed = Some(Duration::from_millis(200));
     let expected = DispatchDecision::Refuse {
-        reason: RefusalReason::TargetLimit,
+        reason: RefusalReason::TargetsClosed,
         retry_after: Duration::from_millis(200),
     };
     assert_eq!(choose_engine(&candidates, &input()), expected);
--- a/crates/serving/src/entry/attempt.rs
+++ b/crates/serving/src/entry/attempt.rs
@@ -189,7 +189,8 @@
     let class = shared
         .dialect
         .classify_response(parts.status, &parts.headers, &outgoing.attempt);
-    shared.record_notice(&plan.target, class, &parts.headers);
+    let notice = shared.dialect.read_notice(parts.status, &parts.headers);
+    shared.record_notice(&plan.target, class, notice);
     let success = match class {
         ResponseClass::Success => true,
         ResponseClass::Failure => false,
--- a/crates/serving/src/entry/exchange.rs
+++ b/crates/serving/src/entry/exchange.rs
@@ -441,7 +441,7 @@
             RefusalReason::Overload => "overload",
             RefusalReason::Draining => "draining",
             RefusalReason::Quarantined => "quarantined",
-            RefusalReason::TargetLimit => "target_limit",
+            RefusalReason::TargetsClosed => "targets_closed",
             RefusalReason::UnknownOrigin => "unknown_origin",
         };
         self.shared.instruments.record_refusal(name);
--- a/crates/serving/src/entry/notice.rs
+++ b/crates/serving/src/entry/notice.rs
@@ -1,17 +1,30 @@
 //! What targets state about themselves in their answers.
 
-use http::HeaderMap;
-use kumquatkeel_core::serving::{RequestRate, StatedLimit, Target, TargetId};
+use std::time::Duration;
 
+use kumquatkeel_core::serving::{RequestRate, StatedLimit, Target, TargetId, TargetNotice};
+
+use super::exchange::millis;
 use super::state::Shared;
 use crate::platform::ResponseClass;
 
+/// Longest time that an entry adds to the pause of a target.
+const MAX_PAUSE_SPREAD: Duration = Duration::from_millis(200);
+
 impl Shared {
     /// Records what an answer states about its target.
     ///
-    /// Only an answer of the target itself shows by a missing statement that it no longer holds.
-    pub(super) fn record_notice(&self, target: &Target, class: ResponseClass, headers: &HeaderMap) {
-        let notice = self.dialect.read_notice(headers);
+    /// Only an answer of the target itself shows by a missing statement that it no longer holds. A pause
+    /// stands in rejections, which the target may send without naming the request.
+    pub(super) fn record_notice(
+        &self,
+        target: &Target,
+        class: ResponseClass,
+        notice: TargetNotice,
+    ) {
+        if let Some(pause) = notice.pause {
+            self.record_pause(&target.id, pause);
+        }
         if matches!(class, ResponseClass::WrongTarget | ResponseClass::Invalid) {
             return;
         }
@@ -23,6 +36,14 @@
         }
     }
 
+    /// Records a pause, which ends somewhat later at each entry, so that their first requests come apart.
+    fn record_pause(&self, target: &TargetId, pause: Duration) {
+        let now = self.now();
+        let spread = MAX_PAUSE_SPREAD.mul_f64(rand::random());
+        self.lock().pauses.record(target, pause + spread, now);
+        log::info!(target_id:% = target, pause_ms = millis(pause); "target asked for a pause");
+    }
+
     fn record_leaving(&self, target: &TargetId) {
         if self.lock().objects.table.record_leaving(target) {
             log::info!(target_id:% = target; "target leaves, as its answer states");
--- a/crates/serving/src/entry/permit.rs
+++ b/crates/serving/src/entry/permit.rs
@@ -48,7 +48,7 @@
                 PermitStep::Choose(time) => retry_after = time,
             }
         }
-        Step::Refuse(RefusalReason::TargetLimit, retry_after)
+        Step::Refuse(RefusalReason::TargetsClosed, retry_after)
     }
 
     /// Obtains a permit for a planned attempt if its target names a limit.
--- a/crates/serving/src/entry/state.rs
+++ b/crates/serving/src/entry/state.rs
@@ -8,7 +8,7 @@
 use kumquatkeel_core::retry::{AttemptResult, Ejector};
 use kumquatkeel_core::serving::{
     AdapterKey, Backlog, BandRates, Candidate, DemandMeter, DrainPlan, EngineReport, EngineSpec,
-    EngineState, FailureMeter, LimitTable, OriginTable, PermitHolder, PrefillEstimator,
+    EngineState, FailureMeter, LimitTable, OriginTable, PauseTable, PermitHolder, PrefillEstimator,
     ResidentModel, RetryQuota, RouteTable, ServingConfig, StreamScope, Target, TargetId, Urgency,
     origin_holders,
 };
@@ -109,6 +109,8 @@
     /// The limits that targets name.
     pub(super) limits: LimitTable,
     pub(super) permits: PermitHolder,
+    /// The pauses that targets have asked for.
+    pub(super) pauses: PauseTable,
     /// The requests that wait for a permit, by the number of their request for it.
     pub(super) permit_waiters: HashMap<u64, oneshot::Sender<PermitReply>>,
     /// The number of the last request for a permit.
@@ -160,6 +162,7 @@
                 origins: OriginTable::default(),
                 limits: LimitTable::default(),
                 permits: PermitHolder::new(rand::random()),
+                pauses: PauseTable::default(),
                 permit_waiters: HashMap::new(),
                 next_permit: 0,
                 quarantine: QuarantineState::default(),
@@ -429,8 +432,10 @@
     /// Returns the time until a target accepts a request, by what it states about itself; `None` if
     /// it does now.
     fn closed_for(&self, id: &TargetId, urgency: Urgency, now: Timestamp) -> Option<Duration> {
-        self.limits.limit(id)?;
-        self.permits.closed_for(id, urgency, now)
+        let pause = self.pauses.left(id, now);
+        let limited = self.limits.limit(id).is_some();
+        let closed = limited.then(|| self.permits.closed_for(id, urgency, now));
+        pause.max(closed.flatten())
     }
 
     /// Returns whether an engine holds a model or is loading it.
@@ -557,6 +562,7 @@
         self.failures.retain(|id| table.get(id).is_some());
         self.limits.retain(|id| table.get(id).is_some());
         self.permits.retain(|id| table.get(id).is_some());
+        self.pauses.retain(|id| table.get(id).is_some());
     }
 }
 
--- a/crates/serving/src/platform.rs
+++ b/crates/serving/src/platform.rs
@@ -197,8 +197,8 @@
         attempt: &str,
     ) -> ResponseClass;
 
-    /// Reads what a target states about itself in the headers of a response.
-    fn read_notice(&self, headers: &HeaderMap) -> TargetNotice;
+    /// Reads what a target states about itself in the head of a response.
+    fn read_notice(&self, status: StatusCode, headers: &HeaderMap) -> TargetNotice;
 
     /// Returns the headers of a target's response that are relayed to the caller.
     fn relay_headers(&self, headers: &HeaderMap) -> HeaderMap;
