--- a/crates/serving/src/agent/peers.rs
+++ b/crates/serving/src/agent/peers.rs
@@ -187,9 +187,12 @@
         self.entries.keys().copied()
     }
 
-    /// Returns the addresses of the known agents.
-    pub(super) fn agents(&self) -> impl Iterator<Item = SocketAddr> + '_ {
-        self.agents.keys().copied()
+    /// Returns the addresses of the known agents that are the planner or its next successors.
+    pub(super) fn planner_candidates(&self) -> Vec<SocketAddr> {
+        let mut agents: Vec<SocketAddr> = self.agents.keys().copied().collect();
+        agents.sort_unstable();
+        agents.truncate(PLANNER_CANDIDATES);
+        agents
     }
 
     /// Returns the number of known entries.
--- a/crates/serving/src/agent/permits.rs
+++ b/crates/serving/src/agent/permits.rs
@@ -10,8 +10,11 @@
 use super::daemon::Agent;
 use crate::gossip::{Datagram, LimitRecord, PermitReply, PermitRequest};
 
-/// Interval between two notices of a limit that holds, for processes that start or have missed one.
+/// Shortest interval between two notices of a limit that holds, for processes that start or have missed
+/// one.
 const NOTICE_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval that each entry adds, so that an agent's send rate stays bounded in a large fleet.
+const INTERVAL_PER_ENTRY: Duration = Duration::from_millis(15);
 
 /// What an agent knows of targets that name a limit.
 #[derive(Debug, Default)]
@@ -83,12 +86,13 @@
         }
     }
 
-    /// Sends limits that hold to all processes, from time to time.
+    /// Sends limits that hold, from time to time.
     pub(super) fn publish_limits(&mut self) {
         let now = self.clock.now();
+        let interval = INTERVAL_PER_ENTRY * self.peers.entry_count() as u32;
         let table = &self.objects.table;
         let state = &mut self.permits;
-        if now.since(state.last_notice) < NOTICE_INTERVAL {
+        if now.since(state.last_notice) < interval.max(NOTICE_INTERVAL) {
             return;
         }
         state.last_notice = now;
@@ -101,7 +105,7 @@
         }
     }
 
-    /// Sends the limit of a target to all known entries and agents.
+    /// Sends the limit of a target to all known entries, and to the agents that may plan.
     fn publish_limit(&self, target: &TargetId) {
         let now = self.clock.now();
         let Some(record) = LimitRecord::from_table(&self.permits.limits, target, now) else {
@@ -110,7 +114,7 @@
         let per_second = record.rate.map(RequestRate::per_second);
         log::debug!(target_id:% = target, per_second:serde; "limit of a target published");
         let notice = Datagram::LimitNotice(record);
-        for peer in self.peers.entries().chain(self.peers.agents()) {
+        for peer in self.peers.entries().chain(self.peers.planner_candidates()) {
             self.gossip.send(peer, &notice);
         }
     }
