fix(serving): a request is not given up at an engine of which only the agent is silent

With the agent silent, the engine counts as stalled once it has sent no byte for a second, which thin traffic reaches by itself; from then on each request was given up as soon as it was sent, so that no byte ever came.

A request now waits at least as long as that second before it is given up.

--- a/crates/core/src/serving/engine.rs
+++ b/crates/core/src/serving/engine.rs
@@ -14,8 +14,9 @@
 /// first event after about three seconds.
 const MAX_SILENCE: Duration = Duration::from_millis(1_900);
 /// Time without a byte from an engine after which its instance counts as stalled, if its agent is
-/// silent too.
-const ENGINE_SILENCE: Duration = Duration::from_secs(1);
+/// silent too. A request that was just sent waits as long, or an engine without its agent would serve
+/// none.
+pub const ENGINE_SILENCE: Duration = Duration::from_secs(1);
 
 /// A model that an engine holds, with its adapters.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -43,7 +43,9 @@
     engines_to_query,
 };
 pub use drain::{DrainPhase, DrainPlan};
-pub use engine::{Backlog, Band, EngineReport, EngineState, LoadProgress, ResidentModel};
+pub use engine::{
+    Backlog, Band, ENGINE_SILENCE, EngineReport, EngineState, LoadProgress, ResidentModel,
+};
 pub use eviction::{AdapterKey, AdapterStep, AdapterUse};
 pub use failures::FailureMeter;
 pub use holders::{crash_holders, origin_holders, permit_host};
--- a/crates/serving/src/entry/exchange.rs
+++ b/crates/serving/src/entry/exchange.rs
@@ -130,11 +130,11 @@
     }
 
     /// Waits until a target stalls; never returns if the stream can't be resumed elsewhere.
-    pub(super) async fn wait_until_stalled(&self, target: &TargetId) {
+    pub(super) async fn wait_until_stalled(&self, target: &TargetId, sent: Instant) {
         if !self.is_resumable() || self.runs >= self.route.attempts {
             return std::future::pending().await;
         }
-        self.shared.wait_until_stalled(target).await;
+        self.shared.wait_until_stalled(target, sent).await;
     }
 
     /// Records the time to the first byte of a stream, also as a sample of the prefill estimate.
@@ -257,7 +257,7 @@
         self.sends += 1;
         let result = tokio::select! {
             result = run_attempt(&self.shared, &self.outgoing, plan) => result,
-            () = self.shared.wait_until_stalled(&target) => {
+            () = self.shared.wait_until_stalled(&target, Instant::now()) => {
                 Err(AttemptFailure::new(AttemptEnd::Lost, "target stalled"))
             }
             () = self.shared.wait_for_drain_deadline() => {
--- a/crates/serving/src/entry/relay.rs
+++ b/crates/serving/src/entry/relay.rs
@@ -111,7 +111,7 @@
         let next = timeout_at(self.exchange.deadline(), self.body.frame());
         let next = tokio::select! {
             next = next => next,
-            () = self.exchange.wait_until_stalled(self.guard.target()) => {
+            () = self.exchange.wait_until_stalled(self.guard.target(), self.sent) => {
                 return ReadStep::Broken("target stalled".to_owned());
             }
         };
--- a/crates/serving/src/entry/state.rs
+++ b/crates/serving/src/entry/state.rs
@@ -7,10 +7,10 @@
 
 use kumquatkeel_core::retry::{AttemptResult, Ejector};
 use kumquatkeel_core::serving::{
-    AdapterKey, Backlog, BandRates, Candidate, DemandMeter, DrainPlan, EngineReport, EngineSpec,
-    EngineState, FailureMeter, LimitTable, OriginTable, PauseTable, PermitHolder, PrefillEstimator,
-    ResidentModel, RetryQuota, RouteTable, ServingConfig, StreamScope, Target, TargetId, Urgency,
-    origin_holders,
+    AdapterKey, Backlog, BandRates, Candidate, DemandMeter, DrainPlan, ENGINE_SILENCE,
+    EngineReport, EngineSpec, EngineState, FailureMeter, LimitTable, OriginTable, PauseTable,
+    PermitHolder, PrefillEstimator, ResidentModel, RetryQuota, RouteTable, ServingConfig,
+    StreamScope, Target, TargetId, Urgency, origin_holders,
 };
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_types::Timestamp;
@@ -187,8 +187,9 @@
         self.state_version.send_modify(|version| *version += 1);
     }
 
-    /// Waits until a target is stalled.
-    pub(super) async fn wait_until_stalled(&self, id: &TargetId) {
+    /// Waits until a target is stalled that a request was sent to at `sent`.
+    pub(super) async fn wait_until_stalled(&self, id: &TargetId, sent: Instant) {
+        tokio::time::sleep_until(sent + ENGINE_SILENCE).await;
         let mut stalled = self.stalled.subscribe();
         if stalled.wait_for(|ids| ids.contains(id)).await.is_err() {
             std::future::pending::<()>().await;
