--- a/crates/core/tests/serving_limits.rs
+++ b/crates/core/tests/serving_limits.rs
@@ -39,12 +39,15 @@
     replaced_ms: u64,
     /// The share of entries that can't reach the issuer.
     cut_off: f64,
+    /// Whether demand pauses for five seconds in ten, in which nothing may be saved up.
+    pauses: bool,
 }
 
 const NO_FAULTS: Faults = Faults {
     lost: 0.0,
     replaced_ms: u64::MAX,
     cut_off: 0.0,
+    pauses: false,
 };
 
 /// Returns the times at which entries send requests to one target within 30 s. All have `demand` requests
@@ -71,7 +74,8 @@
         if ms == faults.replaced_ms {
             issuer = PermitIssuer::default();
         }
-        if !random.random_bool(demand / 1_000.0) {
+        let idle = faults.pauses && ms % 10_000 < 5_000;
+        if idle || !random.random_bool(demand / 1_000.0) {
             continue;
         }
         let entry = random.random_range(0..entries);
@@ -177,9 +181,10 @@
         lost in 0.0_f64..0.5,
         replaced_ms in 0_u64..30_000,
         cut_off in 0.0_f64..0.5,
+        pauses: bool,
         seed: u64,
     ) {
-        let faults = Faults { lost, replaced_ms, cut_off };
+        let faults = Faults { lost, replaced_ms, cut_off, pauses };
         let sent = send_times(entries, demand, limits, faults, seed);
         let most = most_in_window(&sent);
         let allowed = 1.5 * limits.0.max(limits.1) * 4.0 + 5.0;
