--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -1,4 +1,4 @@
-//! Relates the crashes of targets to the suspects of the prompts that they ran.
+//! Relates the crashes of targets to the requests that they ran and the parts of their prompts.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -26,7 +26,7 @@
 /// Most suspects that are remembered as sound; the oldest are dropped first.
 const MAX_SOUND: usize = 16_384;
 
-/// The crashes of a suspect that count, by the number of their group.
+/// How many crashes count for a suspect, by the number of their group.
 type CrashGroups = BTreeMap<u64, usize>;
 
 #[derive(Debug, Clone)]
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -1,9 +1,10 @@
-//! Finds the parts of prompts that crash each target that runs them, and keeps them from others.
+//! Finds the requests, and the parts of prompts, that crash each target that runs them, and keeps them
+//! from others.
 //!
 //! A crash ends all requests at a target, most of them sound, so no single crash shows which one
-//! caused it. [`CrashEvidence`] relates the crashes of many targets: the part that caused them was at
-//! each, and no request with it has ever completed. [`QuarantineTable`] holds the resulting verdicts,
-//! which all processes exchange until each knows the newest.
+//! caused it. [`CrashEvidence`] relates the crashes of many targets: the [`Suspect`] that caused them was
+//! at each, and has never completed. [`QuarantineTable`] holds the resulting verdicts, which all processes
+//! exchange until each knows the newest.
 
 mod evidence;
 mod request_digest;
--- a/crates/serving/src/entry/notice.rs
+++ b/crates/serving/src/entry/notice.rs
@@ -14,24 +14,25 @@
 impl Shared {
     /// Records what an answer states about its target.
     ///
-    /// Only an answer of the target itself shows by a missing statement that it no longer holds. A pause
-    /// stands in rejections, which the target may send without naming the request.
+    /// Only an answer to the request shows by a missing statement that an earlier one no longer holds;
+    /// rejections and invalid answers may lack what others state.
     pub(super) fn record_notice(
         &self,
         target: &Target,
         class: ResponseClass,
         notice: TargetNotice,
     ) {
+        if class == ResponseClass::WrongTarget {
+            return;
+        }
         if let Some(pause) = notice.pause {
             self.record_pause(&target.id, pause);
         }
-        if matches!(class, ResponseClass::WrongTarget | ResponseClass::Invalid) {
-            return;
-        }
         if notice.leaving {
             self.record_leaving(&target.id);
         }
-        if class != ResponseClass::NotRun || notice.limit != StatedLimit::Absent {
+        let is_answer = matches!(class, ResponseClass::Success | ResponseClass::Failure);
+        if is_answer || notice.limit != StatedLimit::Absent {
             self.record_limit(target, notice.limit);
         }
     }
--- a/crates/serving/src/entry/permit.rs
+++ b/crates/serving/src/entry/permit.rs
@@ -132,10 +132,13 @@
             state.permits.record_silence(&target.id, now);
             return PermitDecision::Denied { retry_ms: 0 };
         };
-        if let Some(limit) = &reply.limit {
-            limit.merge_into(&mut state.limits, now);
-        }
+        let limit = reply.limit.as_ref();
+        let changed = limit.is_some_and(|limit| limit.merge_into(&mut state.limits, now));
         (state.permits).record_reply(&target.id, urgency, reply.decision, now);
+        drop(state);
+        if changed {
+            self.record_limit_change(&target.id);
+        }
         reply.decision
     }
 
