fix(serving): a report counts for the listed incarnation only; entries learn of a limit's begin and end

What an engine states in its report was taken for the newest incarnation that the list shows, which may not be the one that reports. The test covers limits that are named in reports, or in other answers only.

--- a/crates/core/src/serving/permit_holder.rs
+++ b/crates/core/src/serving/permit_holder.rs
@@ -112,7 +112,7 @@
         }
     }
 
-    /// Forgets the access to a target, whose limit has changed.
+    /// Drops the state of a target whose limit has changed.
     pub fn reset(&mut self, target: &TargetId) {
         self.targets.remove(target);
     }
--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -377,12 +377,7 @@
                     self.last_models = held.collect();
                 }
                 self.report = Some(status.report);
-                self.record_reported_limit(status.notice.limit);
-                if status.notice.leaving
-                    && let Some(target) = self.target()
-                {
-                    self.objects.table.record_leaving(&target.id);
-                }
+                self.record_engine_notice(status.notice);
             }
             Err(error) => {
                 if !std::mem::replace(&mut self.engine_unreachable, true) {
--- a/crates/serving/src/agent/permits.rs
+++ b/crates/serving/src/agent/permits.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use kumquatkeel_core::serving::{LimitTable, PermitIssuer, RequestRate, StatedLimit, TargetId};
+use kumquatkeel_core::serving::{
+    LimitTable, PermitIssuer, RequestRate, StatedLimit, TargetId, TargetNotice,
+};
 use kumquatkeel_types::Timestamp;
 
 use super::daemon::Agent;
@@ -70,19 +72,28 @@
         record.merge_into(&mut self.permits.limits, now);
     }
 
-    /// Records the limit in the head of the engine's report.
-    pub(super) fn record_reported_limit(&mut self, stated: StatedLimit) {
-        let now = self.clock.now();
-        let Some(target) = self.target().map(|target| target.id.clone()) else {
+    /// Records what the engine states about itself in the head of its report, if the list shows the
+    /// incarnation that reports.
+    pub(super) fn record_engine_notice(&mut self, notice: TargetNotice) {
+        let Some(target) = self.target().filter(|t| t.born == self.engine_born) else {
             return;
         };
+        if notice.leaving {
+            self.objects.table.record_leaving(&target.id);
+        }
+        self.record_engine_limit(&target.id, notice.limit);
+    }
+
+    fn record_engine_limit(&mut self, target: &TargetId, stated: StatedLimit) {
+        let now = self.clock.now();
+        let state = &mut self.permits;
         // An engine that names its limit in other answers only is not unlimited.
-        if stated == StatedLimit::Absent && self.permits.reported != Some(target.clone()) {
+        if stated == StatedLimit::Absent && state.reported.as_ref() != Some(target) {
             return;
         }
-        self.permits.reported = matches!(stated, StatedLimit::Rate(_)).then(|| target.clone());
-        if self.permits.limits.record(&target, stated, now) {
-            self.publish_limit(&target);
+        state.reported = matches!(stated, StatedLimit::Rate(_)).then(|| target.clone());
+        if state.limits.record(target, stated, now) {
+            self.publish_limit(target);
         }
     }
 
--- a/crates/serving/src/entry/permit.rs
+++ b/crates/serving/src/entry/permit.rs
@@ -165,7 +165,7 @@
         }
     }
 
-    /// Tells the issuer of permits for a target that its limit has changed.
+    /// Sends the issuer of permits for a target its changed limit.
     pub(super) fn report_limit(&self, target: &Target) {
         let now = self.now();
         let state = self.lock();
--- a/crates/serving/tests/agent.rs
+++ b/crates/serving/tests/agent.rs
@@ -11,12 +11,13 @@
 
 use async_trait::async_trait;
 use kumquatkeel_core::serving::{
-    Backlog, Band, ClientLimits, EngineOrder, EngineReport, EngineSpec, ModelSpec, ResidentModel,
-    ServiceSpec, ServingConfig, Target, TargetId, TargetNotice, TargetState,
+    Backlog, Band, ClientLimits, EngineOrder, EngineReport, EngineSpec, ModelSpec, RequestRate,
+    ResidentModel, ServiceSpec, ServingConfig, StatedLimit, Target, TargetId, TargetNotice,
+    TargetState,
 };
 use kumquatkeel_serving::agent::{Agent, AgentSettings};
 use kumquatkeel_serving::gossip::{
-    BacklogQuery, BacklogUpdate, Datagram, EntryHeartbeat, GossipSocket, Stamp,
+    BacklogQuery, BacklogUpdate, Datagram, EntryHeartbeat, GossipSocket, LimitRecord, Stamp,
 };
 use kumquatkeel_serving::locality::Locality;
 use kumquatkeel_serving::platform::{
@@ -37,6 +38,7 @@
 #[derive(Debug, Default)]
 struct Engine {
     state: Mutex<(u64, EngineReport)>,
+    notice: Mutex<TargetNotice>,
     loads: Mutex<Vec<Arc<str>>>,
 }
 
@@ -67,7 +69,7 @@
         Ok(TargetStatus {
             born,
             report,
-            notice: TargetNotice::default(),
+            notice: *self.notice.lock().unwrap(),
         })
     }
 
@@ -339,3 +341,66 @@
     }
     assert_eq!(reports, [Some(true), Some(true), Some(true), Some(false)]);
 }
+
+/// Reads datagrams until the agent spreads a limit; returns it.
+async fn receive_limit(socket: &GossipSocket) -> Option<RequestRate> {
+    loop {
+        let (_, datagram) = socket.receive().await;
+        if let Datagram::LimitNotice(record) = datagram {
+            return record.rate;
+        }
+    }
+}
+
+/// Sends an entry's statement on the limit of target `one`.
+fn send_limit(socket: &GossipSocket, agent: SocketAddr, rate: Option<RequestRate>) {
+    let record = LimitRecord {
+        target: TargetId::from("one"),
+        rate,
+        age_ms: 0,
+    };
+    socket.send(agent, &Datagram::Limit(record));
+}
+
+/// Entries without a permit get no answers from a target, and learn of its limit from its agent alone.
+#[tokio::test]
+async fn entries_learn_that_a_limit_begins_and_ends() {
+    let engine = Arc::new(Engine::default());
+    engine.restart(BORN);
+    let objects = Arc::new(Objects {
+        targets: Mutex::new(vec![listed("one", engine_address(), BORN, &[])]),
+    });
+    let agent = start_agent(&engine, &objects).await;
+    let entry = GossipSocket::bind(([127, 0, 0, 1], 0).into())
+        .await
+        .unwrap();
+    let heartbeat = EntryHeartbeat {
+        stamp: Stamp::start().advance(),
+        target: TargetId::from("one"),
+        backlog: Backlog::default(),
+        adapters: Vec::new(),
+        remote: false,
+        demand: Vec::new(),
+    };
+    sleep(Duration::from_millis(300)).await;
+    entry.send(agent, &Datagram::Entry(heartbeat));
+    sleep(Duration::from_millis(100)).await;
+    let limited = async |limit| {
+        let received = timeout(Duration::from_secs(3), receive_limit(&entry)).await;
+        assert_eq!(received.expect("the agent spreads the limit"), limit);
+    };
+    let rate = |per_second| RequestRate::try_from(per_second).ok();
+
+    // Named in answers to entries only, which the engine's reports don't contradict.
+    send_limit(&entry, agent, rate(2.0));
+    limited(rate(2.0)).await;
+    sleep(Duration::from_millis(300)).await;
+    send_limit(&entry, agent, None);
+    limited(None).await;
+
+    // Named in the engine's reports too.
+    engine.notice.lock().unwrap().limit = StatedLimit::Rate(rate(3.0).unwrap());
+    limited(rate(3.0)).await;
+    engine.notice.lock().unwrap().limit = StatedLimit::Absent;
+    limited(None).await;
+}
