feat(serving): log the incarnation of a target that states that it leaves, and ignored statements

Lines name the start of the incarnation that was asked and of the one that is listed; ignored statements have a line and a counter.

--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -65,6 +65,6 @@
 pub use routes::{RouteMatch, RouteTable};
 pub use stream_origin::StreamOrigin;
 pub use stream_scope::StreamScope;
-pub use table::{TableChange, TargetTable};
+pub use table::{LeavingRecord, TableChange, TargetTable};
 pub use target::{Target, TargetId, TargetState};
 pub use target_notice::{StatedLimit, TargetNotice};
--- a/crates/core/src/serving/table.rs
+++ b/crates/core/src/serving/table.rs
@@ -32,6 +32,17 @@
     Removed(TargetId),
 }
 
+/// What became of a statement that a target leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeavingRecord {
+    /// The incarnation has not stated it before.
+    New,
+    /// It is known that the incarnation leaves.
+    Known,
+    /// The target is not listed; the statement is ignored.
+    Unlisted,
+}
+
 #[derive(Debug, Clone)]
 struct Record {
     target: Arc<Target>,
@@ -60,17 +71,16 @@
         self.outage = Some(now);
     }
 
-    /// Records that a target's present incarnation has stated that it leaves; returns whether that is
-    /// new.
-    pub fn record_leaving(&mut self, id: &TargetId) -> bool {
+    /// Records that a target's present incarnation has stated that it leaves.
+    pub fn record_leaving(&mut self, id: &TargetId) -> LeavingRecord {
         let Some(born) = self.get(id).map(|target| target.born) else {
-            return false;
+            return LeavingRecord::Unlisted;
         };
-        let is_new = self.leaving.insert(id.clone(), born) != Some(born);
-        if is_new {
-            self.index();
+        if self.leaving.insert(id.clone(), born) == Some(born) {
+            return LeavingRecord::Known;
         }
-        is_new
+        self.index();
+        LeavingRecord::New
     }
 
     /// Applies a change; returns whether the usable targets changed.
--- a/crates/core/tests/serving_table.rs
+++ b/crates/core/tests/serving_table.rs
@@ -3,7 +3,9 @@
 
 use std::sync::Arc;
 
-use kumquatkeel_core::serving::{TableChange, Target, TargetId, TargetState, TargetTable};
+use kumquatkeel_core::serving::{
+    LeavingRecord, TableChange, Target, TargetId, TargetState, TargetTable,
+};
 use kumquatkeel_types::Timestamp;
 
 fn target(id: &str, port: u16, born: u64) -> Target {
@@ -58,8 +60,8 @@
     let mut table = TargetTable::default();
     let id = TargetId::from("one");
     table.apply(TableChange::Listed(target("one", 1, 1)), at(0));
-    assert!(table.record_leaving(&id));
-    assert!(!table.record_leaving(&id));
+    assert_eq!(table.record_leaving(&id), LeavingRecord::New);
+    assert_eq!(table.record_leaving(&id), LeavingRecord::Known);
     let mut changed = target("one", 1, 1);
     changed.models = vec![Arc::from("m")];
     table.apply(TableChange::Listed(changed), at(10));
--- a/crates/serving/src/entry/notice.rs
+++ b/crates/serving/src/entry/notice.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use kumquatkeel_core::serving::{RequestRate, StatedLimit, Target, TargetId, TargetNotice};
+use kumquatkeel_core::serving::{
+    LeavingRecord, RequestRate, StatedLimit, Target, TargetId, TargetNotice,
+};
 
 use super::exchange::millis;
 use super::state::Shared;
@@ -29,7 +31,7 @@
             self.record_pause(&target.id, pause);
         }
         if notice.leaving {
-            self.record_leaving(&target.id);
+            self.record_leaving(target);
         }
         let is_answer = matches!(class, ResponseClass::Success | ResponseClass::Failure);
         if is_answer || notice.limit != StatedLimit::Absent {
@@ -45,9 +47,21 @@
         log::info!(target_id:% = target, pause_ms = millis(pause); "target asked for a pause");
     }
 
-    fn record_leaving(&self, target: &TargetId) {
-        if self.lock().objects.table.record_leaving(target) {
-            log::info!(target_id:% = target; "target leaves, as its answer states");
+    fn record_leaving(&self, target: &Target) {
+        let (id, born) = (&target.id, target.born);
+        let mut state = self.lock();
+        let recorded = state.objects.table.record_leaving(id);
+        let listed_born = state.objects.table.get(id).map(|listed| listed.born);
+        drop(state);
+        self.instruments.record_leaving(recorded);
+        match recorded {
+            LeavingRecord::New => {
+                log::info!(target_id:% = id, born, listed_born; "target leaves, as its answer states");
+            }
+            LeavingRecord::Unlisted => {
+                log::info!(target_id:% = id, born; "ignored that a target leaves: it is not listed");
+            }
+            LeavingRecord::Known => {}
         }
     }
 
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -7,7 +7,7 @@
 use http::{Response, StatusCode};
 use http_body_util::Full;
 use kumquatkeel_core::response::Framing;
-use kumquatkeel_core::serving::PermitDecision;
+use kumquatkeel_core::serving::{LeavingRecord, PermitDecision};
 use kumquatkeel_daemon::metrics::{METRICS_CONTENT_TYPE, Metrics, MetricsError};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
@@ -31,6 +31,7 @@
     stream_ends: Counter<u64>,
     verdicts: Counter<u64>,
     limit_changes: Counter<u64>,
+    leaving: Counter<u64>,
     permits: Counter<u64>,
     first_byte: Histogram<f64>,
     predicted: Histogram<f64>,
@@ -61,6 +62,7 @@
             verdicts: meter.u64_counter("quarantine_verdicts").build(),
             permits: meter.u64_counter("target_permits").build(),
             limit_changes: meter.u64_counter("target_limit_changes").build(),
+            leaving: meter.u64_counter("target_leaving_notices").build(),
             first_byte: histogram("first_byte"),
             predicted: histogram("first_byte_predicted"),
             duration: histogram("request_duration"),
@@ -111,6 +113,16 @@
         self.limit_changes.add(1, &[]);
     }
 
+    /// Counts an answer that states that its target leaves.
+    pub fn record_leaving(&self, recorded: LeavingRecord) {
+        let recorded = match recorded {
+            LeavingRecord::New => "new",
+            LeavingRecord::Known => "known",
+            LeavingRecord::Unlisted => "unlisted",
+        };
+        self.leaving.add(1, &[KeyValue::new("recorded", recorded)]);
+    }
+
     /// Counts a decision on a request for a permit.
     pub fn record_permit(&self, decision: PermitDecision) {
         let decision = match decision {
--- a/crates/serving/src/objects.rs
+++ b/crates/serving/src/objects.rs
@@ -112,8 +112,9 @@
 
     fn apply_listed(&mut self, target: Target, now: Timestamp) {
         let (id, state, version) = (target.id.clone(), target.state, target.version.clone());
+        let born = target.born;
         if self.table.apply(TableChange::Listed(target), now) {
-            log::info!(target_id:% = id, state:serde, version:%; "target listed");
+            log::info!(target_id:% = id, state:serde, version:%, born; "target listed");
         }
     }
 }
