fix(serving): a target that has stated that it leaves stays out of use, whatever the list shows

Callers' requests were sent to a target that had stated in an answer that it leaves, once its record had gone and come back: removed and written again, lapsed in an outage, missing in a list after lost history, or of an earlier start. A statement that arrived while the target was not listed was dropped.

Cause: the statement was an attribute of the record in TargetTable. It ended with the record, and was held against the incarnation that the list showed when the answer arrived, not against the one that was asked.

It is kept by incarnation in a table of its own now, for as long as its target is listed and ten minutes more, and covers earlier starts of the same id. A later start is used at once.

--- a/crates/core/src/serving/table.rs
+++ b/crates/core/src/serving/table.rs
@@ -13,6 +13,8 @@
 
 use kumquatkeel_types::Timestamp;
 
+use super::incarnation::Incarnation;
+use super::leaving_table::LeavingTable;
 use super::target::{Target, TargetId, TargetState};
 
 /// How long a record that expired during an outage may take to return; the platform states about
@@ -32,17 +34,6 @@
     Removed(TargetId),
 }
 
-/// What became of a statement that a target leaves.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum LeavingRecord {
-    /// The incarnation has not stated it before.
-    New,
-    /// It is known that the incarnation leaves.
-    Known,
-    /// The target is not listed; the statement is ignored.
-    Unlisted,
-}
-
 #[derive(Debug, Clone)]
 struct Record {
     target: Arc<Target>,
@@ -56,9 +47,7 @@
     records: BTreeMap<TargetId, Record>,
     /// The targets of each service that accept new work.
     services: HashMap<Arc<str>, Vec<Arc<Target>>>,
-    /// The incarnations that have stated that they leave, by id, with their start. The list may show them
-    /// as ready for a while.
-    leaving: HashMap<TargetId, u64>,
+    leaving: LeavingTable,
     /// When the list was last found unavailable.
     outage: Option<Timestamp>,
     /// Service and software version of removed targets, and the time of the removal.
@@ -71,16 +60,19 @@
         self.outage = Some(now);
     }
 
-    /// Records that a target's present incarnation has stated that it leaves.
-    pub fn record_leaving(&mut self, id: &TargetId) -> LeavingRecord {
-        let Some(born) = self.get(id).map(|target| target.born) else {
-            return LeavingRecord::Unlisted;
-        };
-        if self.leaving.insert(id.clone(), born) == Some(born) {
-            return LeavingRecord::Known;
+    /// Records that an incarnation has stated that it leaves, also one that is not listed; returns whether
+    /// that is new.
+    pub fn record_leaving(&mut self, incarnation: &Incarnation, now: Timestamp) -> bool {
+        let is_new = self.leaving.record(incarnation, now);
+        if is_new {
+            self.index();
         }
-        self.index();
-        LeavingRecord::New
+        is_new
+    }
+
+    /// Returns whether an incarnation has stated that it leaves.
+    pub fn has_stated_leaving(&self, incarnation: &Incarnation) -> bool {
+        self.leaving.contains(incarnation)
     }
 
     /// Applies a change; returns whether the usable targets changed.
@@ -115,7 +107,8 @@
         changed
     }
 
-    /// Drops the expired records whose grace period is over; returns their ids.
+    /// Drops the expired records whose grace period is over, and what former targets have stated; returns
+    /// the ids of the records.
     pub fn expire(&mut self, now: Timestamp) -> Vec<TargetId> {
         let over = |r: &Record| r.expired.is_some_and(|at| now.since(at) >= RETURN_GRACE);
         let gone: Vec<TargetId> = (self.records.iter())
@@ -128,6 +121,8 @@
         if !gone.is_empty() {
             self.index();
         }
+        let records = &self.records;
+        self.leaving.expire(|id| records.contains_key(id), now);
         gone
     }
 
@@ -214,7 +209,6 @@
     }
 
     fn drop_record(&mut self, id: &TargetId, now: Timestamp) {
-        self.leaving.remove(id);
         if let Some(record) = self.records.remove(id) {
             self.record_former_version(&record.target, now);
         }
@@ -258,7 +252,7 @@
         self.services.clear();
         for record in self.records.values() {
             let current = newest.get(&record.target.address) == Some(&record.target.born);
-            let leaves = self.leaving.get(&record.target.id) == Some(&record.target.born);
+            let leaves = self.leaving.contains(&record.target.incarnation());
             if current && !leaves && record.target.state == TargetState::Ready {
                 let service = self.services.entry(record.target.service.clone());
                 service.or_default().push(record.target.clone());
--- a/crates/core/src/serving/target.rs
+++ b/crates/core/src/serving/target.rs
@@ -6,7 +6,9 @@
 use derive_more::{Display, From};
 use serde::{Deserialize, Serialize};
 
-/// The platform's id of one incarnation of a target.
+use super::incarnation::Incarnation;
+
+/// The platform's id of a target, under which it may start again.
 #[derive(
     Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Display, From, Serialize, Deserialize,
 )]
@@ -35,7 +37,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Target {
-    /// The id of this incarnation.
+    /// The target's id.
     pub id: TargetId,
     /// The service to which the target belongs.
     pub service: Arc<str>,
@@ -54,3 +56,13 @@
     /// The models that the target held when the list was written.
     pub models: Vec<Arc<str>>,
 }
+
+impl Target {
+    /// Returns the incarnation that the list shows.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation {
+            id: self.id.clone(),
+            born: self.born,
+        }
+    }
+}
--- a/crates/core/tests/serving_table.rs
+++ b/crates/core/tests/serving_table.rs
@@ -3,9 +3,7 @@
 
 use std::sync::Arc;
 
-use kumquatkeel_core::serving::{
-    LeavingRecord, TableChange, Target, TargetId, TargetState, TargetTable,
-};
+use kumquatkeel_core::serving::{TableChange, Target, TargetId, TargetState, TargetTable};
 use kumquatkeel_types::Timestamp;
 
 fn target(id: &str, port: u16, born: u64) -> Target {
@@ -58,16 +56,75 @@
 #[test]
 fn a_stale_entry_does_not_bring_a_leaving_target_back() {
     let mut table = TargetTable::default();
-    let id = TargetId::from("one");
-    table.apply(TableChange::Listed(target("one", 1, 1)), at(0));
-    assert_eq!(table.record_leaving(&id), LeavingRecord::New);
-    assert_eq!(table.record_leaving(&id), LeavingRecord::Known);
-    let mut changed = target("one", 1, 1);
+    let leaving = target("one", 1, 2);
+    table.apply(TableChange::Listed(leaving.clone()), at(0));
+    assert!(table.record_leaving(&leaving.incarnation(), at(0)));
+    assert!(!table.record_leaving(&leaving.incarnation(), at(0)));
+    let mut changed = leaving.clone();
     changed.models = vec![Arc::from("m")];
-    table.apply(TableChange::Listed(changed), at(10));
+    for listed in [changed, target("one", 1, 1)] {
+        table.apply(TableChange::Listed(listed), at(10));
+        assert!(ready(&table).is_empty());
+    }
+    table.apply(TableChange::Listed(target("one", 1, 3)), at(20));
+    assert_eq!(ready(&table), ["one"]);
+}
+
+#[test]
+fn a_target_that_leaves_stays_out_of_use_when_it_is_listed_again() {
+    let leaving = target("one", 1, 2);
+    let remove = |table: &mut TargetTable| {
+        table.apply(TableChange::Removed(leaving.id.clone()), at(100));
+    };
+    let lapse = |table: &mut TargetTable| {
+        table.record_outage(at(50));
+        table.apply(TableChange::Removed(leaving.id.clone()), at(100));
+        assert_eq!(table.expire(at(2_400)), std::slice::from_ref(&leaving.id));
+    };
+    let replace = |table: &mut TargetTable| {
+        table.replace(vec![target("two", 2, 1)], at(100));
+    };
+    let goes: [&dyn Fn(&mut TargetTable); 3] = [&remove, &lapse, &replace];
+    for go in goes {
+        let mut table = TargetTable::default();
+        table.apply(TableChange::Listed(leaving.clone()), at(0));
+        table.record_leaving(&leaving.incarnation(), at(10));
+        go(&mut table);
+        table.apply(TableChange::Listed(leaving.clone()), at(3_000));
+        assert!(!ready(&table).contains(&"one"));
+        table.apply(TableChange::Listed(target("one", 1, 3)), at(3_100));
+        assert!(ready(&table).contains(&"one"));
+    }
+}
+
+#[test]
+fn a_statement_counts_for_the_incarnation_that_was_asked_listed_or_not() {
+    let (former, next) = (target("one", 1, 1), target("one", 1, 2));
+    let mut table = TargetTable::default();
+    table.record_leaving(&former.incarnation(), at(0));
+    table.apply(TableChange::Listed(former.clone()), at(10));
     assert!(ready(&table).is_empty());
-    table.apply(TableChange::Listed(target("one", 1, 2)), at(20));
+    table.apply(TableChange::Listed(next.clone()), at(20));
+    table.record_leaving(&former.incarnation(), at(30));
     assert_eq!(ready(&table), ["one"]);
+    table.record_leaving(&next.incarnation(), at(40));
+    assert!(ready(&table).is_empty());
+}
+
+#[test]
+fn statements_of_former_targets_do_not_accumulate() {
+    let (former, listed) = (target("one", 1, 1), target("two", 2, 1));
+    let mut table = TargetTable::default();
+    table.apply(TableChange::Listed(listed.clone()), at(0));
+    for target in [&former, &listed] {
+        table.record_leaving(&target.incarnation(), at(0));
+    }
+    let minutes = |minutes: u64| at(minutes * 60_000);
+    table.expire(minutes(9));
+    assert!(table.has_stated_leaving(&former.incarnation()));
+    table.expire(minutes(11));
+    assert!(!table.has_stated_leaving(&former.incarnation()));
+    assert!(table.has_stated_leaving(&listed.incarnation()));
 }
 
 #[test]
--- a/crates/serving/src/agent/permits.rs
+++ b/crates/serving/src/agent/permits.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use kumquatkeel_core::serving::{
-    LimitTable, PermitIssuer, RequestRate, StatedLimit, TargetId, TargetNotice,
+    Incarnation, LimitTable, PermitIssuer, RequestRate, StatedLimit, TargetId, TargetNotice,
 };
 use kumquatkeel_types::Timestamp;
 
@@ -79,11 +79,19 @@
             return;
         };
         if notice.leaving {
-            self.objects.table.record_leaving(&target.id);
+            self.record_leaving(&target.incarnation());
         }
         self.record_engine_limit(&target.id, notice.limit);
     }
 
+    fn record_leaving(&mut self, incarnation: &Incarnation) {
+        let now = self.clock.now();
+        if self.objects.table.record_leaving(incarnation, now) {
+            let (id, born) = (&incarnation.id, incarnation.born);
+            log::info!(target_id:% = id, born; "target leaves, as it states");
+        }
+    }
+
     fn record_engine_limit(&mut self, target: &TargetId, stated: StatedLimit) {
         let now = self.clock.now();
         let state = &mut self.permits;
--- a/crates/serving/src/entry/notice.rs
+++ b/crates/serving/src/entry/notice.rs
@@ -2,9 +2,7 @@
 
 use std::time::Duration;
 
-use kumquatkeel_core::serving::{
-    LeavingRecord, RequestRate, StatedLimit, Target, TargetId, TargetNotice,
-};
+use kumquatkeel_core::serving::{RequestRate, StatedLimit, Target, TargetId, TargetNotice};
 
 use super::exchange::millis;
 use super::state::Shared;
@@ -48,20 +46,16 @@
     }
 
     fn record_leaving(&self, target: &Target) {
-        let (id, born) = (&target.id, target.born);
+        let (now, incarnation) = (self.now(), target.incarnation());
         let mut state = self.lock();
-        let recorded = state.objects.table.record_leaving(id);
-        let listed_born = state.objects.table.get(id).map(|listed| listed.born);
+        let is_new = state.objects.table.record_leaving(&incarnation, now);
+        let listed = state.objects.table.get(&target.id);
+        let listed_born = listed.map(|listed| listed.born);
         drop(state);
-        self.instruments.record_leaving(recorded);
-        match recorded {
-            LeavingRecord::New => {
-                log::info!(target_id:% = id, born, listed_born; "target leaves, as its answer states");
-            }
-            LeavingRecord::Unlisted => {
-                log::info!(target_id:% = id, born; "ignored that a target leaves: it is not listed");
-            }
-            LeavingRecord::Known => {}
+        if is_new {
+            self.instruments.record_leaving();
+            let (id, born) = (&target.id, target.born);
+            log::info!(target_id:% = id, born, listed_born; "target leaves, as its answer states");
         }
     }
 
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -7,7 +7,7 @@
 use http::{Response, StatusCode};
 use http_body_util::Full;
 use kumquatkeel_core::response::Framing;
-use kumquatkeel_core::serving::{LeavingRecord, PermitDecision};
+use kumquatkeel_core::serving::PermitDecision;
 use kumquatkeel_daemon::metrics::{METRICS_CONTENT_TYPE, Metrics, MetricsError};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
@@ -113,14 +113,9 @@
         self.limit_changes.add(1, &[]);
     }
 
-    /// Counts an answer that states that its target leaves.
-    pub fn record_leaving(&self, recorded: LeavingRecord) {
-        let recorded = match recorded {
-            LeavingRecord::New => "new",
-            LeavingRecord::Known => "known",
-            LeavingRecord::Unlisted => "unlisted",
-        };
-        self.leaving.add(1, &[KeyValue::new("recorded", recorded)]);
+    /// Counts a target that states that it leaves.
+    pub fn record_leaving(&self) {
+        self.leaving.add(1, &[]);
     }
 
     /// Counts a decision on a request for a permit.
--- a/crates/serving/src/objects.rs
+++ b/crates/serving/src/objects.rs
@@ -112,9 +112,11 @@
 
     fn apply_listed(&mut self, target: Target, now: Timestamp) {
         let (id, state, version) = (target.id.clone(), target.state, target.version.clone());
-        let born = target.born;
+        let incarnation = target.incarnation();
         if self.table.apply(TableChange::Listed(target), now) {
-            log::info!(target_id:% = id, state:serde, version:%, born; "target listed");
+            let stated_leaving = self.table.has_stated_leaving(&incarnation);
+            let born = incarnation.born;
+            log::info!(target_id:% = id, state:serde, version:%, born, stated_leaving; "target listed");
         }
     }
 }
