fix(serving): a target that starts again at another address is reached there

A target that had started again under its id got no request, and its callers' requests went to the address of its former incarnation, which may have stated that it leaves or be another service by now.

Cause: the pool of connections was kept by the target's id, with the address of the first incarnation. It is kept by incarnation now and dropped once that is no longer listed.

--- a/crates/serving/src/entry/state.rs
+++ b/crates/serving/src/entry/state.rs
@@ -8,9 +8,9 @@
 use kumquatkeel_core::retry::{AttemptResult, Ejector};
 use kumquatkeel_core::serving::{
     AdapterKey, Backlog, BandRates, Candidate, DemandMeter, DrainPlan, ENGINE_SILENCE,
-    EngineReport, EngineSpec, EngineState, FailureMeter, LimitTable, OriginTable, PauseTable,
-    PermitHolder, PrefillEstimator, ResidentModel, RetryQuota, RouteTable, ServingConfig,
-    StreamScope, Target, TargetId, Urgency, origin_holders,
+    EngineReport, EngineSpec, EngineState, FailureMeter, Incarnation, LimitTable, OriginTable,
+    PauseTable, PermitHolder, PrefillEstimator, ResidentModel, RetryQuota, RouteTable,
+    ServingConfig, StreamScope, Target, TargetId, Urgency, origin_holders,
 };
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_types::Timestamp;
@@ -96,7 +96,8 @@
     engines: HashMap<TargetId, EngineState>,
     /// The state assumed for a target without an entry in `engines`.
     unknown_engine: EngineState,
-    pools: HashMap<TargetId, Arc<Pool>>,
+    /// A target that starts again may do so at another address.
+    pools: HashMap<Incarnation, Arc<Pool>>,
     /// Requests in flight by target and adapter; an adapter at zero is reported once more and then
     /// dropped.
     adapters: HashMap<TargetId, HashMap<AdapterKey, u32>>,
@@ -405,7 +406,7 @@
             Candidate {
                 engine: self.engines.get(&target.id).unwrap_or(&self.unknown_engine),
                 // A new connection takes one more round trip.
-                path_cost: if self.has_idle_connection(&target.id) {
+                path_cost: if self.has_idle_connection(target) {
                     path_cost
                 } else {
                     path_cost * 2
@@ -478,14 +479,15 @@
 
     /// Returns the connection pool of a target, which is created on first use.
     pub(super) fn pool(&mut self, target: &Target) -> Arc<Pool> {
-        let pool = self.pools.entry(target.id.clone());
+        let pool = self.pools.entry(target.incarnation());
         let new = || Arc::new(Pool::new(target.address, PoolLimits::default()));
         pool.or_insert_with(new).clone()
     }
 
     /// Returns whether the pool of a target has an idle connection.
-    pub(super) fn has_idle_connection(&self, id: &TargetId) -> bool {
-        self.pools.get(id).is_some_and(|pool| pool.has_idle())
+    pub(super) fn has_idle_connection(&self, target: &Target) -> bool {
+        let pool = self.pools.get(&target.incarnation());
+        pool.is_some_and(|pool| pool.has_idle())
     }
 
     /// Closes connections that have been idle for too long.
@@ -554,7 +556,11 @@
     pub(super) fn prune_targets(&mut self) {
         let table = &self.objects.table;
         self.engines.retain(|id, _| table.get(id).is_some());
-        self.pools.retain(|id, _| table.get(id).is_some());
+        let is_listed = |incarnation: &Incarnation| {
+            let listed = table.get(&incarnation.id);
+            listed.is_some_and(|target| target.born == incarnation.born)
+        };
+        self.pools.retain(|incarnation, _| is_listed(incarnation));
         self.adapters.retain(|id, _| table.get(id).is_some());
         let listed = |agent: &SocketAddr| table.all().any(|t| t.address.ip() == agent.ip());
         self.agents.retain(|agent, _| listed(agent));
