feat(serving): a target's agent tells entries and the planner that it leaves

Only the entries that a leaving target had answered kept requests from it. The others began streams there that it would cut off, and the planner counted on a copy of a model that was about to go, so that callers of that model were refused until the list showed the leaving.

An entry reports the statement to the agent beside the target, which learns it from the engine's report as well and spreads it to all entries and the agents that may plan: at once, then at the interval of notices of limits. Targets without an agent are learnt of by each entry for itself.

--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -97,6 +97,8 @@
     /// The report last announced to entries as a change.
     pub(super) last_published: Option<EngineReport>,
     pub(super) agents_notified: Timestamp,
+    /// When it was last sent that the target leaves.
+    pub(super) leaving_sent: Option<Timestamp>,
     pub(super) last_round: Timestamp,
     pub(super) last_logged: Timestamp,
     pub(super) engine_unreachable: bool,
@@ -143,6 +145,7 @@
             report: None,
             last_published: None,
             agents_notified: Timestamp::ZERO,
+            leaving_sent: None,
             last_round: Timestamp::ZERO,
             last_logged: Timestamp::ZERO,
             engine_unreachable: false,
@@ -267,6 +270,7 @@
             Datagram::Permit(request) => self.handle_permit_request(from, &request),
             Datagram::Limit(record) => self.handle_limit(&record),
             Datagram::LimitNotice(record) => self.handle_limit_notice(&record),
+            Datagram::Leaving(incarnation) => self.handle_leaving(&incarnation),
             Datagram::Count(_) | Datagram::Origin(_) | Datagram::PermitReply(_) => {
                 log::debug!(peer:% = from; "ignored datagram for entries");
             }
@@ -357,6 +361,7 @@
         self.send_heartbeats();
         self.judge_crashes();
         self.publish_limits();
+        self.publish_leaving();
         self.plan();
     }
 
--- a/crates/serving/src/agent/mod.rs
+++ b/crates/serving/src/agent/mod.rs
@@ -5,6 +5,7 @@
 //! safety.
 
 mod daemon;
+mod leaving;
 mod peers;
 mod permits;
 mod planning;
--- a/crates/serving/src/agent/peers.rs
+++ b/crates/serving/src/agent/peers.rs
@@ -12,6 +12,11 @@
 
 /// Shortest interval between two heartbeats to an entry.
 const ENTRY_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
+/// Shortest interval between two notices of what a target states.
+const MIN_NOTICE_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval between notices that each entry adds, so that an agent's send rate stays bounded in a large
+/// fleet.
+const NOTICE_INTERVAL_PER_ENTRY: Duration = Duration::from_millis(15);
 /// Interval that each entry adds, so that an agent's send rate stays bounded in a large fleet.
 const INTERVAL_PER_ENTRY: Duration = Duration::from_millis(15);
 /// Factor of the interval to an entry in another region, whose link is narrow and charged by use.
@@ -195,6 +200,12 @@
         agents
     }
 
+    /// Returns the interval between two notices of what a target states, for processes that start or
+    /// have missed one.
+    pub(super) fn notice_interval(&self) -> Duration {
+        MIN_NOTICE_INTERVAL.max(NOTICE_INTERVAL_PER_ENTRY * self.entries.len() as u32)
+    }
+
     /// Returns the number of known entries.
     pub(super) fn entry_count(&self) -> usize {
         self.entries.len()
--- a/crates/serving/src/agent/permits.rs
+++ b/crates/serving/src/agent/permits.rs
@@ -5,19 +5,13 @@
 use std::time::Duration;
 
 use kumquatkeel_core::serving::{
-    Incarnation, LimitTable, PermitIssuer, RequestRate, StatedLimit, TargetId, TargetNotice,
+    LimitTable, PermitIssuer, RequestRate, StatedLimit, TargetId, TargetNotice,
 };
 use kumquatkeel_types::Timestamp;
 
 use super::daemon::Agent;
 use crate::gossip::{Datagram, LimitRecord, PermitReply, PermitRequest};
 
-/// Shortest interval between two notices of a limit that holds, for processes that start or have missed
-/// one.
-const NOTICE_INTERVAL: Duration = Duration::from_secs(1);
-/// Interval that each entry adds, so that an agent's send rate stays bounded in a large fleet.
-const INTERVAL_PER_ENTRY: Duration = Duration::from_millis(15);
-
 /// What an agent knows of targets that name a limit.
 #[derive(Debug, Default)]
 pub(super) struct PermitState {
@@ -79,19 +73,11 @@
             return;
         };
         if notice.leaving {
-            self.record_leaving(&target.incarnation());
+            self.handle_leaving(&target.incarnation());
         }
         self.record_engine_limit(&target.id, notice.limit);
     }
 
-    fn record_leaving(&mut self, incarnation: &Incarnation) {
-        let now = self.clock.now();
-        if self.objects.table.record_leaving(incarnation, now) {
-            let (id, born) = (&incarnation.id, incarnation.born);
-            log::info!(target_id:% = id, born; "target leaves, as it states");
-        }
-    }
-
     fn record_engine_limit(&mut self, target: &TargetId, stated: StatedLimit) {
         let now = self.clock.now();
         let state = &mut self.permits;
@@ -108,10 +94,9 @@
     /// Sends limits that hold, from time to time.
     pub(super) fn publish_limits(&mut self) {
         let now = self.clock.now();
-        let interval = INTERVAL_PER_ENTRY * self.peers.entry_count() as u32;
         let table = &self.objects.table;
         let state = &mut self.permits;
-        if now.since(state.last_notice) < interval.max(NOTICE_INTERVAL) {
+        if now.since(state.last_notice) < self.peers.notice_interval() {
             return;
         }
         state.last_notice = now;
--- a/crates/serving/src/entry/daemon.rs
+++ b/crates/serving/src/entry/daemon.rs
@@ -205,6 +205,7 @@
             Datagram::Quarantine(notice) => shared.handle_quarantine_notice(from, notice),
             Datagram::PermitReply(reply) => shared.handle_permit_reply(reply),
             Datagram::LimitNotice(record) => shared.handle_limit_notice(&record),
+            Datagram::Leaving(incarnation) => shared.handle_leaving(&incarnation),
             Datagram::Entry(_)
             | Datagram::Alive(_)
             | Datagram::Want(_)
@@ -263,6 +264,10 @@
         }
         state.record_heartbeat(agent, now);
         shared.gossip.send(agent, &Datagram::Entry(heartbeat));
+        let incarnation = target.incarnation();
+        if state.objects.table.has_stated_leaving(&incarnation) {
+            (shared.gossip).send(agent, &Datagram::Leaving(incarnation));
+        }
     }
     agents
 }
--- a/crates/serving/src/entry/notice.rs
+++ b/crates/serving/src/entry/notice.rs
@@ -2,10 +2,13 @@
 
 use std::time::Duration;
 
-use kumquatkeel_core::serving::{RequestRate, StatedLimit, Target, TargetId, TargetNotice};
+use kumquatkeel_core::serving::{
+    Incarnation, RequestRate, StatedLimit, Target, TargetId, TargetNotice,
+};
 
 use super::exchange::millis;
 use super::state::Shared;
+use crate::gossip::Datagram;
 use crate::platform::ResponseClass;
 
 /// Longest time that an entry adds to the pause of a target.
@@ -51,11 +54,27 @@
         let is_new = state.objects.table.record_leaving(&incarnation, now);
         let listed = state.objects.table.get(&target.id);
         let listed_born = listed.map(|listed| listed.born);
+        let has_agent = state.engine_spec(&target.service).is_some();
         drop(state);
+        if !is_new {
+            return;
+        }
+        self.instruments.record_leaving();
+        let (id, born) = (&target.id, target.born);
+        log::info!(target_id:% = id, born, listed_born; "target leaves, as its answer states");
+        if has_agent {
+            let agent = self.settings.agent_of(target);
+            self.gossip.send(agent, &Datagram::Leaving(incarnation));
+        }
+    }
+
+    /// Records that a target leaves, as its agent reports.
+    pub(super) fn handle_leaving(&self, incarnation: &Incarnation) {
+        let now = self.now();
+        let is_new = (self.lock().objects.table).record_leaving(incarnation, now);
         if is_new {
-            self.instruments.record_leaving();
-            let (id, born) = (&target.id, target.born);
-            log::info!(target_id:% = id, born, listed_born; "target leaves, as its answer states");
+            let (id, born) = (&incarnation.id, incarnation.born);
+            log::info!(target_id:% = id, born; "target leaves, as its agent reports");
         }
     }
 
--- a/crates/serving/src/gossip.rs
+++ b/crates/serving/src/gossip.rs
@@ -10,8 +10,8 @@
 
 use kumquatkeel_core::quarantine::{Suspect, Verdict};
 use kumquatkeel_core::serving::{
-    AdapterKey, Backlog, EngineReport, LimitTable, LoadCommand, ModelDemand, PermitDecision,
-    RequestRate, StreamOrigin, TargetId, Urgency,
+    AdapterKey, Backlog, EngineReport, Incarnation, LimitTable, LoadCommand, ModelDemand,
+    PermitDecision, RequestRate, StreamOrigin, TargetId, Urgency,
 };
 use kumquatkeel_types::Timestamp;
 use serde::{Deserialize, Serialize};
@@ -273,6 +273,9 @@
     Limit(LimitRecord),
     /// From the agent that issues permits to entries and other agents: a target's limit.
     LimitNotice(LimitRecord),
+    /// From an entry to the agent beside a target, and from that agent to entries and to agents that are
+    /// candidates for planner: the incarnation has stated that it leaves.
+    Leaving(Incarnation),
 }
 
 /// Most suspects in one notice.
--- a/crates/serving/tests/agent.rs
+++ b/crates/serving/tests/agent.rs
@@ -11,13 +11,14 @@
 
 use async_trait::async_trait;
 use kumquatkeel_core::serving::{
-    Backlog, Band, ClientLimits, EngineOrder, EngineReport, EngineSpec, ModelSpec, RequestRate,
-    ResidentModel, ServiceSpec, ServingConfig, StatedLimit, Target, TargetId, TargetNotice,
-    TargetState,
+    Backlog, Band, ClientLimits, EngineOrder, EngineReport, EngineSpec, Incarnation, ModelDemand,
+    ModelSpec, RequestRate, ResidentModel, ServiceSpec, ServingConfig, StatedLimit, Target,
+    TargetId, TargetNotice, TargetState,
 };
 use kumquatkeel_serving::agent::{Agent, AgentSettings};
 use kumquatkeel_serving::gossip::{
-    BacklogQuery, BacklogUpdate, Datagram, EntryHeartbeat, GossipSocket, LimitRecord, Stamp,
+    AgentHeartbeat, BacklogQuery, BacklogUpdate, Datagram, EntryHeartbeat, GossipSocket,
+    LimitRecord, Stamp,
 };
 use kumquatkeel_serving::locality::Locality;
 use kumquatkeel_serving::platform::{
@@ -366,25 +367,7 @@
 #[tokio::test]
 async fn entries_learn_that_a_limit_begins_and_ends() {
     let engine = Arc::new(Engine::default());
-    engine.restart(BORN);
-    let objects = Arc::new(Objects {
-        targets: Mutex::new(vec![listed("one", engine_address(), BORN, &[])]),
-    });
-    let agent = start_agent(&engine, &objects).await;
-    let entry = GossipSocket::bind(([127, 0, 0, 1], 0).into())
-        .await
-        .unwrap();
-    let heartbeat = EntryHeartbeat {
-        stamp: Stamp::start().advance(),
-        target: TargetId::from("one"),
-        backlog: Backlog::default(),
-        adapters: Vec::new(),
-        remote: false,
-        demand: Vec::new(),
-    };
-    sleep(Duration::from_millis(300)).await;
-    entry.send(agent, &Datagram::Entry(heartbeat));
-    sleep(Duration::from_millis(100)).await;
+    let (agent, entry) = start_agent_and_entry(&engine, Vec::new()).await;
     let limited = async |limit| {
         let received = timeout(Duration::from_secs(3), receive_limit(&entry)).await;
         assert_eq!(received.expect("the agent spreads the limit"), limit);
@@ -404,3 +387,126 @@
     engine.notice.lock().unwrap().limit = StatedLimit::Absent;
     limited(None).await;
 }
+
+/// Starts an agent beside target `one`, whose engine is empty, and an entry known to it.
+async fn start_agent_and_entry(
+    engine: &Arc<Engine>,
+    others: Vec<Target>,
+) -> (SocketAddr, GossipSocket) {
+    engine.restart(BORN);
+    let mut targets = others;
+    targets.push(listed("one", engine_address(), BORN, &[]));
+    let objects = Arc::new(Objects {
+        targets: Mutex::new(targets),
+    });
+    let agent = start_agent(engine, &objects).await;
+    let entry = GossipSocket::bind(([127, 0, 0, 1], 0).into())
+        .await
+        .unwrap();
+    sleep(Duration::from_millis(300)).await;
+    entry.send(agent, &Datagram::Entry(entry_heartbeat(Vec::new())));
+    sleep(Duration::from_millis(100)).await;
+    (agent, entry)
+}
+
+fn entry_heartbeat(demand: Vec<ModelDemand>) -> EntryHeartbeat {
+    EntryHeartbeat {
+        stamp: Stamp::start().advance(),
+        target: TargetId::from("one"),
+        backlog: Backlog::default(),
+        adapters: Vec::new(),
+        remote: false,
+        demand,
+    }
+}
+
+fn incarnation(id: &str, born: u64) -> Incarnation {
+    let id = TargetId::from(id);
+    Incarnation { id, born }
+}
+
+/// Reads datagrams until the agent spreads that a target leaves.
+async fn receive_leaving(socket: &GossipSocket) -> Incarnation {
+    let receive = async {
+        loop {
+            if let (_, Datagram::Leaving(incarnation)) = socket.receive().await {
+                return incarnation;
+            }
+        }
+    };
+    let received = timeout(Duration::from_secs(3), receive).await;
+    received.expect("the agent spreads that the target leaves")
+}
+
+#[tokio::test]
+async fn entries_are_not_told_that_an_engine_leaves_by_its_report() {
+    let engine = Arc::new(Engine::default());
+    let (_, entry) = start_agent_and_entry(&engine, Vec::new()).await;
+    engine.notice.lock().unwrap().leaving = true;
+    assert_eq!(receive_leaving(&entry).await, incarnation("one", BORN));
+}
+
+#[tokio::test]
+async fn entries_are_not_told_that_an_engine_leaves_by_its_answers_to_others() {
+    let engine = Arc::new(Engine::default());
+    let (agent, entry) = start_agent_and_entry(&engine, Vec::new()).await;
+    let other = GossipSocket::bind(([127, 0, 0, 1], 0).into())
+        .await
+        .unwrap();
+    sleep(Duration::from_millis(50)).await;
+    // A statement of an earlier incarnation is not spread.
+    other.send(agent, &Datagram::Leaving(incarnation("one", BORN - 1)));
+    other.send(agent, &Datagram::Leaving(incarnation("one", BORN)));
+    for _ in 0..2 {
+        assert_eq!(receive_leaving(&entry).await, incarnation("one", BORN));
+    }
+}
+
+#[tokio::test]
+async fn a_model_that_only_a_leaving_target_holds_is_not_loaded_elsewhere() {
+    let engine = Arc::new(Engine::default());
+    let address = SocketAddr::from(([127, 0, 0, 2], 9));
+    let holder = listed("two", address, 1, &["rare"]);
+    let (agent, entry) = start_agent_and_entry(&engine, vec![holder.clone()]).await;
+    let beside = SocketAddr::new(address.ip(), agent.port());
+    let other = GossipSocket::bind(beside).await.unwrap();
+    let mut stamp = Stamp::start();
+    let report = EngineReport {
+        models: vec![ResidentModel {
+            name: Arc::from("rare"),
+            adapters: Vec::new(),
+        }],
+        ..EngineReport::default()
+    };
+    let mut report_for = async |time: Duration| {
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            let heartbeat = AgentHeartbeat {
+                stamp: stamp.advance(),
+                target: holder.id.clone(),
+                report: report.clone(),
+                cached: None,
+                planner: false,
+                entries: 1,
+                others: Backlog::default(),
+                interval_ms: 500,
+            };
+            other.send(agent, &Datagram::Agent(heartbeat));
+            let demand = ModelDemand {
+                model: Arc::from("rare"),
+                rate_us: 20_000,
+            };
+            entry.send(agent, &Datagram::Entry(entry_heartbeat(vec![demand])));
+            sleep(Duration::from_millis(100)).await;
+        }
+    };
+    report_for(Duration::from_secs(3)).await;
+    assert!(
+        engine.loads.lock().unwrap().is_empty(),
+        "one copy is enough"
+    );
+    other.send(agent, &Datagram::Leaving(holder.incarnation()));
+    report_for(Duration::from_secs(2)).await;
+    let loads = engine.wait_for_loads(1).await;
+    assert_eq!(names(&loads), ["rare"]);
+}
