--- a/crates/serving/src/entry/attempt.rs
+++ b/crates/serving/src/entry/attempt.rs
@@ -14,6 +14,7 @@
 use kumquatkeel_daemon::http::framing_of;
 use tokio::time::{Instant, timeout_at};
 
+use super::exchange::millis;
 use super::in_flight::InFlightGuard;
 use super::state::Shared;
 use crate::net::{CallError, PooledConnection};
@@ -38,6 +39,8 @@
 #[derive(Debug)]
 pub(super) struct AttemptPlan {
     pub(super) target: Arc<Target>,
+    /// When the target was chosen.
+    pub(super) chosen: Instant,
     pub(super) terms: ForwardOptions,
     /// Time limit for the head of the response.
     pub(super) deadline: Instant,
@@ -190,6 +193,14 @@
         .dialect
         .classify_response(parts.status, &parts.headers, &outgoing.attempt);
     let notice = shared.dialect.read_notice(parts.status, &parts.headers);
+    if let Some(pause) = notice.pause {
+        log::info!(
+            request:% = outgoing.attempt, target_id:% = plan.target.id, born = plan.target.born,
+            pause_ms = millis(pause), sent_ms = millis(sent.elapsed()),
+            chosen_ms = millis(plan.chosen.elapsed());
+            "target asked for a pause"
+        );
+    }
     shared.record_notice(&plan.target, class, notice);
     let success = match class {
         ResponseClass::Success => true,
--- a/crates/serving/src/entry/notice.rs
+++ b/crates/serving/src/entry/notice.rs
@@ -6,7 +6,6 @@
     Incarnation, RequestRate, StatedLimit, Target, TargetId, TargetNotice,
 };
 
-use super::exchange::millis;
 use super::state::Shared;
 use crate::gossip::Datagram;
 use crate::platform::ResponseClass;
@@ -45,7 +44,7 @@
         let now = self.now();
         let spread = MAX_PAUSE_SPREAD.mul_f64(rand::random());
         self.lock().pauses.record(target, pause + spread, now);
-        log::info!(target_id:% = target, pause_ms = millis(pause); "target asked for a pause");
+        self.instruments.record_pause();
     }
 
     fn record_leaving(&self, target: &Target) {
--- a/crates/serving/src/entry/selection.rs
+++ b/crates/serving/src/entry/selection.rs
@@ -307,6 +307,7 @@
         let adapter = (self.request.model.clone()).zip(self.request.adapter.clone());
         let shared = self.shared.clone();
         AttemptPlan {
+            chosen: now,
             terms: ForwardOptions {
                 target: target.id.clone(),
                 timeout: left,
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -32,6 +32,7 @@
     verdicts: Counter<u64>,
     limit_changes: Counter<u64>,
     leaving: Counter<u64>,
+    pauses: Counter<u64>,
     permits: Counter<u64>,
     first_byte: Histogram<f64>,
     predicted: Histogram<f64>,
@@ -63,6 +64,7 @@
             permits: meter.u64_counter("target_permits").build(),
             limit_changes: meter.u64_counter("target_limit_changes").build(),
             leaving: meter.u64_counter("target_leaving_notices").build(),
+            pauses: meter.u64_counter("target_pauses").build(),
             first_byte: histogram("first_byte"),
             predicted: histogram("first_byte_predicted"),
             duration: histogram("request_duration"),
@@ -118,6 +120,11 @@
         self.leaving.add(1, &[]);
     }
 
+    /// Counts an answer that asks for a pause.
+    pub fn record_pause(&self) {
+        self.pauses.add(1, &[]);
+    }
+
     /// Counts a decision on a request for a permit.
     pub fn record_permit(&self, decision: PermitDecision) {
         let decision = match decision {
