test(serving): a planner that counts on a leaving target is caught while that target's agent reports

The mutation leaving-planner survived: the test waited for the load until the agent of the leaving target had fallen silent, after which its copies don't count anyway. It looks while that agent still reports now, and fails with the mutation.

--- a/crates/serving/tests/agent.rs
+++ b/crates/serving/tests/agent.rs
@@ -507,6 +507,6 @@
     );
     other.send(agent, &Datagram::Leaving(holder.incarnation()));
     report_for(Duration::from_secs(2)).await;
-    let loads = engine.wait_for_loads(1).await;
+    let loads = engine.loads.lock().unwrap().clone();
     assert_eq!(names(&loads), ["rare"]);
 }
