fix(serving): a pause holds for the incarnation that asked for it, whatever the list shows

A target that had asked for a pause got requests within it once its record had gone and come back, and a target that had started again under its id got none for the rest of its predecessor's pause, which may be an hour.

Cause: pauses were kept by the target's id and dropped whenever its record was missing, the same class as of the statements that a target leaves.

Pauses move into the table that keeps these by incarnation. A later end stands, also against the ten minutes for which an unlisted target is remembered.

The new cases of serving_table catch the mutations of the pause's end, memory and incarnation.

--- a/crates/core/src/serving/table.rs
+++ b/crates/core/src/serving/table.rs
@@ -14,7 +14,7 @@
 use kumquatkeel_types::Timestamp;
 
 use super::incarnation::Incarnation;
-use super::leaving_table::LeavingTable;
+use super::statement_table::{Acceptance, StatementTable};
 use super::target::{Target, TargetId, TargetState};
 
 /// How long a record that expired during an outage may take to return; the platform states about
@@ -47,7 +47,7 @@
     records: BTreeMap<TargetId, Record>,
     /// The targets of each service that accept new work.
     services: HashMap<Arc<str>, Vec<Arc<Target>>>,
-    leaving: LeavingTable,
+    statements: StatementTable,
     /// When the list was last found unavailable.
     outage: Option<Timestamp>,
     /// Service and software version of removed targets, and the time of the removal.
@@ -63,16 +63,26 @@
     /// Records that an incarnation has stated that it leaves, also one that is not listed; returns whether
     /// that is new.
     pub fn record_leaving(&mut self, incarnation: &Incarnation, now: Timestamp) -> bool {
-        let is_new = self.leaving.record(incarnation, now);
+        let is_new = self.statements.record_leaving(incarnation, now);
         if is_new {
             self.index();
         }
         is_new
     }
 
+    /// Records that an incarnation wants no request for a time, also one that is not listed.
+    pub fn record_pause(&mut self, incarnation: &Incarnation, pause: Duration, now: Timestamp) {
+        self.statements.record_pause(incarnation, pause, now);
+    }
+
     /// Returns whether an incarnation has stated that it leaves.
     pub fn has_stated_leaving(&self, incarnation: &Incarnation) -> bool {
-        self.leaving.contains(incarnation)
+        self.statements.is_leaving(incarnation)
+    }
+
+    /// Returns whether an incarnation accepts a request, by what it has stated.
+    pub fn acceptance(&self, incarnation: &Incarnation, now: Timestamp) -> Acceptance {
+        self.statements.acceptance(incarnation, now)
     }
 
     /// Applies a change; returns whether the usable targets changed.
@@ -122,7 +132,7 @@
             self.index();
         }
         let records = &self.records;
-        self.leaving.expire(|id| records.contains_key(id), now);
+        self.statements.expire(|id| records.contains_key(id), now);
         gone
     }
 
@@ -252,7 +262,7 @@
         self.services.clear();
         for record in self.records.values() {
             let current = newest.get(&record.target.address) == Some(&record.target.born);
-            let leaves = self.leaving.contains(&record.target.incarnation());
+            let leaves = self.statements.is_leaving(&record.target.incarnation());
             if current && !leaves && record.target.state == TargetState::Ready {
                 let service = self.services.entry(record.target.service.clone());
                 service.or_default().push(record.target.clone());
--- a/crates/core/tests/serving_table.rs
+++ b/crates/core/tests/serving_table.rs
@@ -2,8 +2,11 @@
 //! an outage of the target list.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use kumquatkeel_core::serving::{TableChange, Target, TargetId, TargetState, TargetTable};
+use kumquatkeel_core::serving::{
+    Acceptance, TableChange, Target, TargetId, TargetState, TargetTable,
+};
 use kumquatkeel_types::Timestamp;
 
 fn target(id: &str, port: u16, born: u64) -> Target {
@@ -127,6 +130,66 @@
     assert!(table.has_stated_leaving(&listed.incarnation()));
 }
 
+#[test]
+fn a_pause_does_not_end_with_the_targets_record() {
+    let (paused, next) = (target("one", 1, 2), target("one", 1, 3));
+    let mut table = TargetTable::default();
+    table.apply(TableChange::Listed(paused.clone()), at(0));
+    table.record_pause(&paused.incarnation(), Duration::from_secs(3), at(100));
+    table.apply(TableChange::Removed(paused.id.clone()), at(200));
+    table.apply(TableChange::Listed(paused.clone()), at(1_100));
+    for (asked, expected) in [
+        (&paused, Acceptance::Paused(Duration::from_secs(2))),
+        (
+            &target("one", 1, 1),
+            Acceptance::Paused(Duration::from_secs(2)),
+        ),
+        (&next, Acceptance::Accepts),
+    ] {
+        assert_eq!(table.acceptance(&asked.incarnation(), at(1_100)), expected);
+    }
+    assert_eq!(
+        table.acceptance(&paused.incarnation(), at(3_100)),
+        Acceptance::Accepts
+    );
+}
+
+#[test]
+fn a_shorter_pause_does_not_end_a_longer_one() {
+    let paused = target("one", 1, 1).incarnation();
+    let mut table = TargetTable::default();
+    table.record_pause(&paused, Duration::from_secs(3), at(0));
+    table.record_pause(&paused, Duration::from_secs(1), at(100));
+    let left = Acceptance::Paused(Duration::from_secs(1));
+    assert_eq!(table.acceptance(&paused, at(2_000)), left);
+    table.record_pause(&paused, Duration::from_secs(3), at(2_000));
+    let left = Acceptance::Paused(Duration::from_secs(2));
+    assert_eq!(table.acceptance(&paused, at(3_000)), left);
+}
+
+#[test]
+fn a_statement_of_a_former_incarnation_does_not_count_for_the_next() {
+    let (former, next) = (
+        target("one", 1, 1).incarnation(),
+        target("one", 1, 2).incarnation(),
+    );
+    let mut table = TargetTable::default();
+    table.record_pause(&next, Duration::from_secs(1), at(0));
+    table.record_pause(&former, Duration::from_mins(1), at(0));
+    table.record_leaving(&former, at(0));
+    assert_eq!(table.acceptance(&next, at(1_000)), Acceptance::Accepts);
+}
+
+#[test]
+fn a_pause_outlasts_the_memory_for_targets_that_are_not_listed() {
+    let paused = target("one", 1, 1).incarnation();
+    let mut table = TargetTable::default();
+    table.record_pause(&paused, Duration::from_hours(1), at(0));
+    table.expire(at(59 * 60_000));
+    let left = Acceptance::Paused(Duration::from_mins(1));
+    assert_eq!(table.acceptance(&paused, at(59 * 60_000)), left);
+}
+
 #[test]
 fn a_leaving_target_gets_no_work() {
     let mut table = TargetTable::default();
--- a/crates/serving/src/entry/notice.rs
+++ b/crates/serving/src/entry/notice.rs
@@ -28,7 +28,7 @@
             return;
         }
         if let Some(pause) = notice.pause {
-            self.record_pause(&target.id, pause);
+            self.record_pause(target, pause);
         }
         if notice.leaving {
             self.record_leaving(target);
@@ -40,10 +40,12 @@
     }
 
     /// Records a pause, which ends somewhat later at each entry, so that their first requests come apart.
-    fn record_pause(&self, target: &TargetId, pause: Duration) {
+    fn record_pause(&self, target: &Target, pause: Duration) {
         let now = self.now();
         let spread = MAX_PAUSE_SPREAD.mul_f64(rand::random());
-        self.lock().pauses.record(target, pause + spread, now);
+        let incarnation = target.incarnation();
+        let table = &mut self.lock().objects.table;
+        table.record_pause(&incarnation, pause + spread, now);
         self.instruments.record_pause();
     }
 
--- a/crates/serving/src/entry/state.rs
+++ b/crates/serving/src/entry/state.rs
@@ -7,10 +7,10 @@
 
 use kumquatkeel_core::retry::{AttemptResult, Ejector};
 use kumquatkeel_core::serving::{
-    AdapterKey, Backlog, BandRates, Candidate, DemandMeter, DrainPlan, ENGINE_SILENCE,
+    Acceptance, AdapterKey, Backlog, BandRates, Candidate, DemandMeter, DrainPlan, ENGINE_SILENCE,
     EngineReport, EngineSpec, EngineState, FailureMeter, Incarnation, LimitTable, OriginTable,
-    PauseTable, PermitHolder, PrefillEstimator, ResidentModel, RetryQuota, RouteTable,
-    ServingConfig, StreamScope, Target, TargetId, Urgency, origin_holders,
+    PermitHolder, PrefillEstimator, ResidentModel, RetryQuota, RouteTable, ServingConfig,
+    StreamScope, Target, TargetId, Urgency, origin_holders,
 };
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_types::Timestamp;
@@ -110,8 +110,6 @@
     /// The limits that targets name.
     pub(super) limits: LimitTable,
     pub(super) permits: PermitHolder,
-    /// The pauses that targets have asked for.
-    pub(super) pauses: PauseTable,
     /// The requests that wait for a permit, by the number of their request for it.
     pub(super) permit_waiters: HashMap<u64, oneshot::Sender<PermitReply>>,
     /// The number of the last request for a permit.
@@ -163,7 +161,6 @@
                 origins: OriginTable::default(),
                 limits: LimitTable::default(),
                 permits: PermitHolder::new(rand::random()),
-                pauses: PauseTable::default(),
                 permit_waiters: HashMap::new(),
                 next_permit: 0,
                 quarantine: QuarantineState::default(),
@@ -413,7 +410,7 @@
                 },
                 penalty: self.failures.penalty(&target.id),
                 avoided: self.is_avoided(&target.id, now),
-                closed: self.closed_for(&target.id, urgency, now),
+                closed: self.closed_for(target, urgency, now),
             }
         };
         targets.iter().map(candidate).collect()
@@ -433,8 +430,12 @@
 
     /// Returns the time until a target accepts a request, by what it states about itself; `None` if
     /// it does now.
-    fn closed_for(&self, id: &TargetId, urgency: Urgency, now: Timestamp) -> Option<Duration> {
-        let pause = self.pauses.left(id, now);
+    fn closed_for(&self, target: &Target, urgency: Urgency, now: Timestamp) -> Option<Duration> {
+        let id = &target.id;
+        let pause = match self.objects.table.acceptance(&target.incarnation(), now) {
+            Acceptance::Paused(left) => Some(left),
+            Acceptance::Accepts | Acceptance::Leaves => None,
+        };
         let limited = self.limits.limit(id).is_some();
         let closed = limited.then(|| self.permits.closed_for(id, urgency, now));
         pause.max(closed.flatten())
@@ -569,7 +570,6 @@
         self.failures.retain(|id| table.get(id).is_some());
         self.limits.retain(|id| table.get(id).is_some());
         self.permits.retain(|id| table.get(id).is_some());
-        self.pauses.retain(|id| table.get(id).is_some());
     }
 }
 
