--- a/crates/serving/src/entry/notice.rs
+++ b/crates/serving/src/entry/notice.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
-use kumquatkeel_core::serving::{RequestRate, StatedLimit, Target, TargetId, TargetNotice};
+use kumquatkeel_core::serving::{
+    Incarnation, RequestRate, StatedLimit, Target, TargetId, TargetNotice,
+};
 
-use super::exchange::millis;
 use super::state::Shared;
+use crate::gossip::Datagram;
 use crate::platform::ResponseClass;
 
 /// Longest time that an entry adds to the pause of a target.
@@ -26,7 +28,7 @@
             return;
         }
         if let Some(pause) = notice.pause {
-            self.record_pause(&target.id, pause);
+            self.record_pause(target, pause);
         }
         if notice.leaving {
             self.record_leaving(target);
@@ -38,11 +40,13 @@
     }
 
     /// Records a pause, which ends somewhat later at each entry, so that their first requests come apart.
-    fn record_pause(&self, target: &TargetId, pause: Duration) {
+    fn record_pause(&self, target: &Target, pause: Duration) {
         let now = self.now();
         let spread = MAX_PAUSE_SPREAD.mul_f64(rand::random());
-        self.lock().pauses.record(target, pause + spread, now);
-        log::info!(target_id:% = target, pause_ms = millis(pause); "target asked for a pause");
+        let incarnation = target.incarnation();
+        let table = &mut self.lock().objects.table;
+        table.record_pause(&incarnation, pause + spread, now);
+        self.instruments.record_pause();
     }
 
     fn record_leaving(&self, target: &Target) {
@@ -51,11 +55,27 @@
         let is_new = state.objects.table.record_leaving(&incarnation, now);
         let listed = state.objects.table.get(&target.id);
         let listed_born = listed.map(|listed| listed.born);
+        let has_agent = state.engine_spec(&target.service).is_some();
         drop(state);
+        if !is_new {
+            return;
+        }
+        self.instruments.record_leaving();
+        let (id, born) = (&target.id, target.born);
+        log::info!(target_id:% = id, born, listed_born; "target leaves, as its answer states");
+        if has_agent {
+            let agent = self.settings.agent_of(target);
+            self.gossip.send(agent, &Datagram::Leaving(incarnation));
+        }
+    }
+
+    /// Records that a target leaves, as its agent reports.
+    pub(super) fn handle_leaving(&self, incarnation: &Incarnation) {
+        let now = self.now();
+        let is_new = (self.lock().objects.table).record_leaving(incarnation, now);
         if is_new {
-            self.instruments.record_leaving();
-            let (id, born) = (&target.id, target.born);
-            log::info!(target_id:% = id, born, listed_born; "target leaves, as its answer states");
+            let (id, born) = (&incarnation.id, incarnation.born);
+            log::info!(target_id:% = id, born; "target leaves, as its agent reports");
         }
     }
 
