fix(serving): a request is not sent to a target that has closed since it was chosen

Cause: what a target states was looked at when it was chosen only. A permit may be waited for up to half of the objective after that, and a connection is opened.

The statements are asked again right before each send. A request that is withheld is neither an attempt nor a failure of the target, takes nothing from the retry quota and is decided on anew; its connection goes back to the pool.

--- a/crates/core/src/serving/request.rs
+++ b/crates/core/src/serving/request.rs
@@ -53,6 +53,8 @@
 /// How an attempt at a target ended without success.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptEnd {
+    /// The request was withheld, as the target has stated since it was chosen that it wants none.
+    Withheld,
     /// No byte of the request reached the target.
     NotSent,
     /// The target states that it did not run the request.
@@ -95,9 +97,11 @@
 pub fn after_attempt(kind: CallKind, end: AttemptEnd, ran: bool, left: u8) -> Recovery {
     let may_repeat = kind == CallKind::Idempotent;
     match end {
-        AttemptEnd::NotSent | AttemptEnd::NotRun if left > 0 => Recovery::Resend,
-        AttemptEnd::NotSent | AttemptEnd::NotRun if ran => Recovery::Fail,
-        AttemptEnd::NotSent | AttemptEnd::NotRun => Recovery::Reject,
+        AttemptEnd::Withheld | AttemptEnd::NotSent | AttemptEnd::NotRun => match left {
+            1.. => Recovery::Resend,
+            0 if ran => Recovery::Fail,
+            0 => Recovery::Reject,
+        },
         AttemptEnd::Failed | AttemptEnd::Lost if may_repeat && left > 0 => Recovery::Resend,
         AttemptEnd::Failed => Recovery::PassFailure,
         AttemptEnd::Lost => Recovery::Fail,
--- a/crates/core/tests/serving_request.rs
+++ b/crates/core/tests/serving_request.rs
@@ -10,7 +10,8 @@
     CallKind::NonIdempotent,
     CallKind::Stream,
 ];
-const ENDS: [AttemptEnd; 4] = [
+const ENDS: [AttemptEnd; 5] = [
+    AttemptEnd::Withheld,
     AttemptEnd::NotSent,
     AttemptEnd::NotRun,
     AttemptEnd::Failed,
@@ -21,6 +22,7 @@
 #[case(CallKind::NonIdempotent, AttemptEnd::Lost, Recovery::Fail)]
 #[case(CallKind::NonIdempotent, AttemptEnd::Failed, Recovery::PassFailure)]
 #[case(CallKind::NonIdempotent, AttemptEnd::NotRun, Recovery::Resend)]
+#[case(CallKind::NonIdempotent, AttemptEnd::Withheld, Recovery::Resend)]
 #[case(CallKind::Stream, AttemptEnd::Lost, Recovery::Fail)]
 #[case(CallKind::Stream, AttemptEnd::NotSent, Recovery::Resend)]
 #[case(CallKind::Idempotent, AttemptEnd::Lost, Recovery::Resend)]
@@ -38,7 +40,7 @@
     #[test]
     fn no_sequence_of_failures_runs_a_request_twice_or_denies_a_run(
         kind in 0_usize..3,
-        ends in proptest::collection::vec(0_usize..4, 1..6),
+        ends in proptest::collection::vec(0_usize..5, 1..6),
         attempts in 1_u8..4,
     ) {
         let kind = KINDS[kind];
--- a/crates/serving/src/entry/attempt.rs
+++ b/crates/serving/src/entry/attempt.rs
@@ -124,13 +124,14 @@
         }
         Err(failure) => {
             let end = match failure.end {
+                AttemptEnd::Withheld => "withheld",
                 AttemptEnd::NotSent => "not_sent",
                 AttemptEnd::NotRun => "not_run",
                 AttemptEnd::Failed => "failed",
                 AttemptEnd::Lost => "lost",
             };
             shared.instruments.record_attempt(end);
-            if failure.end != AttemptEnd::NotRun {
+            if !matches!(failure.end, AttemptEnd::Withheld | AttemptEnd::NotRun) {
                 state.record(&target.id, AttemptResult::Failed, now);
             }
         }
@@ -162,6 +163,13 @@
             (pool.connect(left).await)
                 .map_err(|e| AttemptFailure::new(AttemptEnd::NotSent, e.to_string()))?
         };
+        if !shared.accepts(&plan.target) {
+            pooled.release_unused();
+            return Err(AttemptFailure::new(
+                AttemptEnd::Withheld,
+                "the target wants no request now",
+            ));
+        }
         let reused = pooled.connection.reused;
         match pooled.connection.send(request(), plan.deadline).await {
             Ok(response) => break (pooled, response),
--- a/crates/serving/src/entry/exchange.rs
+++ b/crates/serving/src/entry/exchange.rs
@@ -205,6 +205,7 @@
                 Step::Send(plan) => {
                     let response = match self.send(plan).await {
                         Ok(response) => self.respond(response).await,
+                        Err(failure) if failure.end == AttemptEnd::Withheld => continue,
                         Err(failure) => self.recover(&failure, None),
                     };
                     if let Some(response) = response {
@@ -238,11 +239,17 @@
             if !allowed || Instant::now() >= self.deadline {
                 return None;
             }
-            let Step::Send(mut plan) = self.next_permitted_step().await else {
-                return None;
+            let result = loop {
+                let Step::Send(mut plan) = self.next_permitted_step().await else {
+                    return None;
+                };
+                plan.terms.resume_after = last_event;
+                match self.send(plan).await {
+                    Err(failure) if failure.end == AttemptEnd::Withheld => {}
+                    result => break result,
+                }
             };
-            plan.terms.resume_after = last_event;
-            match self.send(plan).await {
+            match result {
                 Ok(response) if response.success => return Some(response),
                 Ok(_) => return None,
                 Err(failure) if failure.end == AttemptEnd::Lost => return None,
@@ -266,6 +273,11 @@
         };
         match &result {
             Ok(_) => self.runs += 1,
+            Err(failure) if failure.end == AttemptEnd::Withheld => {
+                self.tried.pop();
+                self.sends -= 1;
+                log::info!(request:% = self.request.attempt, target_id:% = target; "request withheld");
+            }
             Err(failure) => {
                 self.runs += u8::from(failure.end == AttemptEnd::Lost);
                 if failure.broken {
@@ -368,7 +380,7 @@
             AttemptEnd::NotSent | AttemptEnd::NotRun if self.sends <= self.route.attempts => {
                 left.max(1)
             }
-            AttemptEnd::NotSent | AttemptEnd::NotRun => 0,
+            AttemptEnd::Withheld | AttemptEnd::NotSent | AttemptEnd::NotRun => 0,
             AttemptEnd::Failed | AttemptEnd::Lost if !self.may_run_again() => 0,
             AttemptEnd::Failed | AttemptEnd::Lost => left,
         }
--- a/crates/serving/src/entry/notice.rs
+++ b/crates/serving/src/entry/notice.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use kumquatkeel_core::serving::{
-    Incarnation, RequestRate, StatedLimit, Target, TargetId, TargetNotice,
+    Acceptance, Incarnation, RequestRate, StatedLimit, Target, TargetId, TargetNotice,
 };
 
 use super::state::Shared;
@@ -14,6 +14,14 @@
 const MAX_PAUSE_SPREAD: Duration = Duration::from_millis(200);
 
 impl Shared {
+    /// Returns whether a target accepts a request, by what it has stated. Ask it right before a request is
+    /// sent: a permit or a connection may have been waited for since the target was chosen.
+    pub(super) fn accepts(&self, target: &Target) -> bool {
+        let now = self.now();
+        let table = &self.lock().objects.table;
+        table.acceptance(&target.incarnation(), now) == Acceptance::Accepts
+    }
+
     /// Records what an answer states about its target.
     ///
     /// Only an answer to the request shows by a missing statement that an earlier one no longer holds;
--- a/crates/serving/src/net/pool.rs
+++ b/crates/serving/src/net/pool.rs
@@ -101,6 +101,11 @@
     /// Returns the connection to the pool. Call it only once the whole response has been read.
     pub fn release(mut self) {
         self.connection.finish();
+        self.release_unused();
+    }
+
+    /// Returns the connection to the pool, over which no request has been sent since it was taken.
+    pub fn release_unused(self) {
         let mut idle = self
             .pool
             .idle
