fix(serving): the first request after a pause goes alone, and entries spread theirs by their number

All that a pause had held back reached the target at its end: 12 to 20 requests in four pauses of a second, of a target that rejects with a delay of 0.2 s. With hundreds of entries, each of which added 0.2 s at most, that many requests come within 0.2 s.

Until the first request after a pause is answered, or half a second has passed, an entry sends no other; its answer decides. The time that an entry adds to a pause grows by 20 ms with each entry.

--- a/crates/core/src/serving/statement_table.rs
+++ b/crates/core/src/serving/statement_table.rs
@@ -15,6 +15,26 @@
 /// incarnation that leaves has ended by then.
 const UNLISTED_TTL: Duration = Duration::from_mins(10);
 
+/// Longest time for which the first request after a pause keeps others back; it ends with its answer.
+const TRIAL_TIME: Duration = Duration::from_millis(500);
+
+/// A pause until the first answer after its end, which shows whether the target takes requests again.
+#[derive(Debug, Clone, Copy)]
+struct Pause {
+    end: Timestamp,
+    /// When the last request after the end was sent.
+    trial: Option<Timestamp>,
+}
+
+impl Pause {
+    /// Returns the time until a request may be sent; `None` if one may be now.
+    fn left(&self, now: Timestamp) -> Option<Duration> {
+        let trial_end = self.trial.map(|sent| sent.after(TRIAL_TIME));
+        let end = self.end.max(trial_end.unwrap_or_default());
+        (now < end).then(|| end.since(now))
+    }
+}
+
 /// The statements of the latest incarnation of a target that has made any. They cover earlier ones too,
 /// which must have ended before.
 #[derive(Debug, Clone, Copy)]
@@ -23,8 +43,7 @@
     born: u64,
     /// Whether it has stated that it leaves.
     leaving: bool,
-    /// End of the pause that it has asked for.
-    pause_end: Timestamp,
+    pause: Option<Pause>,
     /// When the target was last listed or made a statement.
     renewed: Timestamp,
 }
@@ -77,10 +96,40 @@
     /// Records that an incarnation wants no request for a time; a pause that ends later stands.
     pub fn record_pause(&mut self, incarnation: &Incarnation, pause: Duration, now: Timestamp) {
         if let Some(statements) = self.statements_of(incarnation, now) {
-            statements.pause_end = statements.pause_end.max(now.after(pause));
+            let known = statements.pause.map(|pause| pause.end);
+            statements.pause = Some(Pause {
+                end: now.after(pause).max(known.unwrap_or_default()),
+                trial: None,
+            });
         }
     }
 
+    /// Records an answer that asks for no pause.
+    pub fn record_answer(&mut self, incarnation: &Incarnation, now: Timestamp) {
+        let statements = self.statements.get_mut(&incarnation.id);
+        if let Some(statements) = statements.filter(|s| s.born == incarnation.born)
+            && statements.pause.is_some_and(|pause| now >= pause.end)
+        {
+            statements.pause = None;
+        }
+    }
+
+    /// Returns whether an incarnation accepts a request, which is sent if so.
+    ///
+    /// All that a pause has held back would be sent at its end. The first request goes alone, and others
+    /// follow once it is answered.
+    pub fn begin_request(&mut self, incarnation: &Incarnation, now: Timestamp) -> Acceptance {
+        let acceptance = self.acceptance(incarnation, now);
+        if acceptance == Acceptance::Accepts
+            && let Some(statements) = self.statements.get_mut(&incarnation.id)
+            && statements.born == incarnation.born
+            && let Some(pause) = &mut statements.pause
+        {
+            pause.trial = Some(now);
+        }
+        acceptance
+    }
+
     /// Returns whether an incarnation has stated that it leaves.
     pub fn is_leaving(&self, incarnation: &Incarnation) -> bool {
         let statements = self.covering(incarnation);
@@ -89,13 +138,14 @@
 
     /// Returns whether an incarnation accepts a request.
     pub fn acceptance(&self, incarnation: &Incarnation, now: Timestamp) -> Acceptance {
-        match self.covering(incarnation) {
-            Some(statements) if statements.leaving => Acceptance::Leaves,
-            Some(statements) if now < statements.pause_end => {
-                Acceptance::Paused(statements.pause_end.since(now))
-            }
-            _ => Acceptance::Accepts,
+        let Some(statements) = self.covering(incarnation) else {
+            return Acceptance::Accepts;
+        };
+        if statements.leaving {
+            return Acceptance::Leaves;
         }
+        let left = statements.pause.and_then(|pause| pause.left(now));
+        left.map_or(Acceptance::Accepts, Acceptance::Paused)
     }
 
     /// Drops statements of targets that have not been listed for ten minutes, unless a pause lasts
@@ -105,7 +155,8 @@
             if is_listed(id) {
                 statements.renewed = now;
             }
-            now.since(statements.renewed) < UNLISTED_TTL || now < statements.pause_end
+            let pauses = statements.pause.is_some_and(|pause| now < pause.end);
+            pauses || now.since(statements.renewed) < UNLISTED_TTL
         });
     }
 
@@ -124,7 +175,7 @@
         let none = Statements {
             born: incarnation.born,
             leaving: false,
-            pause_end: Timestamp::ZERO,
+            pause: None,
             renewed: now,
         };
         let statements = self.statements.entry(incarnation.id.clone());
--- a/crates/core/src/serving/table.rs
+++ b/crates/core/src/serving/table.rs
@@ -75,6 +75,17 @@
         self.statements.record_pause(incarnation, pause, now);
     }
 
+    /// Records an answer of an incarnation that asks for no pause.
+    pub fn record_answer(&mut self, incarnation: &Incarnation, now: Timestamp) {
+        self.statements.record_answer(incarnation, now);
+    }
+
+    /// Returns whether an incarnation accepts a request, which is sent if so; see
+    /// [`StatementTable::begin_request`].
+    pub fn begin_request(&mut self, incarnation: &Incarnation, now: Timestamp) -> Acceptance {
+        self.statements.begin_request(incarnation, now)
+    }
+
     /// Returns whether an incarnation has stated that it leaves.
     pub fn has_stated_leaving(&self, incarnation: &Incarnation) -> bool {
         self.statements.is_leaving(incarnation)
--- a/crates/core/tests/serving_table.rs
+++ b/crates/core/tests/serving_table.rs
@@ -190,6 +190,35 @@
     assert_eq!(table.acceptance(&paused, at(59 * 60_000)), left);
 }
 
+#[test]
+fn a_crowd_does_not_follow_a_pause_before_an_answer() {
+    let paused = target("one", 1, 1).incarnation();
+    let mut table = TargetTable::default();
+    let begin = |table: &mut TargetTable, ms| table.begin_request(&paused, at(ms));
+    table.record_pause(&paused, Duration::from_secs(1), at(0));
+    let left = |ms| Acceptance::Paused(Duration::from_millis(ms));
+    assert_eq!(begin(&mut table, 900), left(100));
+    assert_eq!(begin(&mut table, 1_000), Acceptance::Accepts);
+    assert_eq!(begin(&mut table, 1_100), left(400));
+    // The first request has brought no answer.
+    assert_eq!(begin(&mut table, 1_500), Acceptance::Accepts);
+    assert_eq!(table.acceptance(&paused, at(1_600)), left(400));
+    table.record_answer(&paused, at(1_700));
+    for _ in 0..3 {
+        assert_eq!(begin(&mut table, 1_700), Acceptance::Accepts);
+    }
+}
+
+#[test]
+fn an_answer_from_before_a_pause_does_not_end_it() {
+    let paused = target("one", 1, 1).incarnation();
+    let mut table = TargetTable::default();
+    table.record_pause(&paused, Duration::from_secs(1), at(0));
+    table.record_answer(&paused, at(500));
+    let left = Acceptance::Paused(Duration::from_millis(500));
+    assert_eq!(table.acceptance(&paused, at(500)), left);
+}
+
 #[test]
 fn a_leaving_target_gets_no_work() {
     let mut table = TargetTable::default();
--- a/crates/serving/src/entry/attempt.rs
+++ b/crates/serving/src/entry/attempt.rs
@@ -163,7 +163,7 @@
             (pool.connect(left).await)
                 .map_err(|e| AttemptFailure::new(AttemptEnd::NotSent, e.to_string()))?
         };
-        if !shared.accepts(&plan.target) {
+        if !shared.begin_request(&plan.target) {
             pooled.release_unused();
             return Err(AttemptFailure::new(
                 AttemptEnd::Withheld,
--- a/crates/serving/src/entry/notice.rs
+++ b/crates/serving/src/entry/notice.rs
@@ -10,16 +10,19 @@
 use crate::gossip::Datagram;
 use crate::platform::ResponseClass;
 
-/// Longest time that an entry adds to the pause of a target.
-const MAX_PAUSE_SPREAD: Duration = Duration::from_millis(200);
+/// Longest time that an entry adds to the pause of a target, where there are few entries.
+const MIN_PAUSE_SPREAD: Duration = Duration::from_millis(200);
+/// The time by which that grows with each entry, so that the first requests of hundreds don't come
+/// together.
+const PAUSE_SPREAD_PER_ENTRY: Duration = Duration::from_millis(20);
 
 impl Shared {
-    /// Returns whether a target accepts a request, by what it has stated. Ask it right before a request is
-    /// sent: a permit or a connection may have been waited for since the target was chosen.
-    pub(super) fn accepts(&self, target: &Target) -> bool {
+    /// Returns whether a target accepts a request, by what it has stated. Ask it right before the request
+    /// is sent: a permit or a connection may have been waited for since the target was chosen.
+    pub(super) fn begin_request(&self, target: &Target) -> bool {
         let now = self.now();
-        let table = &self.lock().objects.table;
-        table.acceptance(&target.incarnation(), now) == Acceptance::Accepts
+        let table = &mut self.lock().objects.table;
+        table.begin_request(&target.incarnation(), now) == Acceptance::Accepts
     }
 
     /// Records what an answer states about its target.
@@ -35,8 +38,9 @@
         if class == ResponseClass::WrongTarget {
             return;
         }
-        if let Some(pause) = notice.pause {
-            self.record_pause(target, pause);
+        match notice.pause {
+            Some(pause) => self.record_pause(target, pause),
+            None => self.record_answer(target),
         }
         if notice.leaving {
             self.record_leaving(target);
@@ -50,13 +54,21 @@
     /// Records a pause, which ends somewhat later at each entry, so that their first requests come apart.
     fn record_pause(&self, target: &Target, pause: Duration) {
         let now = self.now();
-        let spread = MAX_PAUSE_SPREAD.mul_f64(rand::random());
-        let incarnation = target.incarnation();
-        let table = &mut self.lock().objects.table;
-        table.record_pause(&incarnation, pause + spread, now);
+        let mut state = self.lock();
+        let spread = MIN_PAUSE_SPREAD.max(PAUSE_SPREAD_PER_ENTRY * state.entries() as u32);
+        let pause = pause + spread.mul_f64(rand::random());
+        let table = &mut state.objects.table;
+        table.record_pause(&target.incarnation(), pause, now);
+        drop(state);
         self.instruments.record_pause();
     }
 
+    fn record_answer(&self, target: &Target) {
+        let now = self.now();
+        let table = &mut self.lock().objects.table;
+        table.record_answer(&target.incarnation(), now);
+    }
+
     fn record_leaving(&self, target: &Target) {
         let (now, incarnation) = (self.now(), target.incarnation());
         let mut state = self.lock();
