--- a/crates/core/tests/serving_limits.rs
+++ b/crates/core/tests/serving_limits.rs
@@ -27,6 +27,21 @@
     assert_eq!(rate.map(RequestRate::per_second), expected);
 }
 
+/// Its predecessor may just have issued some.
+#[test]
+fn an_issuer_that_starts_has_no_permits_to_give() {
+    let rate = RequestRate::try_from(2.0).ok();
+    let (target, now) = (TargetId::from("t"), Timestamp::from_millis(1_000));
+    let mut issuer = PermitIssuer::default();
+    for urgency in [Urgency::Urgent, Urgency::Normal] {
+        let decision = issuer.request(&target, rate, urgency, Duration::ZERO, now);
+        assert!(
+            matches!(decision, PermitDecision::Denied { retry_ms: 500.. }),
+            "{decision:?}"
+        );
+    }
+}
+
 /// The window in which requests to a target are counted.
 const WINDOW_MS: u64 = 4_000;
 
