fix(serving): callers that are refused while all targets are closed don't come back at once

40 callers that a pause had turned away got one Retry-After, and would have reached the entry together at its end.

The time that is known is spread by a quarter, upwards as long as the caller has the time, and within the caller's longest wait otherwise.

--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -24,6 +24,7 @@
 mod quota;
 mod request;
 mod request_rate;
+mod retry_after;
 mod routes;
 mod statement_table;
 mod stream_origin;
@@ -63,6 +64,7 @@
     AttemptEnd, CallerRequest, Recovery, ResumedStream, Usage, after_attempt, may_run_again,
 };
 pub use request_rate::{InvalidRate, RequestRate};
+pub use retry_after::spread_retry_after;
 pub use routes::{RouteMatch, RouteTable};
 pub use statement_table::{Acceptance, StatementTable};
 pub use stream_origin::StreamOrigin;
--- a/crates/serving/src/entry/exchange.rs
+++ b/crates/serving/src/entry/exchange.rs
@@ -11,7 +11,7 @@
 use kumquatkeel_core::response::Framing;
 use kumquatkeel_core::serving::{
     AttemptEnd, CallKind, CallerRequest, Recovery, RefusalReason, Route, StreamScope, TargetId,
-    after_attempt, may_run_again,
+    after_attempt, may_run_again, spread_retry_after,
 };
 use kumquatkeel_types::Timestamp;
 use tokio::time::{Instant, timeout_at};
@@ -441,11 +441,14 @@
             return text_response(StatusCode::BAD_GATEWAY, "the outcome is unknown\n");
         }
         let left = self.deadline.saturating_duration_since(Instant::now());
-        // A caller has no reason to come back before the end of a quarantine.
-        let retry_after = if reason == RefusalReason::Quarantined {
-            retry_after
-        } else {
-            retry_after.min(left.mul_f64(MAX_RETRY_AFTER_SHARE))
+        let longest = left.mul_f64(MAX_RETRY_AFTER_SHARE);
+        let retry_after = match reason {
+            // A caller has no reason to come back before the end of a quarantine.
+            RefusalReason::Quarantined => retry_after,
+            RefusalReason::TargetsClosed => {
+                spread_retry_after(retry_after, longest, rand::random())
+            }
+            _ => retry_after.min(longest),
         };
         let name = match reason {
             RefusalReason::NoTarget => "no_target",
