fix(serving): a limit holds for the incarnation that named it, whatever the list shows

Callers' requests reached a target beyond its limit once its record had gone and come back: 37 in 4 s where 11 are allowed, with 40 entries. A target that had started again got none for the ten seconds that a limit of zero takes for its first permit.

Cause: limits were kept by the target's id and dropped whenever its record was missing, the same class as of leaving and pauses.

LimitTable follows the list: a limit ends when a later start is listed, so that a late statement of the former incarnation does not bring it back, and is kept for ten minutes without a record.

--- a/crates/core/src/serving/limit_table.rs
+++ b/crates/core/src/serving/limit_table.rs
@@ -5,6 +5,8 @@
 use kumquatkeel_types::Timestamp;
 
 use super::request_rate::RequestRate;
+use super::statement_table::UNLISTED_TTL;
+use super::table::TargetTable;
 use super::target::TargetId;
 use super::target_notice::StatedLimit;
 
@@ -13,6 +15,8 @@
     rate: Option<RequestRate>,
     /// When the target stated it.
     stated: Timestamp,
+    /// Start of the incarnation that stated it; `None` until the list shows one.
+    born: Option<u64>,
 }
 
 /// The limits that targets name, each with the time of the statement; of two statements on a target
@@ -57,11 +61,13 @@
         stated: Timestamp,
     ) -> bool {
         let known = self.records.get(target);
+        let born = known.and_then(|known| known.born);
         if known.is_some_and(|known| stated < known.stated) {
             return false;
         }
         let changed = known.and_then(|known| known.rate) != rate;
-        self.records.insert(target.clone(), Record { rate, stated });
+        let record = Record { rate, stated, born };
+        self.records.insert(target.clone(), record);
         changed
     }
 
@@ -76,8 +82,25 @@
         Some((record.rate, record.stated))
     }
 
-    /// Drops the targets for which `keep` returns `false`.
-    pub fn retain(&mut self, mut keep: impl FnMut(&TargetId) -> bool) {
-        self.records.retain(|id, _| keep(id));
+    /// Ends the limits of incarnations that the list shows to be replaced, and drops targets that are not
+    /// listed and have stated nothing for ten minutes; returns those whose limit ended.
+    pub fn follow(&mut self, listed: &TargetTable, now: Timestamp) -> Vec<TargetId> {
+        let mut ended = Vec::new();
+        self.records.retain(|id, record| {
+            let Some(born) = listed.get(id).map(|target| target.born) else {
+                return now.since(record.stated) < UNLISTED_TTL;
+            };
+            if *record.born.get_or_insert(born) < born {
+                // A statement of the former incarnation may still arrive from another process.
+                *record = Record {
+                    rate: None,
+                    stated: now,
+                    born: Some(born),
+                };
+                ended.push(id.clone());
+            }
+            true
+        });
+        ended
     }
 }
--- a/crates/core/src/serving/statement_table.rs
+++ b/crates/core/src/serving/statement_table.rs
@@ -13,7 +13,7 @@
 
 /// How long a statement is kept after its target was last listed, which bounds the memory. An
 /// incarnation that leaves has ended by then.
-const UNLISTED_TTL: Duration = Duration::from_mins(10);
+pub(super) const UNLISTED_TTL: Duration = Duration::from_mins(10);
 
 /// Longest time for which the first request after a pause keeps others back; it ends with its answer.
 const TRIAL_TIME: Duration = Duration::from_millis(500);
--- a/crates/core/tests/serving_limits.rs
+++ b/crates/core/tests/serving_limits.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use kumquatkeel_core::serving::{
-    LimitTable, PermitDecision, PermitHolder, PermitIssuer, RequestRate, StatedLimit, TargetId,
-    Urgency,
+    LimitTable, PermitDecision, PermitHolder, PermitIssuer, RequestRate, StatedLimit, TableChange,
+    Target, TargetId, TargetState, TargetTable, Urgency,
 };
 use kumquatkeel_types::Timestamp;
 use proptest::prelude::*;
@@ -27,6 +27,44 @@
     assert_eq!(rate.map(RequestRate::per_second), expected);
 }
 
+fn listed(id: &TargetId, born: u64) -> Target {
+    Target {
+        id: id.clone(),
+        service: "desk".into(),
+        version: "v1".into(),
+        address: ([10, 0, 0, 1], 1).into(),
+        data_centre: "a".into(),
+        slots: 4,
+        state: TargetState::Ready,
+        born,
+        models: Vec::new(),
+    }
+}
+
+#[test]
+fn a_limit_ends_with_its_incarnation_and_not_with_its_record() {
+    let rate = RequestRate::try_from(2.0).unwrap();
+    let (target, at) = (TargetId::from("t"), Timestamp::from_millis);
+    let (mut limits, mut table) = (LimitTable::default(), TargetTable::default());
+    table.apply(TableChange::Listed(listed(&target, 1)), at(0));
+    limits.record(&target, StatedLimit::Rate(rate), at(10));
+    assert!(limits.follow(&table, at(20)).is_empty());
+    table.apply(TableChange::Removed(target.clone()), at(30));
+    assert!(limits.follow(&table, at(40)).is_empty());
+    assert_eq!(limits.limit(&target), Some(rate));
+
+    table.apply(TableChange::Listed(listed(&target, 2)), at(5_000));
+    assert_eq!(
+        limits.follow(&table, at(5_000)),
+        std::slice::from_ref(&target)
+    );
+    // Another process still has the statement of the former incarnation.
+    assert!(!limits.merge(&target, Some(rate), at(4_000)));
+    assert_eq!(limits.limit(&target), None);
+    assert!(limits.record(&target, StatedLimit::Rate(rate), at(5_100)));
+    assert!(limits.follow(&table, at(5_200)).is_empty());
+}
+
 /// Its predecessor may just have issued some.
 #[test]
 fn an_issuer_that_starts_has_no_permits_to_give() {
--- a/crates/serving/src/agent/permits.rs
+++ b/crates/serving/src/agent/permits.rs
@@ -100,7 +100,7 @@
             return;
         }
         state.last_notice = now;
-        state.limits.retain(|id| table.get(id).is_some());
+        state.limits.follow(table, now);
         let limits = &state.limits;
         state.issuer.retain(|id| limits.limit(id).is_some());
         let issued: Vec<TargetId> = state.issuer.targets().cloned().collect();
--- a/crates/serving/src/entry/daemon.rs
+++ b/crates/serving/src/entry/daemon.rs
@@ -282,10 +282,13 @@
         for id in state.objects.table.expire(now) {
             log::info!(target_id:% = id; "lapsed target removed; it was not listed again in time");
         }
-        state.prune_targets();
+        let ended_limits = state.prune_targets(now);
         state.prune_pools();
         state.remember_agent_hosts(now);
         drop(state);
+        for target in &ended_limits {
+            shared.record_limit_change(target);
+        }
         shared.update_stalled();
     }
 }
--- a/crates/serving/src/entry/state.rs
+++ b/crates/serving/src/entry/state.rs
@@ -250,11 +250,14 @@
             let routes = RouteTable::new(&config);
             state.active = Some(Arc::new(ActiveConfig { config, routes }));
         }
-        state.prune_targets();
+        let ended_limits = state.prune_targets(now);
         state
             .objects
             .publish_agent_hosts(&self.settings.locality, &self.agent_hosts);
         drop(state);
+        for target in &ended_limits {
+            self.record_limit_change(target);
+        }
         self.notify();
     }
 
@@ -553,8 +556,9 @@
         self.objects.config()?.engine(service)
     }
 
-    /// Drops the state of targets and agents that are no longer listed.
-    pub(super) fn prune_targets(&mut self) {
+    /// Drops the state of targets and agents that are no longer listed; returns the targets whose limit
+    /// ended, as they have started again.
+    pub(super) fn prune_targets(&mut self, now: Timestamp) -> Vec<TargetId> {
         let table = &self.objects.table;
         self.engines.retain(|id, _| table.get(id).is_some());
         let is_listed = |incarnation: &Incarnation| {
@@ -568,8 +572,10 @@
         self.last_heartbeats.retain(|agent, _| listed(agent));
         self.ejector.retain(|id| table.get(id).is_some());
         self.failures.retain(|id| table.get(id).is_some());
-        self.limits.retain(|id| table.get(id).is_some());
-        self.permits.retain(|id| table.get(id).is_some());
+        let ended_limits = self.limits.follow(table, now);
+        let limits = &self.limits;
+        self.permits.retain(|id| limits.limit(id).is_some());
+        ended_limits
     }
 }
 
