fix(serving): an agent makes no call to an engine that has asked it for a pause

An engine that turned away the agent's question for its report with 503 and Retry-After was asked again each 100 ms: 19 and 20 calls in a pause of two seconds.

The agent keeps the pause in the table of statements, as entries do. Until its end it reads no report, so that the last one stands, and sends no orders; the first call after it goes alone.

--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use kumquatkeel_core::serving::{
-    Backlog, EngineReport, EngineSpec, LoadCommand, OrderQueue, OriginTable, Planner, Target,
-    TargetId,
+    Acceptance, Backlog, EngineReport, EngineSpec, LoadCommand, OrderQueue, OriginTable, Planner,
+    Target, TargetId,
 };
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_types::Timestamp;
@@ -26,7 +26,9 @@
 use crate::locality::Locality;
 use crate::metrics::Instruments;
 use crate::objects::KnownObjects;
-use crate::platform::{EngineClient, FeedKind, ObjectFeed, OrderReply, ReadMode, VerdictStore};
+use crate::platform::{
+    EngineClient, FeedKind, ObjectFeed, OrderReply, PlatformError, ReadMode, VerdictStore,
+};
 use crate::signals::{ProcessSignal, Signals};
 use crate::start::{StartError, bind_internal, start_metrics};
 
@@ -365,10 +367,39 @@
         self.plan();
     }
 
+    /// Returns whether the engine accepts a call of this agent, which is made if so. While it has asked for
+    /// a pause, its last report stands.
+    fn begin_call(&mut self) -> bool {
+        let now = self.clock.now();
+        let incarnation = self.target().map(|target| target.incarnation());
+        let table = &mut self.objects.table;
+        let acceptance = incarnation.map(|target| table.begin_request(&target, now));
+        !matches!(acceptance, Some(Acceptance::Paused(_)))
+    }
+
+    /// Records what the engine's answer to a call says of further calls.
+    fn record_call(&mut self, pause: Option<Duration>) {
+        let now = self.clock.now();
+        let Some(incarnation) = self.target().map(|target| target.incarnation()) else {
+            return;
+        };
+        let table = &mut self.objects.table;
+        let Some(pause) = pause else {
+            return table.record_answer(&incarnation, now);
+        };
+        table.record_pause(&incarnation, pause, now);
+        let (id, pause_ms) = (&incarnation.id, pause.as_millis() as u64);
+        log::info!(target_id:% = id, pause_ms; "engine asked for a pause");
+    }
+
     /// Reads the engine's state; discards the order queue when a new incarnation answers.
     async fn poll_engine(&mut self) {
+        if !self.begin_call() {
+            return;
+        }
         match self.engine.report().await {
             Ok(status) => {
+                self.record_call(None);
                 if std::mem::take(&mut self.engine_unreachable) {
                     log::info!(dependency = "engine"; "dependency recovered");
                 }
@@ -384,6 +415,9 @@
                 self.report = Some(status.report);
                 self.record_engine_notice(status.notice);
             }
+            Err(PlatformError {
+                pause: Some(pause), ..
+            }) => self.record_call(Some(pause)),
             Err(error) => {
                 if !std::mem::replace(&mut self.engine_unreachable, true) {
                     log::warn!(dependency = "engine", error:%; "dependency unreachable");
@@ -433,10 +467,19 @@
         let (Some(spec), Some(report)) = (config.engine(&target.service), &self.report) else {
             return;
         };
+        let acceptance = self.objects.table.acceptance(&target.incarnation(), now);
+        if matches!(acceptance, Acceptance::Paused(_)) {
+            return;
+        }
         let Some(order) = self.orders.next_order(report, spec, now) else {
             return;
         };
         let reply = self.engine.order(&target.id, &order).await;
+        match &reply {
+            Ok(_) => self.record_call(None),
+            Err(error) if error.pause.is_some() => self.record_call(error.pause),
+            Err(_) => {}
+        }
         let text = match &reply {
             Ok(reply) => reply.to_string(),
             Err(error) => error.to_string(),
--- a/crates/serving/src/platform.rs
+++ b/crates/serving/src/platform.rs
@@ -25,16 +25,19 @@
     pub reason: String,
     /// Whether the store no longer has the history to watch from, so objects must be listed again.
     pub history_gone: bool,
+    /// How long the peer wants no call, if it says so.
+    pub pause: Option<Duration>,
 }
 
 impl PlatformError {
-    /// Creates an error with `history_gone` unset.
+    /// Creates an error with `history_gone` and `pause` unset.
     pub fn new(step: &'static str, peer: SocketAddr, reason: impl Into<String>) -> Self {
         Self {
             step,
             peer,
             reason: reason.into(),
             history_gone: false,
+            pause: None,
         }
     }
 }
