fix(serving): configurations and targets follow a store that is restored from a copy

After a restore, entries and agents kept the configuration of before for good: the operator's next one had a lower revision and was ignored, or stood at a revision that their watches had passed. Targets that the copy lacked were out of use at once, and a draining one that it showed as ready got requests.

Cause: nothing read Store-Era; revisions were taken to rise for ever.

Configurations are ordered by their own version, which the operator raises. Each reader of the store keeps the era: a rise leads to a list in full, whose removals count as after an outage, and an answer of an earlier era is ignored. A target that the list shows as draining is out of use for that incarnation.

--- /dev/null
+++ b/crates/core/src/serving/store_position.rs
@@ -0,0 +1,81 @@
+//! Positions in a store that may be restored from a copy.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+/// A state of the platform's store. A store that is restored from a copy gives its revisions out again,
+/// in a later era.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    Serialize,
+    Deserialize,
+)]
+#[display("{era}/{revision}")]
+#[serde(rename_all = "snake_case")]
+pub struct StorePosition {
+    /// How often the store has been restored, as it states; 0 if it doesn't.
+    pub era: u64,
+    /// The revision within the era.
+    pub revision: u64,
+}
+
+/// What an answer's era says of the answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EraChange {
+    /// The answer belongs to the known era.
+    Unchanged,
+    /// The store has been restored since the last answer: earlier revisions mean nothing any more.
+    Restored,
+    /// The answer comes late, from before a restore; it must be ignored.
+    Outdated,
+}
+
+/// The era of a store, as one reader of it has last seen it.
+///
+/// # Examples
+///
+/// ```
+/// use kumquatkeel_core::serving::{EraChange, StoreEra};
+///
+/// let mut era = StoreEra::default();
+/// assert_eq!(era.observe(Some(4)), EraChange::Unchanged);
+/// assert_eq!(era.observe(Some(5)), EraChange::Restored);
+/// assert_eq!(era.observe(Some(4)), EraChange::Outdated);
+/// ```
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct StoreEra(Option<u64>);
+
+impl StoreEra {
+    /// Creates the era of a store that has not answered yet.
+    pub const fn new() -> Self {
+        Self(None)
+    }
+
+    /// Records the era of an answer, which is `None` if the answer doesn't state it.
+    pub fn observe(&mut self, era: Option<u64>) -> EraChange {
+        let Some(era) = era else {
+            return EraChange::Unchanged;
+        };
+        let known = *self.0.get_or_insert(era);
+        self.0 = Some(known.max(era));
+        match era.cmp(&known) {
+            std::cmp::Ordering::Less => EraChange::Outdated,
+            std::cmp::Ordering::Equal => EraChange::Unchanged,
+            std::cmp::Ordering::Greater => EraChange::Restored,
+        }
+    }
+
+    /// Returns the era; 0 if it is unknown.
+    pub fn number(self) -> u64 {
+        self.0.unwrap_or_default()
+    }
+}
--- a/crates/core/src/serving/table.rs
+++ b/crates/core/src/serving/table.rs
@@ -186,6 +186,10 @@
 
     fn list(&mut self, target: Target, now: Timestamp) -> bool {
         let id = target.id.clone();
+        if target.state == TargetState::Leaving {
+            // A list that goes back to an earlier state may show the incarnation as ready again.
+            self.statements.record_leaving(&target.incarnation(), now);
+        }
         let target = Arc::new(target);
         let known = self.records.get(&id).map(|r| r.target.clone());
         if let Some(known) = known.filter(|known| known.version != target.version) {
--- a/crates/core/tests/serving_table.rs
+++ b/crates/core/tests/serving_table.rs
@@ -227,6 +227,11 @@
     leaving.state = TargetState::Leaving;
     table.apply(TableChange::Listed(leaving), at(10));
     assert!(ready(&table).is_empty());
+    // The list's store was restored from a copy.
+    table.apply(TableChange::Listed(target("one", 1, 1)), at(20));
+    assert!(ready(&table).is_empty());
+    table.apply(TableChange::Listed(target("one", 1, 2)), at(30));
+    assert_eq!(ready(&table), ["one"]);
 }
 
 #[test]
--- a/crates/serving/src/config_relay/follower.rs
+++ b/crates/serving/src/config_relay/follower.rs
@@ -134,7 +134,7 @@
     /// Makes one call to the store and passes on what it brings at once.
     async fn call_store(&mut self) -> Result<(), ReceiverGone> {
         if !std::mem::replace(&mut self.calls_store, true) {
-            self.store.resume_after(self.hub.revision());
+            self.store.resume_after(self.hub.position());
         }
         let Self {
             store,
@@ -164,7 +164,7 @@
 
     /// Records that the store confirmed the held configuration at this time.
     fn confirm(&mut self, at: Instant) {
-        if self.hub.revision() == 0 {
+        if self.hub.version() == 0 {
             return;
         }
         self.hub.confirm(at);
@@ -207,8 +207,8 @@
     async fn connect(&self, agent: SocketAddr) -> io::Result<TcpStream> {
         let mut stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(agent)).await??;
         set_socket_options(&stream)?;
-        let revision = self.hub.revision();
-        Hello { revision }.write(&mut stream).await?;
+        let version = self.hub.version();
+        Hello { version }.write(&mut stream).await?;
         Ok(stream)
     }
 
@@ -221,8 +221,9 @@
     ) -> Result<io::Result<()>, ReceiverGone> {
         let Some(encoded) = update
             .config
-            .filter(|_| update.revision > self.hub.revision())
+            .filter(|_| update.version > self.hub.version())
         else {
+            self.hub.advance(update.version, update.position);
             return Ok(Ok(()));
         };
         let config = match decode(&encoded) {
@@ -230,18 +231,19 @@
             Err(error) => return Ok(Err(error)),
         };
         log::info!(
-            version = config.version, revision = update.revision, agent:%, bytes = encoded.len(),
+            version = config.version, position:% = update.position, agent:%, bytes = encoded.len(),
             age_ms = update.age.as_millis() as u64;
             "configuration received from an agent"
         );
         self.hub.update(HeldConfig {
-            revision: update.revision,
+            version: update.version,
+            position: update.position,
             encoded,
             confirmed,
         });
         let item = FeedItem::Config {
             config: Box::new(config),
-            revision: update.revision,
+            position: update.position,
         };
         let event = FeedEvent::Changes(vec![item]);
         self.events.send(event).await.map_err(|_| ReceiverGone)?;
@@ -265,19 +267,23 @@
         return;
     };
     let configs = items.iter().filter_map(|item| match item {
-        FeedItem::Config { config, revision } => Some((config, *revision)),
+        FeedItem::Config { config, position } => Some((config, *position)),
         _ => None,
     });
-    let Some((config, revision)) = configs.max_by_key(|(_, revision)| *revision) else {
+    let Some((config, position)) = configs.max_by_key(|(config, _)| config.version) else {
         return;
     };
+    if config.version <= hub.version() {
+        return hub.advance(config.version, position);
+    }
     match postcard::to_allocvec(config) {
         Ok(encoded) => hub.update(HeldConfig {
-            revision,
+            version: config.version,
+            position,
             encoded: encoded.into(),
             confirmed: Instant::now(),
         }),
-        Err(error) => log::error!(revision, error:%; "configuration not encoded"),
+        Err(error) => log::error!(position:%, error:%; "configuration not encoded"),
     }
 }
 
--- a/crates/serving/src/config_relay/server.rs
+++ b/crates/serving/src/config_relay/server.rs
@@ -41,13 +41,13 @@
 async fn serve_follower(mut stream: TcpStream, hub: &ConfigHub) -> io::Result<()> {
     set_socket_options(&stream)?;
     let hello = timeout(HELLO_TIMEOUT, Hello::read(&mut stream)).await??;
-    let mut revision = hello.revision;
+    let mut version = hello.version;
     let mut held = hub.subscribe();
     loop {
-        let update = (held.borrow_and_update().as_ref()).map(|held| update_for(revision, held));
+        let update = (held.borrow_and_update().as_ref()).map(|held| update_for(version, held));
         if let Some(update) = update {
             timeout(SEND_TIMEOUT, update.write(&mut stream)).await??;
-            revision = revision.max(update.revision);
+            version = version.max(update.version);
         }
         if held.changed().await.is_err() {
             return Ok(());
@@ -55,11 +55,12 @@
     }
 }
 
-/// Returns the update for a follower that has `revision`.
-fn update_for(revision: u64, held: &HeldConfig) -> Update {
+/// Returns the update for a follower that has `version`.
+fn update_for(version: u64, held: &HeldConfig) -> Update {
     Update {
-        revision: held.revision,
+        version: held.version,
+        position: held.position,
         age: held.confirmed.elapsed(),
-        config: (held.revision > revision).then(|| held.encoded.clone()),
+        config: (held.version > version).then(|| held.encoded.clone()),
     }
 }
--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -1,14 +1,16 @@
 //! Replicates objects from the platform's store: lists them, watches for changes, and lists again
 //! when the store no longer has the history to watch from.
 
+use std::fmt::Display;
 use std::sync::Arc;
 use std::time::Duration;
 
+use kumquatkeel_core::serving::{EraChange, StoreEra, StorePosition};
 use rand::RngExt;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
 
-use crate::platform::{FeedBatch, FeedItem, FeedKind, ObjectFeed, PlatformError, ReadMode};
+use crate::platform::{FeedBatch, FeedItem, FeedKind, ObjectFeed, ReadMode};
 
 /// Delay after a configuration change, so that changes in series arrive in one watch call.
 const CONFIG_CHANGE_DELAY: Duration = Duration::from_millis(250);
@@ -81,6 +83,7 @@
     events: mpsc::Sender<FeedEvent>,
     /// The revision to watch from; `None` if all objects must be listed first.
     revision: Option<u64>,
+    era: StoreEra,
     /// Batches of changes since the last list.
     batch_count: u32,
     /// Pause before the next call, so that changes in series arrive in one answer.
@@ -100,6 +103,7 @@
             options,
             events,
             revision: None,
+            era: StoreEra::new(),
             batch_count: 0,
             pause: Duration::ZERO,
             backoff: MIN_BACKOFF,
@@ -120,22 +124,33 @@
         }
     }
 
-    /// Continues with a watch after `revision`, as the objects up to it came from elsewhere; 0 means
-    /// that none did.
-    pub(crate) fn resume_after(&mut self, revision: u64) {
-        self.revision = (revision > 0).then_some(revision);
+    /// Continues with a watch after `position`, as the objects up to it came from elsewhere; revision 0
+    /// means that none did.
+    pub(crate) fn resume_after(&mut self, position: StorePosition) {
+        let is_outdated = self.era.observe(Some(position.era)) == EraChange::Outdated;
+        let revision = position.revision;
+        self.revision = (revision > 0 && !is_outdated).then_some(revision);
     }
 
     async fn list_all(&mut self) -> Result<FollowStep, ReceiverGone> {
         match self.feed.list(self.options.kind, self.options.mode).await {
-            Ok(FeedBatch { items, revision }) => {
+            Ok(FeedBatch {
+                items,
+                revision,
+                era,
+            }) => {
+                match self.era.observe(era) {
+                    EraChange::Unchanged => {}
+                    EraChange::Restored => self.record_restore().await?,
+                    EraChange::Outdated => return self.record_outdated().await,
+                }
                 self.record_success(revision);
                 self.send(FeedEvent::Snapshot(items)).await?;
                 self.revision = Some(revision);
                 self.batch_count = 0;
                 Ok(FollowStep::Confirmed(Instant::now()))
             }
-            Err(error) => self.record_failure(&error).await,
+            Err(error) => self.record_failure(error).await,
         }
     }
 
@@ -144,6 +159,15 @@
         let sent = Instant::now();
         match self.feed.watch(kind, mode, revision, wait).await {
             Ok(batch) => {
+                match self.era.observe(batch.era) {
+                    EraChange::Unchanged => {}
+                    EraChange::Restored => {
+                        self.record_restore().await?;
+                        self.revision = None;
+                        return Ok(FollowStep::Failed);
+                    }
+                    EraChange::Outdated => return self.record_outdated().await,
+                }
                 self.record_success(batch.revision);
                 self.revision = Some(batch.revision.max(revision));
                 if batch.items.is_empty() {
@@ -172,7 +196,7 @@
                 if kind == FeedKind::Config {
                     self.revision = None;
                 }
-                self.record_failure(&error).await
+                self.record_failure(error).await
             }
         }
     }
@@ -181,6 +205,20 @@
         self.events.send(event).await.map_err(|_| ReceiverGone)
     }
 
+    /// Records that the store was restored from a copy. What it lacks since then is written again, as after
+    /// an outage.
+    async fn record_restore(&self) -> Result<(), ReceiverGone> {
+        let kind = self.options.kind;
+        log::warn!(dependency = "store", kind:%, era = self.era.number(); "store restored from a copy");
+        self.send(FeedEvent::Failed(kind)).await
+    }
+
+    /// Records an answer from before a restore, which came late.
+    async fn record_outdated(&mut self) -> Result<FollowStep, ReceiverGone> {
+        self.record_failure("the answer is from before a restore")
+            .await
+    }
+
     /// Resets the backoff after a successful call and logs the end of an outage.
     fn record_success(&mut self, revision: u64) {
         self.backoff = MIN_BACKOFF;
@@ -192,7 +230,7 @@
 
     /// Logs the start of an outage, sends [`FeedEvent::Failed`] and waits for the backoff, with
     /// jitter.
-    async fn record_failure(&mut self, error: &PlatformError) -> Result<FollowStep, ReceiverGone> {
+    async fn record_failure(&mut self, error: impl Display) -> Result<FollowStep, ReceiverGone> {
         let kind = self.options.kind;
         if !std::mem::replace(&mut self.failed, true) {
             log::warn!(dependency = "store", kind:%, error:%; "dependency unreachable");
--- a/crates/serving/src/objects.rs
+++ b/crates/serving/src/objects.rs
@@ -17,16 +17,16 @@
     /// The listed targets.
     pub table: TargetTable,
     config: Option<Arc<ServingConfig>>,
-    revision: u64,
 }
 
 impl KnownObjects {
     /// Applies an event of the feed; returns the configuration if the event put a newer one in
     /// force.
     ///
-    /// A configuration is never replaced by one with a lower revision.
+    /// A configuration is never replaced by one with a lower version, whatever its revision: a store that
+    /// is restored from a copy gives revisions out again.
     pub fn apply(&mut self, event: FeedEvent, now: Timestamp) -> Option<Arc<ServingConfig>> {
-        let revision = self.revision;
+        let version = self.version();
         match event {
             FeedEvent::Failed(_) => self.table.record_outage(now),
             FeedEvent::Snapshot(items) => {
@@ -50,7 +50,12 @@
                 }
             }
         }
-        (self.revision > revision).then(|| self.config.clone())?
+        (self.version() > version).then(|| self.config.clone())?
+    }
+
+    /// Returns the version of the configuration in force; `None` before the first.
+    fn version(&self) -> Option<u64> {
+        self.config.as_ref().map(|config| config.version)
     }
 
     /// Returns the configuration in force; `None` before the first has arrived.
@@ -90,14 +95,14 @@
     fn apply_item(&mut self, item: FeedItem, now: Timestamp) -> Option<Target> {
         match item {
             FeedItem::Target(target) => return Some(target),
-            FeedItem::Config { config, revision } if revision > self.revision => {
+            FeedItem::Config { config, position } if Some(config.version) > self.version() => {
                 let (version, routes) = (config.version, config.routes.len());
-                log::info!(version, revision, routes; "configuration in force");
-                self.revision = revision;
+                log::info!(version, position:%, routes; "configuration in force");
                 self.config = Some(Arc::from(config));
             }
-            FeedItem::Config { revision, .. } => {
-                log::debug!(revision, known = self.revision; "older configuration ignored");
+            FeedItem::Config { config, position } => {
+                let (version, known) = (config.version, self.version());
+                log::debug!(version, position:%, known; "older configuration ignored");
             }
             FeedItem::TargetRemoved(id) => {
                 let removed = self.table.apply(TableChange::Removed(id.clone()), now);
--- a/crates/serving/src/platform.rs
+++ b/crates/serving/src/platform.rs
@@ -10,7 +10,8 @@
 use http::{HeaderMap, StatusCode};
 use kumquatkeel_core::quarantine::Verdict;
 use kumquatkeel_core::serving::{
-    CallerRequest, EngineOrder, EngineReport, ServingConfig, Target, TargetId, TargetNotice,
+    CallerRequest, EngineOrder, EngineReport, ServingConfig, StorePosition, Target, TargetId,
+    TargetNotice,
 };
 
 /// A failed call to the platform or a target.
@@ -56,12 +57,12 @@
 /// One object of a feed, decoded.
 #[derive(Debug, Clone, PartialEq)]
 pub enum FeedItem {
-    /// A configuration with its revision in the store.
+    /// A configuration with its position in the store.
     Config {
         /// The configuration.
         config: Box<ServingConfig>,
-        /// The revision of the object's last change.
-        revision: u64,
+        /// The position of the object's last change.
+        position: StorePosition,
     },
     /// A listed target.
     Target(Target),
@@ -83,6 +84,8 @@
     pub items: Vec<FeedItem>,
     /// The store's revision that the batch is up to date with; the next watch starts from it.
     pub revision: u64,
+    /// How often the store had been restored from a copy; `None` if it doesn't say.
+    pub era: Option<u64>,
 }
 
 /// The consistency of a read from the store.
--- a/crates/serving/tests/agent.rs
+++ b/crates/serving/tests/agent.rs
@@ -12,8 +12,8 @@
 use async_trait::async_trait;
 use kumquatkeel_core::serving::{
     Backlog, Band, ClientLimits, EngineOrder, EngineReport, EngineSpec, Incarnation, ModelDemand,
-    ModelSpec, RequestRate, ResidentModel, ServiceSpec, ServingConfig, StatedLimit, Target,
-    TargetId, TargetNotice, TargetState,
+    ModelSpec, RequestRate, ResidentModel, ServiceSpec, ServingConfig, StatedLimit, StorePosition,
+    Target, TargetId, TargetNotice, TargetState,
 };
 use kumquatkeel_serving::agent::{Agent, AgentSettings};
 use kumquatkeel_serving::gossip::{
@@ -101,14 +101,18 @@
         let items = match kind {
             FeedKind::Config => vec![FeedItem::Config {
                 config: Box::new(config()),
-                revision: 1,
+                position: StorePosition::default(),
             }],
             FeedKind::Targets => {
                 let targets = self.targets.lock().unwrap().clone();
                 targets.into_iter().map(FeedItem::Target).collect()
             }
         };
-        Ok(FeedBatch { items, revision: 1 })
+        Ok(FeedBatch {
+            items,
+            revision: 1,
+            era: None,
+        })
     }
 
     async fn watch(
--- a/crates/serving/tests/feed.rs
+++ b/crates/serving/tests/feed.rs
@@ -22,6 +22,8 @@
 #[derive(Debug, Clone)]
 enum Answer {
     Batch(Vec<FeedItem>, u64),
+    /// A batch of an era.
+    InEra(u64, Vec<FeedItem>, u64),
     HistoryGone,
     Down,
 }
@@ -49,7 +51,16 @@
 fn reply(answer: Answer) -> Result<FeedBatch, PlatformError> {
     let peer = ([127, 0, 0, 1], 1).into();
     match answer {
-        Answer::Batch(items, revision) => Ok(FeedBatch { items, revision }),
+        Answer::Batch(items, revision) => Ok(FeedBatch {
+            items,
+            revision,
+            era: None,
+        }),
+        Answer::InEra(era, items, revision) => Ok(FeedBatch {
+            items,
+            revision,
+            era: Some(era),
+        }),
         Answer::HistoryGone => Err(PlatformError {
             history_gone: true,
             ..PlatformError::new("watch", peer, "gone")
@@ -126,6 +137,36 @@
     assert_eq!(watched_from[..2], [7, 9]);
 }
 
+/// The restored store has passed the watched revision again, with other changes below it.
+#[tokio::test(start_paused = true)]
+async fn changes_of_a_restored_store_are_not_taken_for_those_after_an_earlier_revision() {
+    let feed = ScriptedFeed::new(
+        vec![
+            Answer::InEra(1, vec![removed("a")], 7),
+            Answer::InEra(2, vec![removed("c")], 9),
+        ],
+        vec![
+            Answer::InEra(2, vec![removed("b")], 8),
+            Answer::InEra(1, vec![removed("late")], 12),
+            Answer::InEra(2, vec![removed("d")], 10),
+        ],
+    );
+    let mut events = start(&feed);
+    let expected = [
+        FeedEvent::Snapshot(vec![removed("a")]),
+        FeedEvent::Failed(FeedKind::Targets),
+        FeedEvent::Snapshot(vec![removed("c")]),
+        // The answer from before the restore.
+        FeedEvent::Failed(FeedKind::Targets),
+        FeedEvent::Changes(vec![removed("d")]),
+    ];
+    for expected in expected {
+        assert_eq!(next(&mut events).await, expected);
+    }
+    let watched_from = feed.watched_from.lock().unwrap().clone();
+    assert_eq!(watched_from[..3], [7, 9, 9]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn objects_are_listed_again_when_the_history_is_gone() {
     let feed = ScriptedFeed::new(
