fix(serving): a removed target that a restored copy shows gets no requests

A target whose removal entries had seen, and which still served as leaving targets do, got 56 to 62 requests in two seconds once the store was restored from a copy that shows it as ready.

Cause: the list of a restored store was taken as any other, and nothing knew of removals.

TargetTable keeps the incarnations whose records were removed within ten minutes. The list of a restored store, which is an event of its own now, doesn't bring them back; a record that is written again or a later start does.

--- a/crates/core/src/serving/table.rs
+++ b/crates/core/src/serving/table.rs
@@ -14,7 +14,7 @@
 use kumquatkeel_types::Timestamp;
 
 use super::incarnation::Incarnation;
-use super::statement_table::{Acceptance, StatementTable};
+use super::statement_table::{Acceptance, StatementTable, UNLISTED_TTL};
 use super::target::{Target, TargetId, TargetState};
 
 /// How long a record that expired during an outage may take to return; the platform states about
@@ -48,6 +48,8 @@
     /// The targets of each service that accept new work.
     services: HashMap<Arc<str>, Vec<Arc<Target>>>,
     statements: StatementTable,
+    /// The incarnations whose records were removed lately: their start, and when that was.
+    removed: HashMap<TargetId, (u64, Timestamp)>,
     /// When the list was last found unavailable.
     outage: Option<Timestamp>,
     /// Service and software version of removed targets, and the time of the removal.
@@ -128,6 +130,21 @@
         changed
     }
 
+    /// Replaces the whole list by that of a store which was restored from a copy; returns whether anything
+    /// changed.
+    ///
+    /// The copy may show incarnations whose removal is known. They may still run and must get no work;
+    /// one that is to be used writes its record again.
+    pub fn restore(&mut self, targets: Vec<Target>, now: Timestamp) -> bool {
+        let is_removed = |target: &Target| {
+            let removed = self.removed.get(&target.id);
+            removed.is_some_and(|(born, _)| target.born <= *born)
+        };
+        let targets = targets.into_iter().filter(|target| !is_removed(target));
+        let targets = targets.collect();
+        self.replace(targets, now)
+    }
+
     /// Drops the expired records whose grace period is over, and what former targets have stated; returns
     /// the ids of the records.
     pub fn expire(&mut self, now: Timestamp) -> Vec<TargetId> {
@@ -144,6 +161,8 @@
         }
         let records = &self.records;
         self.statements.expire(|id| records.contains_key(id), now);
+        let is_recent = |at: Timestamp| now.since(at) < UNLISTED_TTL;
+        self.removed.retain(|_, (_, at)| is_recent(*at));
         gone
     }
 
@@ -186,6 +205,7 @@
 
     fn list(&mut self, target: Target, now: Timestamp) -> bool {
         let id = target.id.clone();
+        self.removed.remove(&id);
         if target.state == TargetState::Leaving {
             // A list that goes back to an earlier state may show the incarnation as ready again.
             self.statements.record_leaving(&target.incarnation(), now);
@@ -235,6 +255,8 @@
 
     fn drop_record(&mut self, id: &TargetId, now: Timestamp) {
         if let Some(record) = self.records.remove(id) {
+            let removed = (record.target.born, now);
+            self.removed.insert(id.clone(), removed);
             self.record_former_version(&record.target, now);
         }
     }
--- a/crates/core/tests/serving_table.rs
+++ b/crates/core/tests/serving_table.rs
@@ -114,6 +114,30 @@
     assert!(ready(&table).is_empty());
 }
 
+#[test]
+fn a_removed_target_does_not_come_back_with_a_restored_copy() {
+    let (removed, other) = (target("one", 1, 1), target("two", 2, 1));
+    let mut table = TargetTable::default();
+    table.replace(vec![removed.clone(), other.clone()], at(0));
+    table.apply(TableChange::Removed(removed.id.clone()), at(100));
+    table.restore(vec![removed.clone(), other.clone()], at(200));
+    assert_eq!(ready(&table), ["two"]);
+    // It writes its record again.
+    table.apply(TableChange::Listed(removed.clone()), at(300));
+    assert_eq!(ready(&table), ["one", "two"]);
+
+    table.apply(TableChange::Removed(removed.id.clone()), at(400));
+    table.restore(vec![target("one", 1, 2), other.clone()], at(500));
+    assert_eq!(ready(&table), ["one", "two"], "it has started again");
+    table.apply(TableChange::Removed(other.id.clone()), at(600));
+    table.expire(at(11 * 60_000));
+    table.restore(vec![other.clone()], at(11 * 60_000));
+    assert!(
+        ready(&table).contains(&"two"),
+        "removals are kept for ten minutes"
+    );
+}
+
 #[test]
 fn statements_of_former_targets_do_not_accumulate() {
     let (former, listed) = (target("one", 1, 1), target("two", 2, 1));
--- a/crates/serving/src/config_relay/follower.rs
+++ b/crates/serving/src/config_relay/follower.rs
@@ -263,8 +263,11 @@
 
 /// Holds the newest configuration of an event of the store for the followers.
 fn hold(hub: &ConfigHub, event: &FeedEvent) {
-    let (FeedEvent::Snapshot(items) | FeedEvent::Changes(items)) = event else {
-        return;
+    let items = match event {
+        FeedEvent::Snapshot(items) | FeedEvent::Restored(items) | FeedEvent::Changes(items) => {
+            items
+        }
+        FeedEvent::Failed(_) => return,
     };
     let configs = items.iter().filter_map(|item| match item {
         FeedItem::Config { config, position } => Some((config, *position)),
--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -34,6 +34,9 @@
 pub enum FeedEvent {
     /// All objects of the kind, after a list call.
     Snapshot(Vec<FeedItem>),
+    /// All objects of the kind, from a store that was restored from a copy. What it lacks since then is
+    /// written again, as after an outage.
+    Restored(Vec<FeedItem>),
     /// Changes since the last event, in order.
     Changes(Vec<FeedItem>),
     /// A call to the store failed; sent for each failed call.
@@ -84,6 +87,8 @@
     /// The revision to watch from; `None` if all objects must be listed first.
     revision: Option<u64>,
     era: StoreEra,
+    /// Whether the store was restored since the last list.
+    restored: bool,
     /// Batches of changes since the last list.
     batch_count: u32,
     /// Pause before the next call, so that changes in series arrive in one answer.
@@ -104,6 +109,7 @@
             events,
             revision: None,
             era: StoreEra::new(),
+            restored: false,
             batch_count: 0,
             pause: Duration::ZERO,
             backoff: MIN_BACKOFF,
@@ -142,11 +148,16 @@
             }) => {
                 match self.era.observe(era) {
                     EraChange::Unchanged => {}
-                    EraChange::Restored => self.record_restore().await?,
+                    EraChange::Restored => self.record_restore(),
                     EraChange::Outdated => return self.record_outdated().await,
                 }
                 self.record_success(revision);
-                self.send(FeedEvent::Snapshot(items)).await?;
+                let event = if std::mem::take(&mut self.restored) {
+                    FeedEvent::Restored(items)
+                } else {
+                    FeedEvent::Snapshot(items)
+                };
+                self.send(event).await?;
                 self.revision = Some(revision);
                 self.batch_count = 0;
                 Ok(FollowStep::Confirmed(Instant::now()))
@@ -163,7 +174,7 @@
                 match self.era.observe(batch.era) {
                     EraChange::Unchanged => {}
                     EraChange::Restored => {
-                        self.record_restore().await?;
+                        self.record_restore();
                         self.revision = None;
                         return Ok(FollowStep::Failed);
                     }
@@ -206,12 +217,10 @@
         self.events.send(event).await.map_err(|_| ReceiverGone)
     }
 
-    /// Records that the store was restored from a copy. What it lacks since then is written again, as after
-    /// an outage.
-    async fn record_restore(&self) -> Result<(), ReceiverGone> {
+    fn record_restore(&mut self) {
+        self.restored = true;
         let kind = self.options.kind;
         log::warn!(dependency = "store", kind:%, era = self.era.number(); "store restored from a copy");
-        self.send(FeedEvent::Failed(kind)).await
     }
 
     /// Records an answer from before a restore, which came late.
--- a/crates/serving/src/objects.rs
+++ b/crates/serving/src/objects.rs
@@ -30,18 +30,21 @@
         match event {
             FeedEvent::Failed(_) => self.table.record_outage(now),
             FeedEvent::Snapshot(items) => {
-                let mut targets = Vec::new();
-                for item in items {
-                    if let Some(target) = self.apply_item(item, now) {
-                        targets.push(target);
-                    }
-                }
+                let targets = self.apply_list(items, now);
                 // A list without a usable target doesn't replace the targets in use.
                 if !targets.is_empty() {
                     log::info!(targets = targets.len(); "target list received");
                     self.table.replace(targets, now);
                 }
             }
+            FeedEvent::Restored(items) => {
+                let targets = self.apply_list(items, now);
+                self.table.record_outage(now);
+                if !targets.is_empty() {
+                    log::info!(targets = targets.len(); "target list received from a restored store");
+                    self.table.restore(targets, now);
+                }
+            }
             FeedEvent::Changes(items) => {
                 for item in items {
                     if let Some(target) = self.apply_item(item, now) {
@@ -91,6 +94,14 @@
         hosts
     }
 
+    /// Applies all objects but the listed targets, which are returned for the caller to apply.
+    fn apply_list(&mut self, items: Vec<FeedItem>, now: Timestamp) -> Vec<Target> {
+        let items = items.into_iter();
+        items
+            .filter_map(|item| self.apply_item(item, now))
+            .collect()
+    }
+
     /// Applies one object, except a listed target, which is returned for the caller to apply.
     fn apply_item(&mut self, item: FeedItem, now: Timestamp) -> Option<Target> {
         match item {
--- a/crates/serving/tests/feed.rs
+++ b/crates/serving/tests/feed.rs
@@ -154,8 +154,7 @@
     let mut events = start(&feed);
     let expected = [
         FeedEvent::Snapshot(vec![removed("a")]),
-        FeedEvent::Failed(FeedKind::Targets),
-        FeedEvent::Snapshot(vec![removed("c")]),
+        FeedEvent::Restored(vec![removed("c")]),
         // The answer from before the restore.
         FeedEvent::Failed(FeedKind::Targets),
         FeedEvent::Changes(vec![removed("d")]),
