fix(core): a part at fewer crashes than a culprit is not blamed with it

A part at one crash of each group tied with the one at all of them, so that both were blamed.

Change: suspects at as many counted crashes are ordered by all of their crashes.

--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -29,6 +29,24 @@
 /// How many crashes count for a suspect, by the number of their group.
 type CrashGroups = BTreeMap<u64, usize>;
 
+/// The crashes at which a suspect was and that nothing else explains.
+#[derive(Debug, Default)]
+struct Support {
+    crashes: usize,
+    groups: CrashGroups,
+}
+
+impl Support {
+    fn counted(&self) -> usize {
+        self.groups.values().sum()
+    }
+
+    /// Orders suspects: by the crashes that count, then by all.
+    fn rank(&self) -> (usize, usize) {
+        (self.counted(), self.crashes)
+    }
+}
+
 #[derive(Debug, Clone)]
 struct Crash {
     at: Timestamp,
@@ -137,7 +155,7 @@
         let support = self.support(&BTreeSet::new(), now);
         let mut suspects: Vec<(usize, Suspect)> = support
             .iter()
-            .map(|(suspect, groups)| (crash_count(groups), suspect.clone()))
+            .map(|(suspect, support)| (support.counted(), suspect.clone()))
             .collect();
         suspects.sort_unstable_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
         suspects.into_iter().map(|(_, suspect)| suspect).collect()
@@ -145,7 +163,8 @@
 
     /// Returns the suspects that are to blame for crashes.
     ///
-    /// The suspect at the most crashes comes first: what it explains counts against no other.
+    /// The suspect at the most crashes comes first: what it explains counts against no other. Of suspects
+    /// at as many crashes that count, it is the one at the most crashes in all.
     ///
     /// `on_probation` returns whether a suspect was in quarantine before; one crash convicts it again.
     pub fn culprits(
@@ -158,20 +177,20 @@
         let all = self.support(&culprits, now);
         loop {
             let support = self.support(&culprits, now);
-            let is_convictable = |suspect: &Suspect, groups: &CrashGroups| {
-                crash_count(groups) >= CONVICTING_CRASHES
-                    && (suspect.is_request() || has_other_requests(groups, &all))
+            let is_convictable = |suspect: &Suspect, support: &Support| {
+                support.counted() >= CONVICTING_CRASHES
+                    && (suspect.is_request() || has_other_requests(&support.groups, &all))
             };
-            let convictable = support.iter().filter(|(suspect, groups)| {
+            let convictable = support.iter().filter(|(suspect, support)| {
                 !culprits.contains(*suspect)
-                    && (on_probation(suspect) || is_convictable(suspect, groups))
+                    && (on_probation(suspect) || is_convictable(suspect, support))
                     && self.first_crash(suspect).is_some_and(ripe)
             });
-            let counts = convictable.map(|(suspect, groups)| (suspect, crash_count(groups)));
-            let counts: Vec<(&Suspect, usize)> = counts.collect();
-            let most = counts.iter().map(|(_, count)| *count).max();
-            let found: Vec<Suspect> = (counts.into_iter())
-                .filter(|(suspect, count)| Some(*count) == most || on_probation(suspect))
+            let ranked = convictable.map(|(suspect, support)| (suspect, support.rank()));
+            let ranked: Vec<(&Suspect, (usize, usize))> = ranked.collect();
+            let first = ranked.iter().map(|(_, rank)| *rank).max();
+            let found: Vec<Suspect> = (ranked.into_iter())
+                .filter(|(suspect, rank)| Some(*rank) == first || on_probation(suspect))
                 .map(|(suspect, _)| suspect.clone())
                 .collect();
             if found.is_empty() {
@@ -186,14 +205,10 @@
     ///
     /// A blamed request accounts for no crash of a part: whether the part is to blame as well shows in
     /// the crashes of other requests.
-    fn support(
-        &self,
-        explained: &BTreeSet<Suspect>,
-        now: Timestamp,
-    ) -> BTreeMap<Suspect, CrashGroups> {
+    fn support(&self, explained: &BTreeSet<Suspect>, now: Timestamp) -> BTreeMap<Suspect, Support> {
         let recent = |crash: &&Crash| now.since(crash.at) < EVIDENCE_TTL;
         let mut sizes = CrashGroups::new();
-        let mut support = BTreeMap::<Suspect, CrashGroups>::new();
+        let mut support = BTreeMap::<Suspect, Support>::new();
         for crash in self.crashes.values().filter(recent) {
             *sizes.entry(crash.group).or_default() += 1;
             let mut explaining = crash.suspects.intersection(explained).peekable();
@@ -208,12 +223,13 @@
                 !accounted && !self.is_sound(suspect, now)
             };
             for suspect in crash.suspects.iter().filter(open) {
-                let groups = support.entry(suspect.clone()).or_default();
-                *groups.entry(crash.group).or_default() += 1;
+                let support = support.entry(suspect.clone()).or_default();
+                support.crashes += 1;
+                *support.groups.entry(crash.group).or_default() += 1;
             }
         }
-        for (suspect, groups) in &mut support {
-            for (group, count) in groups {
+        for (suspect, support) in &mut support {
+            for (group, count) in &mut support.groups {
                 // A power loss also ends targets where the request is not.
                 let at_all = sizes.get(group) == Some(count);
                 if !suspect.is_request() || !at_all {
@@ -238,18 +254,14 @@
     }
 }
 
-fn crash_count(groups: &CrashGroups) -> usize {
-    groups.values().sum()
-}
-
 /// Returns whether no single request accounts for the crashes of a part.
-fn has_other_requests(part: &CrashGroups, support: &BTreeMap<Suspect, CrashGroups>) -> bool {
+fn has_other_requests(part: &CrashGroups, support: &BTreeMap<Suspect, Support>) -> bool {
     let requests = support.iter().filter(|(suspect, _)| suspect.is_request());
     let without = |request: &CrashGroups| {
         let others = part.keys().filter(|group| !request.contains_key(group));
         others.count()
     };
     requests
-        .map(|(_, groups)| without(groups))
+        .map(|(_, support)| without(&support.groups))
         .all(|others| others >= MIN_OTHER_CRASHES)
 }
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -86,6 +86,20 @@
     assert_eq!(culprits(&evidence, 5), [part("bad")]);
 }
 
+#[test]
+fn a_part_at_fewer_crashes_than_a_culprit_is_not_blamed_with_it() {
+    let mut evidence = CrashEvidence::default();
+    // Three groups of crashes at the same time, each of which has a crash without the topic.
+    for crash in 0..6 {
+        let id = format!("t{crash}");
+        let topic = (crash % 2 == 0).then(|| part("topic"));
+        let second = crash / 2 + 1;
+        let suspects = topic.into_iter().chain([part("bad")]);
+        evidence.record_crash(&id, suspects, at(second * 1_000 + crash % 2 * 100));
+    }
+    assert_eq!(culprits(&evidence, 4), [part("bad")]);
+}
+
 #[test]
 fn two_parts_that_crash_targets_are_both_found() {
     let mut evidence = CrashEvidence::default();
