--- a/crates/core/src/serving/store_position.rs
+++ b/crates/core/src/serving/store_position.rs
@@ -59,6 +59,16 @@
         }
     }
 
+    /// Returns the revision after which a reader watches that got the objects up to `position` from
+    /// elsewhere; `None` if it must list them first.
+    ///
+    /// A process that starts holds no objects, and position 0/0 says nothing of the store's era.
+    pub fn resume_after(&mut self, position: StorePosition) -> Option<u64> {
+        let StorePosition { era, revision } = position;
+        let is_held = revision > 0 && self.observe((era > 0).then_some(era)) != EraChange::Outdated;
+        is_held.then_some(revision)
+    }
+
     /// Returns the era; 0 if it is unknown.
     pub fn number(self) -> u64 {
         self.0.unwrap_or_default()
--- a/crates/core/tests/store_position.rs
+++ b/crates/core/tests/store_position.rs
@@ -2,6 +2,7 @@
 
 use kumquatkeel_core::serving::{EraChange, StoreEra, StorePosition};
 use proptest::prelude::*;
+use rstest::rstest;
 
 proptest! {
     /// Answers of several connections arrive in any order.
@@ -29,3 +30,25 @@
     assert!(position(1, 900) < position(2, 7));
     assert!(position(2, 7) < position(2, 8));
 }
+
+#[test]
+fn a_process_that_starts_takes_the_first_era_for_a_restore() {
+    let mut era = StoreEra::default();
+    assert_eq!(era.resume_after(StorePosition::default()), None);
+    assert_eq!(era.observe(Some(3)), EraChange::Unchanged);
+}
+
+#[rstest]
+#[case::same_era(2, Some(70))]
+#[case::later_era(3, Some(70))]
+#[case::earlier_era(1, None)]
+#[case::no_era(0, Some(70))]
+fn a_watch_resumes_after_a_revision_of_an_earlier_era(
+    #[case] era: u64,
+    #[case] expected: Option<u64>,
+) {
+    let mut known = StoreEra::default();
+    known.observe(Some(2));
+    let position = StorePosition { era, revision: 70 };
+    assert_eq!(known.resume_after(position), expected);
+}
--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -133,10 +133,7 @@
     /// Continues with a watch after `position`, as the objects up to it came from elsewhere; revision 0
     /// means that none did.
     pub(crate) fn resume_after(&mut self, position: StorePosition) {
-        let StorePosition { era, revision } = position;
-        let known =
-            revision > 0 && self.era.observe((era > 0).then_some(era)) != EraChange::Outdated;
-        self.revision = known.then_some(revision);
+        self.revision = self.era.resume_after(position);
     }
 
     async fn list_all(&mut self) -> Result<FollowStep, ReceiverGone> {
