--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod scheduler;
 pub mod serving;
 pub mod spread;
+pub mod store;
--- a/crates/core/src/serving/store_position.rs
+++ b/crates/core/src/store/era.rs
@@ -1,17 +1,6 @@
-//! Positions in a store that may be restored from a copy.
+//! The era of a store: how often it has been restored from a copy.
 
-use derive_more::Display;
-
-/// A state of the platform's store. A store that is restored from a copy gives its revisions out again,
-/// in a later era.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Display)]
-#[display("{era}/{revision}")]
-pub struct StorePosition {
-    /// How often the store has been restored, as it states; 0 if it doesn't.
-    pub era: u64,
-    /// The revision within the era.
-    pub revision: u64,
-}
+use super::position::StorePosition;
 
 /// What an answer's era says of the answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -29,7 +18,7 @@
 /// # Examples
 ///
 /// ```
-/// use kumquatkeel_core::serving::{EraChange, StoreEra};
+/// use kumquatkeel_core::store::{EraChange, StoreEra};
 ///
 /// let mut era = StoreEra::default();
 /// assert_eq!(era.observe(Some(4)), EraChange::Unchanged);
@@ -69,6 +58,11 @@
         is_held.then_some(revision)
     }
 
+    /// Returns the era as the store has stated it; `None` if it has stated none.
+    pub const fn stated(self) -> Option<u64> {
+        self.0
+    }
+
     /// Returns the era; 0 if it is unknown.
     pub fn number(self) -> u64 {
         self.0.unwrap_or_default()
--- a/crates/core/tests/store_position.rs
+++ b/crates/core/tests/store_era.rs
@@ -1,6 +1,6 @@
 //! Eras of a store that is restored from a copy.
 
-use kumquatkeel_core::serving::{EraChange, StoreEra, StorePosition};
+use kumquatkeel_core::store::{EraChange, StoreEra, StorePosition};
 use proptest::prelude::*;
 use rstest::rstest;
 
--- a/crates/serving/src/config_relay/frame.rs
+++ b/crates/serving/src/config_relay/frame.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use kumquatkeel_core::serving::StorePosition;
+use kumquatkeel_core::store::StorePosition;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::time::timeout;
 
--- a/crates/serving/src/config_relay/hub.rs
+++ b/crates/serving/src/config_relay/hub.rs
@@ -1,7 +1,7 @@
 //! The configuration that a process passes on to its followers.
 
 use bytes::Bytes;
-use kumquatkeel_core::serving::StorePosition;
+use kumquatkeel_core::store::StorePosition;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kumquatkeel_core::serving::{EraChange, StoreEra, StorePosition};
+use kumquatkeel_core::store::{EraChange, StoreEra, StorePosition};
 use rand::RngExt;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
--- a/crates/serving/src/platform.rs
+++ b/crates/serving/src/platform.rs
@@ -10,9 +10,9 @@
 use http::{HeaderMap, StatusCode};
 use kumquatkeel_core::quarantine::Verdict;
 use kumquatkeel_core::serving::{
-    CallerRequest, EngineOrder, EngineReport, ServingConfig, StorePosition, Target, TargetId,
-    TargetNotice,
+    CallerRequest, EngineOrder, EngineReport, ServingConfig, Target, TargetId, TargetNotice,
 };
+use kumquatkeel_core::store::StorePosition;
 
 /// A failed call to the platform or a target.
 #[derive(Debug, Clone, Display, Error)]
--- a/crates/serving/tests/agent.rs
+++ b/crates/serving/tests/agent.rs
@@ -12,9 +12,10 @@
 use async_trait::async_trait;
 use kumquatkeel_core::serving::{
     Backlog, Band, ClientLimits, EngineOrder, EngineReport, EngineSpec, Incarnation, ModelDemand,
-    ModelSpec, RequestRate, ResidentModel, ServiceSpec, ServingConfig, StatedLimit, StorePosition,
-    Target, TargetId, TargetNotice, TargetState,
+    ModelSpec, RequestRate, ResidentModel, ServiceSpec, ServingConfig, StatedLimit, Target,
+    TargetId, TargetNotice, TargetState,
 };
+use kumquatkeel_core::store::StorePosition;
 use kumquatkeel_serving::agent::{Agent, AgentSettings};
 use kumquatkeel_serving::gossip::{
     AgentHeartbeat, BacklogQuery, BacklogUpdate, Datagram, EntryHeartbeat, GossipSocket,
