feat(platform): the client of the store reads its era, and the stand-in can be restored from a copy

The stand-in states Store-Era in all answers, goes back to a copy, gives versions out again, and answers watches from a version that it has not reached with a gap.

One place in the client reads the header of every answer. An answer of an earlier era is ignored: a read failed, a write has an unknown outcome. What can't be read as an era (no number, negative, too long, twice) changes nothing. A conditional write without an answer is not sent again once the store has been restored, as the same version may stand for another object by then.

--- a/crates/platform/src/http/store.rs
+++ b/crates/platform/src/http/store.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http::header::{IF_MATCH, IF_NONE_MATCH};
 use http::{Request, StatusCode};
+use kumquatkeel_core::store::StoreEra;
 
 use super::HttpOptions;
 use super::transport::{Call, Reply, Transport};
@@ -95,6 +96,10 @@
 
 #[async_trait]
 impl ObjectStore for HttpObjectStore {
+    fn era(&self) -> StoreEra {
+        self.transport.era()
+    }
+
     async fn get(&self, key: &ObjectKey) -> Result<Option<Object>, StoreError> {
         const STEP: &str = "read object";
         let request = Request::get(self.object_uri(STEP, key)?);
--- a/crates/platform/src/http/transport.rs
+++ b/crates/platform/src/http/transport.rs
@@ -1,21 +1,23 @@
 //! HTTP calls to the platform with time limits, and the mapping of their failures to [`StoreFault`].
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http::request::Builder;
-use http::{Request, Response, StatusCode};
+use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use kumquatkeel_core::store::{EraChange, StoreEra};
+use log::{info, warn};
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
 
-use crate::wire::MAX_VALUE_BYTES;
+use crate::wire::{MAX_VALUE_BYTES, STORE_ERA_HEADER};
 use crate::{CallCounts, CallKind, StoreError, StoreFault};
 
 /// Largest body accepted from the platform, in bytes.
@@ -65,6 +67,8 @@
 pub(super) struct Reply {
     pub(super) status: StatusCode,
     pub(super) body: Bytes,
+    /// The era that the answer states.
+    era: Option<u64>,
 }
 
 /// A pool of connections to the platform.
@@ -74,6 +78,7 @@
     address: SocketAddr,
     options: HttpOptions,
     counts: Arc<CallCounts>,
+    era: Arc<Mutex<StoreEra>>,
 }
 
 impl Transport {
@@ -91,9 +96,15 @@
             address,
             options,
             counts,
+            era: Arc::default(),
         }
     }
 
+    /// Returns the era that the answers have stated so far.
+    pub(super) fn era(&self) -> StoreEra {
+        *self.era.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(super) fn counts(&self) -> &Arc<CallCounts> {
         &self.counts
     }
@@ -112,7 +123,7 @@
     /// # Errors
     ///
     /// When the call was not sent, the error says that it had no effect. When it was sent without an
-    /// answer, the outcome of a write is unknown.
+    /// answer, or the answer is from before a restore of the store, the outcome of a write is unknown.
     pub(super) async fn send(&self, call: Call) -> Result<Reply, StoreError> {
         let Call { step, kind, .. } = call;
         self.counts.add(kind);
@@ -122,6 +133,7 @@
             .map_err(|_| self.error(step, StoreFault::Unavailable))?;
         match self.exchange(kind, request, call.wait).await {
             Err(fault) => Err(self.error(step, fault)),
+            Ok(reply) if self.is_outdated(&reply) => Err(self.error(step, lost_answer_fault(kind))),
             Ok(reply) => match reply.status {
                 StatusCode::TOO_MANY_REQUESTS => Err(self.error(step, StoreFault::RateLimited)),
                 StatusCode::SERVICE_UNAVAILABLE => Err(self.error(step, StoreFault::Unavailable)),
@@ -130,6 +142,24 @@
         }
     }
 
+    /// Records the era of an answer; returns whether the answer is from before a restore.
+    fn is_outdated(&self, reply: &Reply) -> bool {
+        let mut era = self.era.lock().unwrap_or_else(PoisonError::into_inner);
+        let change = era.observe(reply.era);
+        let known = era.number();
+        drop(era);
+        match change {
+            EraChange::Unchanged => {}
+            EraChange::Restored => {
+                warn!(target: "store", "store: {} was restored from a copy, era {known}", self.address);
+            }
+            EraChange::Outdated => {
+                info!(target: "store", "store: ignored an answer of {} of an earlier era than {known}", self.address);
+            }
+        }
+        change == EraChange::Outdated
+    }
+
     async fn exchange(
         &self,
         kind: CallKind,
@@ -188,9 +218,17 @@
     Some(Reply {
         status: head.status,
         body: received.freeze(),
+        era: stated_era(&head.headers),
     })
 }
 
+/// Returns the era that an answer states; `None` if it states none that can be read.
+fn stated_era(headers: &HeaderMap) -> Option<u64> {
+    let mut values = headers.get_all(STORE_ERA_HEADER).iter();
+    let value = values.next().filter(|_| values.next().is_none())?;
+    value.to_str().ok()?.trim().parse().ok()
+}
+
 /// Returns the fault of a call without an answer: reads have no effect, writes may have had one.
 const fn lost_answer_fault(kind: CallKind) -> StoreFault {
     match kind {
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -5,7 +5,8 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use derive_more::{AsRef, Display, From};
+use derive_more::{AsRef, Display, From, Into};
+use kumquatkeel_core::store::StoreEra;
 use serde::{Deserialize, Serialize};
 
 use crate::StoreError;
@@ -19,7 +20,8 @@
 #[serde(transparent)]
 pub struct ObjectKey(Arc<str>);
 
-/// Version of an object: the sequence number of the store's change that wrote it.
+/// Version of an object: the sequence number of the store's change that wrote it. A store that is
+/// restored from a copy gives versions out again; see [`ObjectStore::era`].
 #[derive(
     Debug,
     Clone,
@@ -31,6 +33,7 @@
     Ord,
     Hash,
     Display,
+    Into,
     Serialize,
     Deserialize,
 )]
@@ -78,6 +81,12 @@
 /// The platform's store of versioned objects.
 #[async_trait]
 pub trait ObjectStore: Send + Sync {
+    /// Returns the era that the store's answers have stated so far.
+    ///
+    /// If it has risen since a call was sent, the store was restored from a copy, and the call's answer may
+    /// be from before.
+    fn era(&self) -> StoreEra;
+
     /// Reads an object; `None` when there is none.
     ///
     /// # Errors
--- a/crates/platform/src/put.rs
+++ b/crates/platform/src/put.rs
@@ -23,6 +23,9 @@
 
 /// Writes an object if the precondition holds, and resolves the outcome after a lost answer.
 ///
+/// A store that is restored meanwhile may show another object at the same version, so that nothing is sent
+/// again then.
+///
 /// After a lost answer the object is read again. When it carries this write's id, the write took
 /// effect. When it is unchanged, the write is sent again with the same id and precondition, of which
 /// the store can accept only one copy.
@@ -38,6 +41,7 @@
     write: &WriteId,
     value: Bytes,
 ) -> Result<PutOutcome, StoreError> {
+    let era = store.era();
     let mut unresolved: Option<StoreError> = None;
     for _ in 0..=MAX_RESENDS {
         let error = match store.put(key, precondition, write, value.clone()).await {
@@ -57,6 +61,9 @@
         let Ok(current) = store.get(key).await else {
             break;
         };
+        if era.stated().is_some() && store.era() != era {
+            break;
+        }
         match classify(current.as_ref(), precondition, write) {
             StoredState::Written(version) => return Ok(PutOutcome::Written(version)),
             StoredState::Unchanged => {}
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -9,6 +9,10 @@
 //! | `/v1/watch?prefix=P&after=V&wait_ms=W` | GET | | | 200 [`WireObjects`], 410 on a gap |
 //! | `/v1/instances` | GET | | | 200 [`WireInstances`] |
 //!
+//! A store that has been restored from a copy says so in each of its answers: `Store-Era: N`, which rises by
+//! one each time. It gives versions out again, and answers a watch from one that it has not reached with
+//! 410.
+//!
 //! Each call may also be answered with 429 (rate limit exceeded) or 503, both without being executed.
 //! After any other status, or without an answer, it is unknown whether a write took effect. Values
 //! are UTF-8 text of at most [`MAX_VALUE_BYTES`].
@@ -20,6 +24,9 @@
 /// Largest value that the store accepts, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1 << 20;
 
+/// Header of all answers with the number of times that the store has been restored.
+pub const STORE_ERA_HEADER: &str = "store-era";
+
 /// Request header with the id of a write.
 pub const WRITE_ID_HEADER: &str = "write-id";
 
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -8,6 +8,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use kumquatkeel_core::store::StoreEra;
 use kumquatkeel_platform::{
     Object, ObjectKey, ObjectStore, ObjectVersion, Precondition, StoreError, StoreFault,
     WatchReply, WriteId,
@@ -56,8 +57,18 @@
     faults: BTreeMap<u64, CallFault>,
     delayed: Vec<Write>,
     down: bool,
+    /// How often the store was restored; `None` if it doesn't say.
+    era: Option<u64>,
+    /// The era as the answers have stated it.
+    stated_era: StoreEra,
+    /// The copy from which the store is restored just before the call with this number.
+    next_restore: Option<(u64, StoreCopy)>,
 }
 
+/// The objects of a store at one moment, with its versions.
+#[derive(Debug, Clone)]
+pub(crate) struct StoreCopy(BTreeMap<String, Object>, u64);
+
 /// An in-memory store that injects faults by call number, from 1.
 #[derive(Debug)]
 pub(crate) struct FakeStore {
@@ -97,15 +108,29 @@
         Ok(version)
     }
 
+    fn restore(&mut self, copy: &StoreCopy) {
+        self.objects.clone_from(&copy.0);
+        self.version = copy.1;
+        self.era = Some(self.era.unwrap_or_default() + 1);
+    }
+
     fn begin_call(&mut self) -> Result<Option<CallFault>, StoreFault> {
         self.calls += 1;
         for write in std::mem::take(&mut self.delayed) {
             let _ = self.apply(write);
         }
+        let calls = self.calls;
+        if let Some((_, copy)) = self.next_restore.take_if(|(call, _)| *call == calls) {
+            self.restore(&copy);
+        }
         if self.down {
             return Err(StoreFault::Unavailable);
         }
-        match self.faults.get(&self.calls) {
+        let fault = self.faults.get(&self.calls);
+        if !self.down && fault.is_none() {
+            self.stated_era.observe(self.era);
+        }
+        match fault {
             Some(CallFault::Unavailable) => Err(StoreFault::Unavailable),
             Some(CallFault::RateLimited) => Err(StoreFault::RateLimited),
             fault => Ok(fault.copied()),
@@ -137,6 +162,29 @@
         self.inner.lock().unwrap().down = down;
     }
 
+    /// Makes the store state its era in each answer.
+    pub(crate) fn state_era(&self, era: u64) {
+        self.inner.lock().unwrap().era = Some(era);
+    }
+
+    /// Returns a copy from which the store can be restored.
+    pub(crate) fn copy(&self) -> StoreCopy {
+        let inner = self.inner.lock().unwrap();
+        StoreCopy(inner.objects.clone(), inner.version)
+    }
+
+    /// Restores the store from a copy: what was written since is gone, versions are given out again, and the
+    /// era rises by one.
+    pub(crate) fn restore(&self, copy: &StoreCopy) {
+        self.inner.lock().unwrap().restore(copy);
+    }
+
+    /// Restores the store just before the call `number`, counted from the next one.
+    pub(crate) fn restore_at(&self, number: u64, copy: StoreCopy) {
+        let mut inner = self.inner.lock().unwrap();
+        inner.next_restore = Some((inner.calls + number, copy));
+    }
+
     /// Returns the number of calls.
     pub(crate) fn calls(&self) -> u64 {
         self.inner.lock().unwrap().calls
@@ -171,6 +219,10 @@
 
 #[async_trait]
 impl ObjectStore for FakeStore {
+    fn era(&self) -> StoreEra {
+        self.inner.lock().unwrap().stated_era
+    }
+
     async fn get(&self, key: &ObjectKey) -> Result<Option<Object>, StoreError> {
         self.read(|inner| inner.objects.get(key.as_ref()).cloned())
     }
--- a/crates/platform/tests/http.rs
+++ b/crates/platform/tests/http.rs
@@ -1,8 +1,8 @@
 //! The HTTP clients against a server with a fixed behaviour.
 //!
 //! The tests guard against a failed write that is reported as certain when its outcome is unknown,
-//! against reads that take a failure for an absent object, and against large answers that are given up
-//! while they arrive.
+//! against reads that take a failure for an absent object, against large answers that are given up
+//! while they arrive, and against answers from before a restore of the store.
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -214,3 +214,73 @@
     let object = store(address).get(&ObjectKey::from("a")).await;
     assert_eq!(object.is_ok(), read, "{object:?}");
 }
+
+/// Starts a server that answers each call with an object and the next of these headers.
+async fn serve_headers(headers: Vec<&'static str>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        for lines in headers {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let _ = stream.read(&mut [0; 4_096]).await;
+            let length = OBJECT.len();
+            let head = format!(
+                "HTTP/1.1 200 OK\r\n{lines}Connection: close\r\nContent-Length: {length}\r\n\r\n"
+            );
+            let _ = stream.write_all(head.as_bytes()).await;
+            let _ = stream.write_all(OBJECT.as_bytes()).await;
+        }
+    });
+    address
+}
+
+#[tokio::test]
+async fn an_answer_from_before_a_restore_counts() {
+    let headers = [
+        "",
+        "Store-Era: 4\r\n",
+        "Store-Era: 5\r\n",
+        "Store-Era: 4\r\n",
+        "",
+    ];
+    let store = store(serve_headers(headers.to_vec()).await);
+    let expected = [
+        (None, true),
+        (Some(4), true),
+        (Some(5), true),
+        (Some(5), false),
+        (Some(5), true),
+    ];
+    for (era, answered) in expected {
+        let read = store.get(&ObjectKey::from("a")).await;
+        assert_eq!(read.is_ok(), answered, "{read:?}");
+        assert_eq!(store.era().stated(), era);
+    }
+}
+
+#[tokio::test]
+async fn a_write_that_is_acknowledged_from_before_a_restore_counts_as_stored() {
+    let headers = ["Store-Era: 5\r\n", "Store-Era: 4\r\n"];
+    let address = serve_headers(headers.to_vec()).await;
+    let store = store(address);
+    store.get(&ObjectKey::from("a")).await.unwrap();
+    let (key, id) = (ObjectKey::from("a"), WriteId::from("w"));
+    let write = store.put(&key, Precondition::Absent, &id, Bytes::new());
+    assert!(write.await.unwrap_err().may_have_written());
+}
+
+#[rstest]
+#[case::no_number("Store-Era: new\r\n")]
+#[case::negative("Store-Era: -1\r\n")]
+#[case::fraction("Store-Era: 6.5\r\n")]
+#[case::empty("Store-Era:\r\n")]
+#[case::too_long("Store-Era: 99999999999999999999999\r\n")]
+#[case::twice("Store-Era: 6\r\nStore-Era: 7\r\n")]
+#[tokio::test]
+async fn an_era_that_cannot_be_read_is_taken_for_a_restore(#[case] header: &'static str) {
+    let store = store(serve_headers(vec!["Store-Era: 3\r\n", header]).await);
+    for _ in 0..2 {
+        assert!(store.get(&ObjectKey::from("a")).await.is_ok());
+        assert_eq!(store.era().stated(), Some(3));
+    }
+}
--- a/crates/platform/tests/put.rs
+++ b/crates/platform/tests/put.rs
@@ -88,3 +88,23 @@
     let third = put(&store, "three", Precondition::Absent).await;
     assert!(matches!(third, Ok(PutOutcome::Superseded(Some(_)))));
 }
+
+/// The restored store has another object at the version that the write is to replace.
+#[tokio::test]
+async fn a_write_without_an_answer_is_sent_again_into_a_restored_store() {
+    let (store, other) = (FakeStore::default(), FakeStore::default());
+    store.state_era(1);
+    let version = put(&store, "known", Precondition::Absent).await.unwrap();
+    assert_eq!(
+        put(&other, "unseen", Precondition::Absent).await.unwrap(),
+        version
+    );
+    let PutOutcome::Written(version) = version else {
+        panic!("{version:?}");
+    };
+    store.fail(1, CallFault::LostBefore);
+    store.restore_at(2, other.copy());
+    let outcome = put(&store, "late", Precondition::Version(version)).await;
+    assert_eq!(outcome, Err(StoreFault::Unknown));
+    assert_eq!(stored_write_id(&store).await.as_deref(), Some("unseen"));
+}
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -30,4 +30,4 @@
 pub use faults::{CallFault, PlatformFaults};
 pub use limiter::TokenBucket;
 pub use server::PlatformServer;
-pub use store::MemoryStore;
+pub use store::{MemoryStore, StoreCopy};
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -7,9 +7,10 @@
 use dropshot::{
     ApiDescription, Body, HttpError, HttpServer, Query, RequestContext, UntypedBody, endpoint,
 };
-use http::{HeaderMap, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use kumquatkeel_platform::wire::{
-    WRITE_ID_HEADER, WireConflict, WireInstances, WireObject, WireObjects, WireVersion,
+    STORE_ERA_HEADER, WRITE_ID_HEADER, WireConflict, WireInstances, WireObject, WireObjects,
+    WireVersion,
 };
 use kumquatkeel_platform::{
     InstanceList, Object, ObjectKey, ObjectStore, ObjectVersion, Precondition, StoreError,
@@ -83,71 +84,109 @@
     api
 }
 
+/// Answers with a call's result and the era of the store. If that was restored meanwhile, the result
+/// belongs to no certain era, and a write may or may not stand.
+async fn respond(store: &MemoryStore, result: impl Future<Output = HttpResult>) -> HttpResult {
+    let before = store.current_era();
+    let mut response = result.await?;
+    let era = store.current_era();
+    if era != before {
+        response = empty(StatusCode::BAD_GATEWAY)?;
+    }
+    if let Some(era) = era {
+        let headers = response.headers_mut();
+        headers.insert(STORE_ERA_HEADER, HeaderValue::from(era));
+    }
+    Ok(response)
+}
+
 #[endpoint { method = GET, path = "/v1/object", unpublished = true }]
 async fn get_object(context: Context, query: Query<KeyQuery>) -> HttpResult {
-    let key = ObjectKey::from(query.into_inner().key);
-    match context.context().get(&key).await {
-        Ok(Some(object)) => json(StatusCode::OK, &wire_object(object)?),
-        Ok(None) => empty(StatusCode::NOT_FOUND),
-        Err(error) => error_response(&error),
-    }
+    let store = context.context();
+    respond(store, async {
+        let key = ObjectKey::from(query.into_inner().key);
+        match store.get(&key).await {
+            Ok(Some(object)) => json(StatusCode::OK, &wire_object(object)?),
+            Ok(None) => empty(StatusCode::NOT_FOUND),
+            Err(error) => error_response(&error),
+        }
+    })
+    .await
 }
 
 #[endpoint { method = PUT, path = "/v1/object", unpublished = true }]
 async fn put_object(context: Context, query: Query<KeyQuery>, body: UntypedBody) -> HttpResult {
-    let key = ObjectKey::from(query.into_inner().key);
-    let headers = context.request.headers();
-    let precondition = precondition(headers)?;
-    let write = WriteId::from(header_text(headers, WRITE_ID_HEADER)?);
-    let value = Bytes::copy_from_slice(body.as_bytes());
-    body.as_str()?;
-    let put = context.context().put(&key, precondition, &write, value);
-    match put.await {
-        Ok(version) => json(StatusCode::OK, &WireVersion { version }),
-        Err(error) => error_response(&error),
-    }
+    let store = context.context();
+    respond(store, async {
+        let key = ObjectKey::from(query.into_inner().key);
+        let headers = context.request.headers();
+        let precondition = precondition(headers)?;
+        let write = WriteId::from(header_text(headers, WRITE_ID_HEADER)?);
+        let value = Bytes::copy_from_slice(body.as_bytes());
+        body.as_str()?;
+        let put = store.put(&key, precondition, &write, value);
+        match put.await {
+            Ok(version) => json(StatusCode::OK, &WireVersion { version }),
+            Err(error) => error_response(&error),
+        }
+    })
+    .await
 }
 
 #[endpoint { method = DELETE, path = "/v1/object", unpublished = true }]
 async fn remove_object(context: Context, query: Query<KeyQuery>) -> HttpResult {
-    let key = ObjectKey::from(query.into_inner().key);
-    let Precondition::Version(version) = precondition(context.request.headers())? else {
-        return Err(bad_request("if-match is missing"));
-    };
-    match context.context().remove(&key, version).await {
-        Ok(()) => empty(StatusCode::NO_CONTENT),
-        Err(error) => error_response(&error),
-    }
+    let store = context.context();
+    respond(store, async {
+        let key = ObjectKey::from(query.into_inner().key);
+        let Precondition::Version(version) = precondition(context.request.headers())? else {
+            return Err(bad_request("if-match is missing"));
+        };
+        match store.remove(&key, version).await {
+            Ok(()) => empty(StatusCode::NO_CONTENT),
+            Err(error) => error_response(&error),
+        }
+    })
+    .await
 }
 
 #[endpoint { method = GET, path = "/v1/objects", unpublished = true }]
 async fn list_objects(context: Context, query: Query<PrefixQuery>) -> HttpResult {
-    let prefix = query.into_inner().prefix;
-    match context.context().list_at(&prefix).await {
-        Ok((objects, version)) => wire_objects(objects, version),
-        Err(error) => error_response(&error),
-    }
+    let store = context.context();
+    respond(store, async {
+        let prefix = query.into_inner().prefix;
+        match store.list_at(&prefix).await {
+            Ok((objects, version)) => wire_objects(objects, version),
+            Err(error) => error_response(&error),
+        }
+    })
+    .await
 }
 
 #[endpoint { method = GET, path = "/v1/watch", unpublished = true }]
 async fn watch_objects(context: Context, query: Query<WatchQuery>) -> HttpResult {
-    let query = query.into_inner();
-    let wait = Duration::from_millis(query.wait_ms);
-    let watch = context
-        .context()
-        .watch(&query.prefix, ObjectVersion(query.after), wait);
-    match watch.await {
-        Ok(reply) => wire_objects(reply.objects, reply.version),
-        Err(error) => error_response(&error),
-    }
+    let store = context.context();
+    respond(store, async {
+        let query = query.into_inner();
+        let wait = Duration::from_millis(query.wait_ms);
+        let watch = store.watch(&query.prefix, ObjectVersion(query.after), wait);
+        match watch.await {
+            Ok(reply) => wire_objects(reply.objects, reply.version),
+            Err(error) => error_response(&error),
+        }
+    })
+    .await
 }
 
 #[endpoint { method = GET, path = "/v1/instances", unpublished = true }]
 async fn list_instances(context: Context) -> HttpResult {
-    match context.context().instances().await {
-        Ok(instances) => json(StatusCode::OK, &WireInstances { instances }),
-        Err(error) => error_response(&error),
-    }
+    let store = context.context();
+    respond(store, async {
+        match store.instances().await {
+            Ok(instances) => json(StatusCode::OK, &WireInstances { instances }),
+            Err(error) => error_response(&error),
+        }
+    })
+    .await
 }
 
 fn precondition(headers: &HeaderMap) -> Result<Precondition, HttpError> {
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -8,6 +8,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use kumquatkeel_core::store::StoreEra;
 use kumquatkeel_platform::{
     InstanceList, InstanceRecord, Object, ObjectKey, ObjectStore, ObjectVersion, Precondition,
     StoreError, StoreFault, WatchReply, WriteId,
@@ -51,8 +52,14 @@
     shared: Arc<Shared>,
     faults: PlatformFaults,
     link: PlatformFaults,
+    /// The era that this client's answers have stated.
+    era: Arc<Mutex<StoreEra>>,
 }
 
+/// The objects of a store at one moment, with its versions.
+#[derive(Debug, Clone)]
+pub struct StoreCopy(Table);
+
 impl MemoryStore {
     /// Creates an empty store without rate limits or faults.
     pub fn new() -> Self {
@@ -65,6 +72,7 @@
             }),
             faults: PlatformFaults::new(),
             link: PlatformFaults::new(),
+            era: Arc::default(),
         }
     }
 
@@ -73,6 +81,7 @@
     pub fn client(&self) -> Self {
         Self {
             link: PlatformFaults::new(),
+            era: Arc::default(),
             ..self.clone()
         }
     }
@@ -113,6 +122,33 @@
         self.notify();
     }
 
+    /// Makes the store state its era in all answers from now on.
+    pub fn state_era(&self, era: u64) {
+        lock(&self.shared.table).state_era(era);
+    }
+
+    /// Returns the era that answers state at this moment.
+    pub(super) fn current_era(&self) -> Option<u64> {
+        lock(&self.shared.table).era()
+    }
+
+    /// Returns a copy of the store from which it can be restored.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(lock(&self.shared.table).clone())
+    }
+
+    /// Restores the store from a copy: what was written since is gone, versions are given out again, and the
+    /// era rises by one.
+    pub fn restore(&self, copy: StoreCopy) {
+        lock(&self.shared.table).restore(copy.0);
+        self.notify();
+    }
+
+    /// Records the era that an answer of the table states.
+    fn observe_era(&self, table: &Table) {
+        lock(&self.era).observe(table.era());
+    }
+
     /// Replaces the list of instances; readers see it after the lag.
     pub fn set_instances(&self, instances: impl Into<Vec<InstanceRecord>>) {
         let now = Instant::now();
@@ -169,10 +205,12 @@
         step: &'static str,
         read: impl FnOnce(&Table) -> T + Send,
     ) -> Result<T, StoreError> {
-        match self.inject(kind).await {
-            Some(fault) => Err(error(step, store_fault(fault))),
-            None => Ok(read(&lock(&self.shared.table))),
+        if let Some(fault) = self.inject(kind).await {
+            return Err(error(step, store_fault(fault)));
         }
+        let table = lock(&self.shared.table);
+        self.observe_era(&table);
+        Ok(read(&table))
     }
 
     async fn write<T>(
@@ -185,7 +223,11 @@
         T: Send + 'static,
     {
         match self.inject(kind).await {
-            None => self.change(write).map_err(|fault| error(step, fault)),
+            None => {
+                let result = self.change(write);
+                self.observe_era(&lock(&self.shared.table));
+                result.map_err(|fault| error(step, fault))
+            }
             Some(CallFault::LostAfter) => {
                 let _ = self.change(write);
                 Err(error(step, StoreFault::Unknown))
@@ -215,6 +257,7 @@
 
     fn changes_after(&self, prefix: &str, after: ObjectVersion) -> Result<WatchReply, StoreFault> {
         let table = lock(&self.shared.table);
+        self.observe_era(&table);
         if !table.can_watch(after) {
             return Err(StoreFault::WatchGap);
         }
@@ -244,6 +287,10 @@
 
 #[async_trait]
 impl ObjectStore for MemoryStore {
+    fn era(&self) -> StoreEra {
+        *lock(&self.era)
+    }
+
     async fn get(&self, key: &ObjectKey) -> Result<Option<Object>, StoreError> {
         self.read(CallKind::Get, "get", |table| table.get(key))
             .await
--- a/crates/standin/src/platform/table.rs
+++ b/crates/standin/src/platform/table.rs
@@ -14,6 +14,8 @@
     version: ObjectVersion,
     /// Watches from an earlier version fail, except from version 0.
     compacted: ObjectVersion,
+    /// How often the store has been restored, once it states that.
+    era: Option<u64>,
 }
 
 impl Table {
@@ -22,6 +24,22 @@
         self.version
     }
 
+    /// Returns how often the store has been restored, if it states that.
+    pub(super) const fn era(&self) -> Option<u64> {
+        self.era
+    }
+
+    pub(super) const fn state_era(&mut self, era: u64) {
+        self.era = Some(era);
+    }
+
+    /// Goes back to a copy; versions since then are given out again, in the next era.
+    pub(super) fn restore(&mut self, copy: Self) {
+        let era = self.era.unwrap_or_default() + 1;
+        *self = copy;
+        self.era = Some(era);
+    }
+
     pub(super) fn get(&self, key: &ObjectKey) -> Option<Object> {
         self.objects.get(key).cloned()
     }
@@ -88,11 +106,12 @@
         self.compacted = self.version;
     }
 
-    /// Returns true if no change since `after` was discarded.
+    /// Returns true if the changes since `after` are known.
     ///
-    /// A watch from version 0 is always possible, since it reads every object.
+    /// A watch from version 0 is always possible, since it reads every object. One from a version that a
+    /// restored store has not reached again is not.
     pub(super) fn can_watch(&self, after: ObjectVersion) -> bool {
-        after == ObjectVersion(0) || after >= self.compacted
+        after == ObjectVersion(0) || (self.compacted..=self.version).contains(&after)
     }
 
     const fn next_version(&mut self) -> ObjectVersion {
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -4,13 +4,14 @@
 //! Otherwise the tests that use it pass although the code relies on guarantees that the platform
 //! doesn't give.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use kumquatkeel_platform::{
-    InstanceList, InstanceRecord, InstanceState, ObjectKey, ObjectStore, ObjectVersion,
-    Precondition, PutOutcome, StoreFault, WriteId, put_resolved,
+    HttpObjectStore, HttpOptions, InstanceList, InstanceRecord, InstanceState, ObjectKey,
+    ObjectStore, ObjectVersion, Precondition, PutOutcome, StoreFault, WriteId, put_resolved,
 };
-use kumquatkeel_standin::platform::{CallFault, CallKind, MemoryStore};
+use kumquatkeel_standin::platform::{CallFault, CallKind, MemoryStore, PlatformServer};
 use rstest::rstest;
 
 fn key() -> ObjectKey {
@@ -157,3 +158,46 @@
     let outcome = put_resolved(&store, &key(), Precondition::Absent, &write, "a".into()).await;
     assert!(matches!(outcome, Ok(PutOutcome::Written(_))), "{outcome:?}");
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_restored_store_gives_versions_out_again_in_a_later_era() {
+    let store = MemoryStore::new();
+    let other = store.client();
+    store.state_era(3);
+    let first = put(&store, Precondition::Absent, "a").await.expect("new");
+    let copy = store.copy();
+    let second = put(&store, Precondition::Version(first), "b").await;
+    let second = second.expect("current");
+    put(&store, Precondition::Version(second), "c")
+        .await
+        .expect("current");
+    let watcher = store.clone();
+    let wait = Duration::from_secs(30);
+    let watch = async move { watcher.watch("config/", ObjectVersion(3), wait).await };
+    let watch = tokio::spawn(watch);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+
+    store.restore(copy);
+    let gap = watch.await.expect("joins").expect_err("gap");
+    assert_eq!(gap.fault, StoreFault::WatchGap);
+    assert_eq!(value(&store).await.as_deref(), Some("a"));
+    assert_eq!(store.era().stated(), Some(4));
+    assert_eq!(other.era().stated(), None, "no answer yet");
+    let again = put(&store, Precondition::Version(first), "d").await;
+    assert_eq!(again, Ok(second));
+}
+
+#[tokio::test]
+async fn the_era_is_stated_over_http() {
+    let store = MemoryStore::new();
+    store.state_era(7);
+    let server = PlatformServer::start(([127, 0, 0, 1], 0).into(), store.clone()).expect("starts");
+    let client = HttpObjectStore::new(server.address(), HttpOptions::default(), Arc::default());
+    assert_eq!(client.get(&key()).await.expect("reads"), None);
+    assert_eq!(client.era().stated(), Some(7));
+    let copy = store.copy();
+    store.restore(copy);
+    client.list("config/").await.expect("lists");
+    assert_eq!(client.era().stated(), Some(8));
+    server.stop().await;
+}
