fix(core): a lease from before a restore of the store permits nothing, and no epoch is given out again

After a restore from a copy the holder of the placement lease went on for up to three seconds, until it read the object again; a lease that the copy shows as released, or lacks, was taken at once while its holder still counted on it; and the takeovers that the store had forgotten were counted again, so that agents took orders of two holders for those of one.

Cause: the lease trusted that versions and records only go forward.

A lease knows the era of the store. When that rises, which any answer to the process shows, nothing is held, and results of calls from before count for nothing. A record from before a restore, or none, says nothing: the lease is taken once its duration has passed. Epochs start above those of all earlier eras, and above the version that the takeover replaces: a paused process may still write over a version that it knows from before the restore, and so hide a takeover.

--- a/crates/core/src/lease/mod.rs
+++ b/crates/core/src/lease/mod.rs
@@ -5,6 +5,9 @@
 //! renewal, so the lease ends for the holder first. Two processes can still believe that they hold
 //! the lease, because one can be paused between its check and its action. Receivers therefore fence
 //! by the epoch, which each takeover raises.
+//!
+//! A store that is restored from a copy shows an earlier record, or none. Epochs therefore start anew
+//! above all earlier ones with each era of the store, and the lease is taken only after its duration.
 
 mod record;
 mod state;
--- a/crates/core/src/lease/state.rs
+++ b/crates/core/src/lease/state.rs
@@ -2,17 +2,22 @@
 
 use kumquatkeel_types::{EntryName, Epoch, Incarnation, Timestamp};
 
+use crate::store::{EraChange, StoreEra};
+
 use super::{LeaseOptions, LeaseRead, LeaseRecord, LeaseStatus, LeaseStep, LeaseWrite};
 
 /// Acquires, renews and releases a lease for one process.
 ///
-/// The caller performs each [`LeaseStep`] and reports its result; `V` is the store's version of an
-/// object.
+/// The caller performs each [`LeaseStep`] and reports its result, after the era of the store as it is known
+/// then; `V` is the store's version of an object.
 #[derive(Debug)]
 pub struct Lease<V> {
     holder: EntryName,
     incarnation: Incarnation,
     options: LeaseOptions,
+    era: StoreEra,
+    /// The era when the last step was returned.
+    step_era: StoreEra,
     seen: Option<Observed<V>>,
     held: Option<Holding>,
     sent: Option<SentWrite>,
@@ -46,13 +51,15 @@
     at: Timestamp,
 }
 
-impl<V: Copy + PartialEq> Lease<V> {
+impl<V: Copy + PartialEq + Into<u64>> Lease<V> {
     /// Creates the state of a process that does not hold the lease.
     pub fn new(holder: EntryName, incarnation: Incarnation, options: LeaseOptions) -> Self {
         Self {
             holder,
             incarnation,
             options,
+            era: StoreEra::new(),
+            step_era: StoreEra::new(),
             seen: None,
             held: None,
             sent: None,
@@ -61,6 +68,21 @@
         }
     }
 
+    /// Takes over the era that the store has stated; returns whether it has risen.
+    ///
+    /// A restored store may have lost the record of the lease, and gives its versions out again. So
+    /// nothing is held any more, and what was read or written before counts for nothing.
+    pub fn observe_era(&mut self, era: StoreEra) -> bool {
+        if self.era.observe(era.stated()) != EraChange::Restored {
+            return false;
+        }
+        self.seen = None;
+        self.held = None;
+        self.sent = None;
+        self.next_step = Timestamp::ZERO;
+        true
+    }
+
     /// Returns whether the lease is held at `now`; to be checked right before each action under it.
     pub fn status(&self, now: Timestamp) -> LeaseStatus {
         match self.held {
@@ -87,11 +109,34 @@
 
     /// Returns whether a record gives the lease to this incarnation of the process.
     fn is_own(&self, record: &LeaseRecord) -> bool {
-        record.holder == self.holder && record.life == self.incarnation && !record.released
+        let is_holder = record.holder == self.holder && record.life == self.incarnation;
+        is_holder && !record.released && self.is_of_era(record)
+    }
+
+    /// Returns whether a record was written since the store's last restore.
+    fn is_of_era(&self, record: &LeaseRecord) -> bool {
+        record.epoch > Epoch(self.era.number_floor(0))
+    }
+
+    /// Returns whether the lease may be taken without waiting for its duration to end.
+    ///
+    /// A record from before a restore, or none, says nothing: a later one may have been lost, and its writer
+    /// may not have learnt of that yet.
+    fn is_free(&self, record: Option<&LeaseRecord>) -> bool {
+        match record {
+            Some(record) => record.released && self.is_of_era(record),
+            None => self.era.stated().is_none(),
+        }
+    }
+
+    /// Returns whether the store was restored since the last step was returned.
+    fn is_outdated(&self) -> bool {
+        self.step_era.stated().is_some() && self.step_era != self.era
     }
 
     /// Returns the next step to perform for the lease.
     pub fn step(&mut self, now: Timestamp) -> LeaseStep<V> {
+        self.step_era = self.era;
         if now < self.next_step {
             return LeaseStep::Wait(self.next_step);
         }
@@ -127,19 +172,25 @@
             renewal,
             released,
         };
-        let Some(current) = &seen.record else {
-            return (!self.releasing).then(|| record(Epoch(1), 0, false));
-        };
-        if self.is_own(current) && self.held.is_some_and(|h| h.epoch == current.epoch) {
-            return Some(record(current.epoch, current.renewal + 1, self.releasing));
+        let current = seen.record.as_ref();
+        if let Some(own) = current.filter(|record| self.is_own(record))
+            && self.held.is_some_and(|held| held.epoch == own.epoch)
+        {
+            return Some(record(own.epoch, own.renewal + 1, self.releasing));
         }
         let lapsed = now.since(seen.first_seen) >= self.options.duration + self.options.drift;
-        let free = current.released || lapsed;
-        (free && !self.releasing).then(|| record(current.epoch.next(), 0, false))
+        let free = lapsed || self.is_free(current);
+        let last = current.map_or(Epoch::default(), |record| record.epoch);
+        let floor = self.era.number_floor(seen.version.map_or(0, Into::into));
+        let epoch = last.max(Epoch(floor)).next();
+        (free && !self.releasing).then(|| record(epoch, 0, false))
     }
 
     /// Applies the result of a read.
     pub fn on_read(&mut self, end: LeaseRead<V>, now: Timestamp) {
+        if self.is_outdated() {
+            return;
+        }
         self.next_step = now.after(self.options.interval);
         let LeaseRead::Found(found) = end else { return };
         let (version, record) = match found {
@@ -148,7 +199,7 @@
         };
         self.resolve_sent(record.as_ref());
         self.held = record.as_ref().and_then(|r| self.holding_for(r));
-        if self.held.is_some() || record.as_ref().is_none_or(|r| r.released) {
+        if self.held.is_some() || self.is_free(record.as_ref()) {
             self.next_step = now;
         }
         let first_seen = match &self.seen {
@@ -193,6 +244,9 @@
 
     /// Applies the result of a write.
     pub fn on_write(&mut self, end: LeaseWrite<V>, now: Timestamp) {
+        if self.is_outdated() {
+            return;
+        }
         self.next_step = now.after(self.options.interval);
         match end {
             LeaseWrite::Written(version) => {
--- a/crates/core/src/store/era.rs
+++ b/crates/core/src/store/era.rs
@@ -2,6 +2,11 @@
 
 use super::position::StorePosition;
 
+/// Bits of a number that are counted up within an era; the others hold the era.
+const VERSION_BITS: u32 = 40;
+const MAX_VERSION: u64 = (1 << VERSION_BITS) - 2;
+const MAX_ERA: u64 = u64::MAX >> VERSION_BITS;
+
 /// What an answer's era says of the answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EraChange {
@@ -58,6 +63,18 @@
         is_held.then_some(revision)
     }
 
+    /// Returns a number from which to count on after an object was read at `version`; 0 if the store states
+    /// no era.
+    ///
+    /// Numbers that must never be given out twice, such as fencing tokens, are counted up in objects of
+    /// the store, which a restore sets back. A version read before a restore may also stand in the restored
+    /// store, so that a write replaces an object that its writer has not seen. A number above this one,
+    /// written over that version in this era, is above all that were given out so before.
+    pub fn number_floor(self, version: u64) -> u64 {
+        let floor = |era: u64| (era.min(MAX_ERA) << VERSION_BITS) + version.min(MAX_VERSION);
+        self.0.map_or(0, floor)
+    }
+
     /// Returns the era as the store has stated it; `None` if it has stated none.
     pub const fn stated(self) -> Option<u64> {
         self.0
--- a/crates/core/tests/store_era.rs
+++ b/crates/core/tests/store_era.rs
@@ -52,3 +52,20 @@
     let position = StorePosition { era, revision: 70 };
     assert_eq!(known.resume_after(position), expected);
 }
+
+#[rstest]
+#[case::later_era((1, 900), (2, 0))]
+#[case::later_version((2, 7), (2, 8))]
+#[case::huge_version((1, u64::MAX), (2, 0))]
+fn a_number_is_given_out_again_after_a_restore(
+    #[case] first: (u64, u64),
+    #[case] next: (u64, u64),
+) {
+    let number = |(stated, version)| {
+        let mut era = StoreEra::default();
+        era.observe(Some(stated));
+        era.number_floor(version) + 1
+    };
+    assert!(number(first) < number(next));
+    assert_eq!(StoreEra::default().number_floor(5), 0);
+}
--- a/crates/entry/src/control/manager.rs
+++ b/crates/entry/src/control/manager.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use derive_more::Debug;
 use kumquatkeel_core::lease::{
     ActionKind, Lease, LeaseOptions, LeaseRead, LeaseRecord, LeaseStatus, LeaseStep, LeaseWrite,
 };
@@ -14,7 +15,7 @@
     ObjectKey, ObjectStore, ObjectVersion, Precondition, PutOutcome, WriteIdGenerator, put_resolved,
 };
 use kumquatkeel_types::digest::rendezvous;
-use kumquatkeel_types::{EntryName, Epoch, Incarnation};
+use kumquatkeel_types::{EntryName, Epoch, Incarnation, Timestamp};
 use log::{info, warn};
 use tokio::sync::watch;
 use tokio::time::{sleep, sleep_until, timeout};
@@ -47,6 +48,8 @@
 #[derive(Debug)]
 pub struct LeaseManager {
     clock: Clock,
+    #[debug(skip)]
+    store: Arc<dyn ObjectStore>,
     lease: Arc<Mutex<Lease<ObjectVersion>>>,
     tasks: TaskTracker,
     stop: CancellationToken,
@@ -79,7 +82,7 @@
             key: ObjectKey::from(format!("lease/{}", options.name)),
             options,
             clock,
-            store,
+            store: store.clone(),
             ids,
             view,
             lease: lease.clone(),
@@ -90,15 +93,19 @@
         tasks.close();
         Self {
             clock,
+            store,
             lease,
             tasks,
             stop,
         }
     }
 
-    /// Returns whether the lease is held at this moment.
+    /// Returns whether the lease is held at this moment; it no longer is once any answer of the store has
+    /// stated a restore.
     pub fn status(&self) -> LeaseStatus {
-        lock(&self.lease).status(self.clock.now())
+        let mut lease = lock(&self.lease);
+        lease.observe_era(self.store.era());
+        lease.status(self.clock.now())
     }
 
     /// Returns the epoch under which an action of this kind is allowed now, or `None` when it is
@@ -175,15 +182,22 @@
             LeaseStep::Wait(until) => sleep_until(self.clock.instant(until)).await,
             LeaseStep::Read => {
                 let result = self.read().await;
-                lock(&self.lease).on_read(result, self.clock.now());
+                self.apply(|lease, now| lease.on_read(result, now));
             }
             LeaseStep::Write { version, record } => {
                 let result = self.write(version, &record).await;
-                lock(&self.lease).on_write(result, self.clock.now());
+                self.apply(|lease, now| lease.on_write(result, now));
             }
         }
     }
 
+    /// Applies the result of a call with the era that its answer may have stated.
+    fn apply(&self, apply: impl FnOnce(&mut Lease<ObjectVersion>, Timestamp)) {
+        let mut lease = lock(&self.lease);
+        lease.observe_era(self.store.era());
+        apply(&mut lease, self.clock.now());
+    }
+
     async fn read(&self) -> LeaseRead<ObjectVersion> {
         match self.store.get(&self.key).await {
             Ok(None) => LeaseRead::Found(None),
--- a/crates/entry/tests/relay.rs
+++ b/crates/entry/tests/relay.rs
@@ -26,7 +26,7 @@
 use kumquatkeel_entry::fleet::{FleetSource, FleetUpdate};
 use kumquatkeel_entry::ledger::{ClaimAnswer, ClaimLedger, RpcPeers, StoreLedger, WallClock};
 use kumquatkeel_entry::relay::{HubFleetSource, RelayService};
-use kumquatkeel_platform::WriteIdGenerator;
+use kumquatkeel_platform::{ObjectStore, WriteIdGenerator};
 use kumquatkeel_types::document::{RawDocument, Region};
 use kumquatkeel_types::message::{Member, MemberState, MemberVersion, Role};
 use kumquatkeel_types::{DataCentreName, EntryName, Incarnation, RegionName, Revision};
@@ -185,27 +185,44 @@
     }
 }
 
+/// Starts the lease manager of an entry.
+fn start_manager(store: &Arc<FakeStore>, number: u16) -> LeaseManager {
+    let options = LeaseManagerOptions {
+        name: "placement".into(),
+        holder: name(number),
+        incarnation: Incarnation(1),
+        times: LeaseOptions::default(),
+    };
+    let ids = Arc::new(ids(&format!("manager-{number}")));
+    let view = tokio::sync::watch::channel(two_entry_view()).1;
+    LeaseManager::start(options, store.clone(), ids, view, CancellationToken::new())
+}
+
+/// The copy is from before the second takeover.
+#[tokio::test(start_paused = true)]
+async fn a_lease_from_before_a_restore_permits_orders() {
+    let store = Arc::new(FakeStore::default());
+    store.state_era(1);
+    let first = start_manager(&store, 1);
+    tokio::time::sleep(Duration::from_mins(1)).await;
+    let copy = store.copy();
+    first.stop().await;
+    let second = start_manager(&store, 2);
+    tokio::time::sleep(Duration::from_mins(1)).await;
+    let before = second.permit(ActionKind::Destructive).unwrap();
+    store.restore(&copy);
+    // Any answer to the process states the era.
+    store.list("none/").await.unwrap();
+    assert_eq!(second.status(), LeaseStatus::NotHeld);
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    let after = second.permit(ActionKind::Destructive);
+    assert!(after > Some(before), "{after:?} after {before}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn the_lease_has_one_holder_and_moves_when_that_stops() {
     let store = Arc::new(FakeStore::default());
-    let view = tokio::sync::watch::channel(two_entry_view()).1;
-    let manager = |number| {
-        let options = LeaseManagerOptions {
-            name: "placement".into(),
-            holder: name(number),
-            incarnation: Incarnation(1),
-            times: LeaseOptions::default(),
-        };
-        let ids = Arc::new(ids(&format!("manager-{number}")));
-        LeaseManager::start(
-            options,
-            store.clone(),
-            ids,
-            view.clone(),
-            CancellationToken::new(),
-        )
-    };
-    let (first, second) = (manager(1), manager(2));
+    let (first, second) = (start_manager(&store, 1), start_manager(&store, 2));
     tokio::time::sleep(Duration::from_mins(1)).await;
     let statuses = [first.status(), second.status()];
     let holders = statuses
