fix(daemon): a start after a restore of the store doesn't get an earlier incarnation again

An incarnation is counted up in an object of the store, which a restore sets back: a daemon that started then had the incarnation of an earlier start, whose records it took for its own.

Incarnations start above those of all earlier eras, as epochs do.

--- a/crates/daemon/src/config/incarnation.rs
+++ b/crates/daemon/src/config/incarnation.rs
@@ -58,6 +58,9 @@
 /// Raises a daemon's incarnation in the store above the recorded one and above `known`, the
 /// highest that its peers report.
 ///
+/// A store that was restored from a copy may show an earlier incarnation than the last, so that each era of
+/// the store starts above all earlier ones.
+///
 /// # Errors
 ///
 /// Returns the store's error; the daemon may then go on with [`AssignedIncarnation::Provisional`].
@@ -105,9 +108,15 @@
             Precondition::Version(object.version),
         ),
     };
-    let incarnation = recorded.max(known).next();
+    let era = store.era();
+    let version = current.as_ref().map_or(0, |object| object.version.into());
+    let floor = Incarnation(era.number_floor(version));
+    let incarnation = recorded.max(known).max(floor).next();
     let value = serde_json::to_vec(&IncarnationRecord { incarnation }).unwrap_or_default();
     let outcome = put_resolved(store, key, precondition, &ids.next_id(), value.into()).await?;
+    if store.era() != era {
+        return Ok(None);
+    }
     match outcome {
         PutOutcome::Written(ObjectVersion(_)) => Ok(Some(incarnation)),
         PutOutcome::Conflict | PutOutcome::Superseded(_) => Ok(None),
--- a/crates/daemon/tests/config.rs
+++ b/crates/daemon/tests/config.rs
@@ -193,3 +193,22 @@
     let above = raise_incarnation(&store, &ids("known"), &role, Incarnation(99)).await;
     assert_eq!(above.unwrap(), Incarnation(100));
 }
+
+/// The store has forgotten the starts since its copy was made.
+#[tokio::test]
+async fn a_start_after_a_restore_gets_an_incarnation_again() {
+    let store = FakeStore::default();
+    store.state_era(0);
+    let role = Role::Entry(EntryName::try_from("a").unwrap());
+    let (ids, known) = (ids("a"), Incarnation::default());
+    let raise = || raise_incarnation(&store, &ids, &role, known);
+    raise().await.unwrap();
+    let copy = store.copy();
+    let mut last = Incarnation::default();
+    for _ in 0..3 {
+        last = raise().await.unwrap();
+    }
+    store.restore(&copy);
+    let next = raise().await.unwrap();
+    assert!(next > last, "{next} after {last}");
+}
