fix(daemon): a live process is not marked as gone by a former parent

Seen in a new test of the status object, whose count of processes went up and down: live entries and agents of the product's own interface were listed as gone for up to 0.2 s, again and again, so that entries took them out of use and changed their own parents, which led to the next.

Cause: a parent expects heartbeats of a child until a newer report of the child comes from upstream. A child that goes to another parent sends one, but it may come through a process below; and a relay that no longer polls another one sent none.

A newer report ends the wait for heartbeats wherever it comes from; the child's own poll begins it again. Relays count as children of the relay that they poll.

--- a/crates/core/src/member/table.rs
+++ b/crates/core/src/member/table.rs
@@ -128,10 +128,9 @@
             self.insert(member, origin, now);
             return MergeOutcome::Updated;
         }
-        if origin == ReportOrigin::Upstream {
-            // The child polls another parent now.
-            self.heartbeats.remove(&member.role);
-        }
+        // The child may poll another parent now, which reports it. One that still polls this process is
+        // recorded again with its poll.
+        self.heartbeats.remove(&member.role);
         self.insert(member, origin, now);
         MergeOutcome::Updated
     }
--- a/crates/daemon/src/spread/client.rs
+++ b/crates/daemon/src/spread/client.rs
@@ -160,7 +160,7 @@
     for peer in group.iter().cycle() {
         let mut uplink = Uplink::default();
         while poll_once(hub, options, peer, &mut uplink).await {
-            if !plan.store {
+            if !plan.store || hub.is_local(peer) {
                 hub.set_parent(Some(peer.address));
             }
             sleep(POLL_SPACING).await;
--- a/crates/daemon/src/spread/hub.rs
+++ b/crates/daemon/src/spread/hub.rs
@@ -262,7 +262,8 @@
         self.lock().first
     }
 
-    /// Sets whether the daemon is a relay, according to the plan; a relay has no parent.
+    /// Sets whether the daemon is a relay, according to the plan; one without another relay in its data
+    /// centre has no parent.
     pub(super) fn set_relay(&self, plan: &Plan) {
         {
             let mut state = self.lock();
@@ -272,11 +273,16 @@
             state.relays = plan.store;
             state.first = plan.first;
         }
-        if plan.store {
+        if plan.store && !plan.groups.iter().flatten().any(|peer| self.is_local(peer)) {
             self.set_parent(None);
         }
     }
 
+    /// Returns whether a source is in the daemon's own data centre.
+    pub(super) fn is_local(&self, peer: &Peer) -> bool {
+        peer.data_centre.as_ref() == Some(&self.centre)
+    }
+
     /// Sets the daemon's parent.
     ///
     /// The own report gets a newer version, which tells a former parent that it need not expect
--- a/crates/daemon/src/spread/state.rs
+++ b/crates/daemon/src/spread/state.rs
@@ -30,7 +30,8 @@
     pub(super) relays: bool,
     /// Whether the daemon is the first relay of its data centre.
     pub(super) first: bool,
-    /// The entry that the daemon polls; `None` for a relay and before the first reply.
+    /// The entry of its data centre that the daemon polls, or of another one if it is no relay; `None`
+    /// before the first reply. It expects heartbeats of the daemon.
     pub(super) parent: Option<SocketAddr>,
     /// Whether a newer incarnation runs under the daemon's name.
     pub(super) superseded: bool,
--- a/crates/daemon/tests/spread.rs
+++ b/crates/daemon/tests/spread.rs
@@ -403,3 +403,26 @@
         "the agent is marked as gone"
     );
 }
+
+/// Entries change their parents while a site starts, and those left behind wait for heartbeats.
+#[rstest]
+#[case::one_data_centre_of_three_entries(9, 9)]
+#[case::deeper_trees(24, 12)]
+#[tokio::test(start_paused = true)]
+async fn a_live_process_is_marked_gone_by_a_former_parent(
+    #[case] entries: u16,
+    #[case] agents: u16,
+) {
+    let cluster = Cluster::start(entries, agents).await;
+    let mut gone = BTreeSet::new();
+    for _ in 0..1_200 {
+        sleep(Duration::from_millis(50)).await;
+        for daemon in cluster.daemons.values() {
+            let view = daemon.hub.view().borrow().clone();
+            let members = view.members.values();
+            let listed = members.filter(|m| m.state == MemberState::Gone);
+            gone.extend(listed.map(|m| m.role.as_ref().to_owned()));
+        }
+    }
+    assert!(gone.is_empty(), "{gone:?}");
+}
