fix(daemon): a configuration follows a store that is restored from a copy

After a restore the operator's next configuration got a revision that all processes had passed: it was accepted, and ignored for good. A configuration that the copy lacked stayed in force, but a process that started without neighbours began with the copy's. A watch from a version that the restored store passed again missed the change. The status of a data centre stayed as the copy had it.

Cause: revisions and versions were taken to rise for ever.

Watches start anew with each era and end after three seconds, well within the time for a change to be in force. Relays write their status again.

--- a/crates/core/src/lease/state.rs
+++ b/crates/core/src/lease/state.rs
@@ -115,7 +115,7 @@
 
     /// Returns whether a record was written since the store's last restore.
     fn is_of_era(&self, record: &LeaseRecord) -> bool {
-        record.epoch > Epoch(self.era.number_floor(0))
+        self.era.is_current(record.epoch.0)
     }
 
     /// Returns whether the lease may be taken without waiting for its duration to end.
@@ -181,8 +181,8 @@
         let lapsed = now.since(seen.first_seen) >= self.options.duration + self.options.drift;
         let free = lapsed || self.is_free(current);
         let last = current.map_or(Epoch::default(), |record| record.epoch);
-        let floor = self.era.number_floor(seen.version.map_or(0, Into::into));
-        let epoch = last.max(Epoch(floor)).next();
+        let version = seen.version.map_or(0, Into::into);
+        let epoch = Epoch(self.era.next_number(last.0, version));
         (free && !self.releasing).then(|| record(epoch, 0, false))
     }
 
--- a/crates/core/src/spread/head.rs
+++ b/crates/core/src/spread/head.rs
@@ -111,17 +111,23 @@
     },
 }
 
-/// Plans the commit of `document` as the revision after `head`.
+/// Plans the commit of `document` as `revision`.
 ///
-/// `current` is the configuration at `head`. Without either, the plan is a snapshot of revision 1.
+/// `current` is the configuration at `head`. Without either, the plan is a snapshot, and so it is where
+/// `revision` doesn't follow that of `head`, which is from before a restore of the store then: others may
+/// hold later configurations than this one.
 pub fn plan_commit(
     head: Option<&ConfigHead>,
     current: Option<&Snapshot>,
     document: &RawDocument,
+    revision: Revision,
 ) -> CommitPlan {
     let (Some(head), Some(current)) = (head, current) else {
-        return plan_snapshot(None, Vec::new(), Revision(1), document);
+        return plan_snapshot(None, Vec::new(), revision, document);
     };
+    if revision != head.revision.next() {
+        return plan_snapshot(Some(head.snapshot), Vec::new(), revision, document);
+    }
     let delta = Delta::between(&current.document, document, head.revision.next());
     if delta.changes.is_empty() {
         return CommitPlan::Unchanged;
--- a/crates/core/src/store/era.rs
+++ b/crates/core/src/store/era.rs
@@ -63,16 +63,28 @@
         is_held.then_some(revision)
     }
 
-    /// Returns a number from which to count on after an object was read at `version`; 0 if the store states
-    /// no era.
+    /// Returns the number to give out after `last`, which was read from an object of the store at `version`.
     ///
     /// Numbers that must never be given out twice, such as fencing tokens, are counted up in objects of
     /// the store, which a restore sets back. A version read before a restore may also stand in the restored
-    /// store, so that a write replaces an object that its writer has not seen. A number above this one,
-    /// written over that version in this era, is above all that were given out so before.
-    pub fn number_floor(self, version: u64) -> u64 {
-        let floor = |era: u64| (era.min(MAX_ERA) << VERSION_BITS) + version.min(MAX_VERSION);
-        self.0.map_or(0, floor)
+    /// store, so that a write replaces an object that its writer has not seen. So numbers of each era are
+    /// above those of all earlier ones, and the first after an earlier era is above the version that it
+    /// replaces, and so above all that were given out in this era and then replaced.
+    pub fn next_number(self, last: u64, version: u64) -> u64 {
+        if self.0.is_none() || self.is_current(last) {
+            return last + 1;
+        }
+        self.first_number() + version.min(MAX_VERSION) + 1
+    }
+
+    /// Returns whether a number was given out since the last restore, as far as that is known.
+    pub fn is_current(self, number: u64) -> bool {
+        number > self.first_number()
+    }
+
+    /// Returns the number above which those of this era are.
+    fn first_number(self) -> u64 {
+        self.number().min(MAX_ERA) << VERSION_BITS
     }
 
     /// Returns the era as the store has stated it; `None` if it has stated none.
--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -199,9 +199,13 @@
     let mut store = store_of_era(0);
     let mut a = lease("a");
     let now = wait_for_lease(&mut a, &mut store, 0);
+    store.copy = store.object.clone();
     store.restore();
     assert!(a.observe_era(store.era));
     assert_eq!(a.status(at(now)), LeaseStatus::NotHeld);
+    // The copy shows the lease as its own.
+    step(&mut a, &mut store, at(now), 0, Fault::None);
+    assert_eq!(a.status(at(now)), LeaseStatus::NotHeld);
 }
 
 /// The copy is older than the takeovers up to epoch 3, the last of which the store has forgotten.
--- a/crates/core/tests/spread.rs
+++ b/crates/core/tests/spread.rs
@@ -147,7 +147,7 @@
         let mut head: Option<ConfigHead> = None;
         let mut log = ConfigLog::default();
         for revision in 1..=commits {
-            head = match plan_commit(head.as_ref(), log.current(), &document(revision)) {
+            head = match plan_commit(head.as_ref(), log.current(), &document(revision), Revision(revision)) {
                 CommitPlan::Head(head) | CommitPlan::Snapshot { head, .. } => Some(head),
                 CommitPlan::Unchanged => head,
             };
--- a/crates/core/tests/store_era.rs
+++ b/crates/core/tests/store_era.rs
@@ -64,8 +64,11 @@
     let number = |(stated, version)| {
         let mut era = StoreEra::default();
         era.observe(Some(stated));
-        era.number_floor(version) + 1
+        let number = era.next_number(3, version);
+        assert!(era.is_current(number));
+        assert_eq!(era.next_number(number, 5), number + 1);
+        number
     };
     assert!(number(first) < number(next));
-    assert_eq!(StoreEra::default().number_floor(5), 0);
+    assert_eq!(StoreEra::default().next_number(5, 9), 6);
 }
--- a/crates/daemon/src/config/commit.rs
+++ b/crates/daemon/src/config/commit.rs
@@ -2,11 +2,14 @@
 
 use bytes::Bytes;
 use kumquatkeel_core::spread::{CommitPlan, ConfigHead, plan_commit};
+use kumquatkeel_core::store::StoreEra;
 use kumquatkeel_platform::{
-    ObjectKey, ObjectStore, Precondition, PutOutcome, WriteIdGenerator, put_resolved,
+    ObjectKey, ObjectStore, Precondition, PutOutcome, StoreError, StoreFault, WriteIdGenerator,
+    put_resolved,
 };
 use kumquatkeel_types::Revision;
 use kumquatkeel_types::document::{Delta, Document, RawDocument};
+use kumquatkeel_types::message::Snapshot;
 use log::{info, warn};
 
 use super::{ConfigError, StoredConfig, head_key, read_config};
@@ -57,47 +60,93 @@
     proposal: Proposal,
 ) -> Result<CommitOutcome, ConfigError> {
     Document::try_from(proposal.document.clone())?;
-    let digest = proposal.document.digest();
     for _ in 0..MAX_TRIES {
         let current = read_config(store).await?;
         let revision = current.as_ref().map(|c| c.head.revision);
         if revision != proposal.base {
             return Ok(conflict_outcome(current.as_ref(), &proposal));
         }
-        let snapshot = current.as_ref().and_then(|c| c.log.current());
-        let head = current.as_ref().map(|c| &c.head);
-        let next = match plan_commit(head, snapshot, &proposal.document) {
-            CommitPlan::Unchanged => {
-                return Ok(CommitOutcome::Unchanged(revision.unwrap_or_default()));
-            }
-            CommitPlan::Head(head) => head,
-            CommitPlan::Snapshot { parts, head } => {
-                write_parts(store, ids, &head, parts).await?;
-                head
-            }
-        };
-        let precondition = current
-            .as_ref()
-            .map_or(Precondition::Absent, |c| Precondition::Version(c.version));
-        match write_head(store, ids, precondition, &next).await? {
-            PutOutcome::Written(_) => {
-                info!(target: "config", "config: committed revision {}", next.revision);
-                remove_old_snapshot(store, head, &next).await;
-                return Ok(CommitOutcome::Committed(next.revision));
-            }
-            PutOutcome::Conflict => {}
-            PutOutcome::Superseded(_) => {
-                let stored = read_config(store).await?;
-                if stored.is_some_and(|c| c.head.committed(next.revision, digest)) {
-                    return Ok(CommitOutcome::Committed(next.revision));
-                }
-            }
+        let outcome = commit_once(store, ids, current.as_ref(), &proposal.document).await?;
+        if let Some(outcome) = outcome {
+            return Ok(outcome);
         }
     }
     let current = read_config(store).await?;
     Ok(conflict_outcome(current.as_ref(), &proposal))
 }
 
+/// Commits the configuration that a daemon holds again, if the store has forgotten it in a restore;
+/// returns the new revision.
+///
+/// # Errors
+///
+/// Returns the store's error, or [`ConfigError::Unresolved`] when the outcome of the commit is unknown.
+pub async fn restore_document(
+    store: &dyn ObjectStore,
+    ids: &WriteIdGenerator,
+    held: &Snapshot,
+) -> Result<Option<Revision>, ConfigError> {
+    let current = read_config(store).await?;
+    let stored = current.as_ref().map(|c| c.head.revision);
+    if !is_forgotten(store.era(), stored, Some(held.revision)) {
+        return Ok(None);
+    }
+    match commit_once(store, ids, current.as_ref(), &held.document).await? {
+        Some(CommitOutcome::Committed(revision)) => Ok(Some(revision)),
+        Some(CommitOutcome::Unchanged(_) | CommitOutcome::Conflict(_)) | None => Ok(None),
+    }
+}
+
+/// Returns whether the store has lost a configuration that a daemon holds: it shows an earlier one, or
+/// none, which was not committed since its last restore.
+pub fn is_forgotten(era: StoreEra, stored: Option<Revision>, held: Option<Revision>) -> bool {
+    era.stated().is_some() && stored < held && !stored.is_some_and(|r| era.is_current(r.0))
+}
+
+/// Makes one attempt to commit a document over `current`; returns `None` when another commit came first.
+async fn commit_once(
+    store: &dyn ObjectStore,
+    ids: &WriteIdGenerator,
+    current: Option<&StoredConfig>,
+    document: &RawDocument,
+) -> Result<Option<CommitOutcome>, ConfigError> {
+    let era = store.era();
+    let head = current.map(|c| &c.head);
+    let snapshot = current.and_then(|c| c.log.current());
+    let last = head.map_or(Revision::default(), |head| head.revision);
+    let version = current.map_or(0, |c| c.version.into());
+    let revision = Revision(era.next_number(last.0, version));
+    let next = match plan_commit(head, snapshot, document, revision) {
+        CommitPlan::Unchanged => return Ok(Some(CommitOutcome::Unchanged(last))),
+        CommitPlan::Head(head) => head,
+        CommitPlan::Snapshot { parts, head } => {
+            write_parts(store, ids, &head, parts).await?;
+            head
+        }
+    };
+    let precondition = current.map_or(Precondition::Absent, |c| Precondition::Version(c.version));
+    let outcome = write_head(store, ids, precondition, &next).await?;
+    if store.era() != era {
+        let fault = StoreFault::Unknown;
+        let error = StoreError::new("commit over a restore", head_key().as_ref(), fault);
+        return Err(ConfigError::Unresolved(error));
+    }
+    match outcome {
+        PutOutcome::Written(_) => {
+            info!(target: "config", "config: committed revision {}", next.revision);
+            remove_old_snapshot(store, head, &next).await;
+            Ok(Some(CommitOutcome::Committed(next.revision)))
+        }
+        PutOutcome::Conflict => Ok(None),
+        PutOutcome::Superseded(_) => {
+            let stored = read_config(store).await?;
+            let is_committed =
+                stored.is_some_and(|c| c.head.committed(next.revision, document.digest()));
+            Ok(is_committed.then_some(CommitOutcome::Committed(next.revision)))
+        }
+    }
+}
+
 /// Returns the outcome of a proposal whose base is no longer in force: a conflict, or
 /// [`CommitOutcome::Unchanged`] when the document in force equals the proposal.
 fn conflict_outcome(current: Option<&StoredConfig>, proposal: &Proposal) -> CommitOutcome {
--- a/crates/daemon/src/config/incarnation.rs
+++ b/crates/daemon/src/config/incarnation.rs
@@ -110,8 +110,8 @@
     };
     let era = store.era();
     let version = current.as_ref().map_or(0, |object| object.version.into());
-    let floor = Incarnation(era.number_floor(version));
-    let incarnation = recorded.max(known).max(floor).next();
+    let next = Incarnation(era.next_number(recorded.0, version));
+    let incarnation = next.max(known.next());
     let value = serde_json::to_vec(&IncarnationRecord { incarnation }).unwrap_or_default();
     let outcome = put_resolved(store, key, precondition, &ids.next_id(), value.into()).await?;
     if store.era() != era {
--- a/crates/daemon/src/spread/client.rs
+++ b/crates/daemon/src/spread/client.rs
@@ -13,7 +13,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::uplink::Uplink;
-use super::{Hub, Peer, Plan, SpreadTransport, boot, discover, relay, status};
+use super::{Hub, Peer, Plan, SpreadTransport, boot, discover, relay, restore, status};
 
 /// Time that a source may hold a poll open, which is also the time between heartbeats.
 const POLL_WAIT: Duration = Duration::from_millis(2_500);
@@ -147,7 +147,8 @@
             let watch = relay::watch_store(hub, &*options.store);
             let status = status::write_status(hub, options);
             let list = watch_instances(hub, options);
-            tokio::join!(watch, status, list);
+            let restore = restore::restore_config(hub, options);
+            tokio::join!(watch, status, list, restore);
         }
     };
     tokio::join!(polls, store);
--- a/crates/daemon/src/spread/mod.rs
+++ b/crates/daemon/src/spread/mod.rs
@@ -15,6 +15,7 @@
 mod hub;
 mod plan;
 mod relay;
+mod restore;
 mod state;
 mod status;
 mod transport;
--- a/crates/daemon/src/spread/relay.rs
+++ b/crates/daemon/src/spread/relay.rs
@@ -9,8 +9,9 @@
 use super::Hub;
 use crate::config::{CONFIG_PREFIX, ConfigError, decode_head, follow};
 
-/// Time for which one watch call waits for a change.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Time for which one watch call waits for a change. A watch may miss changes although its connection is
+/// intact, as after a restore of the store, so it ends within the time for a change to be in force.
+const WATCH_WAIT: Duration = Duration::from_secs(3);
 
 /// Pause after the first failure of the store; it doubles with each further one.
 const MIN_BACKOFF: Duration = Duration::from_millis(200);
@@ -23,13 +24,16 @@
     let mut after = ObjectVersion::default();
     let mut backoff = MIN_BACKOFF;
     loop {
+        let era = store.era();
         match watch_once(hub, store, after).await {
+            // The version may be from before the restore, and stand for another state since.
+            Ok(_) if store.era() != era => after = ObjectVersion::default(),
             Ok(version) => {
                 after = version;
                 backoff = MIN_BACKOFF;
             }
             Err(error) => {
-                if needs_restart(&error) {
+                if needs_restart(&error) || store.era() != era {
                     after = ObjectVersion::default();
                 }
                 debug!(target: "spread", "spread: watching the store failed: {error}");
--- a/crates/daemon/src/spread/status.rs
+++ b/crates/daemon/src/spread/status.rs
@@ -44,7 +44,12 @@
 /// Writes the status of the data centre whenever it changes, if this daemon is the first relay.
 pub(super) async fn write_status(hub: &Hub, options: &SpreadOptions) {
     let mut written = None;
+    let mut era = options.store.era();
     loop {
+        if std::mem::replace(&mut era, options.store.era()) != era {
+            // A restored store may have an earlier status.
+            written = None;
+        }
         let status = status_of(hub);
         if hub.is_first_relay() && written.as_ref() != Some(&status) {
             match write(options, &status).await {
--- a/crates/daemon/tests/spread.rs
+++ b/crates/daemon/tests/spread.rs
@@ -13,13 +13,15 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use bytes::Bytes;
 use common::FakeStore;
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_daemon::config::{CommitOutcome, Proposal, commit_document};
 use kumquatkeel_daemon::spread::{
-    Hub, PollError, SharedView, SpreadClient, SpreadOptions, SpreadTransport,
+    CentreStatus, Hub, PollError, STATUS_PREFIX, SharedView, SpreadClient, SpreadOptions,
+    SpreadTransport,
 };
-use kumquatkeel_platform::WriteIdGenerator;
+use kumquatkeel_platform::{ObjectKey, ObjectStore, Precondition, WriteId, WriteIdGenerator};
 use kumquatkeel_types::document::{RawDocument, Region};
 use kumquatkeel_types::message::{
     Member, MemberState, MemberVersion, PollReply, PollRequest, Role,
@@ -404,6 +406,118 @@
     );
 }
 
+/// Returns the number of the document in force, by its only region.
+fn document_number(hub: &Hub) -> Option<u32> {
+    let view = hub.view().borrow().clone();
+    let region = view.document.regions.first()?.name.clone();
+    (1..100).find(|number| document(*number).regions[0].name == region)
+}
+
+#[rstest]
+#[case::of_before(true)]
+#[case::empty(false)]
+#[tokio::test(start_paused = true)]
+async fn an_accepted_configuration_is_lost_in_a_restore(#[case] has_config: bool) {
+    let mut cluster = Cluster::start(9, 9).await;
+    cluster.store.state_era(3);
+    let empty = FakeStore::default().copy();
+    let copy = if has_config {
+        cluster.store.copy()
+    } else {
+        empty
+    };
+    let mut revision = Revision(1);
+    for number in 2..5 {
+        revision = cluster.commit(number, Some(revision)).await;
+    }
+    cluster.wait_for_revision(revision).await;
+    cluster.store.restore(&copy);
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_secs(40) {
+        sleep(Duration::from_millis(200)).await;
+        for daemon in cluster.daemons.values() {
+            assert_eq!(
+                document_number(&daemon.hub),
+                Some(4),
+                "in force all the time"
+            );
+        }
+    }
+    // A daemon that knows the store alone gets it too.
+    for number in 1..=18 {
+        cluster.kill(number).await;
+    }
+    let alone = cluster.run(member(4, false, 2));
+    let ready = alone.view();
+    timeout(IN_FORCE, ready.clone().wait_for(SharedView::is_ready))
+        .await
+        .expect("ready")
+        .unwrap();
+    assert_eq!(document_number(&alone), Some(4));
+}
+
+/// Raises the store's version by objects that concern nobody.
+async fn raise_version(store: &FakeStore, name: &str, count: u32) {
+    for number in 0..count {
+        let key = ObjectKey::from(format!("{name}/{number}"));
+        let id = WriteId::from(format!("{name}.{number}"));
+        let put = store.put(&key, Precondition::Absent, &id, Bytes::new());
+        put.await.unwrap();
+    }
+}
+
+/// The operator writes before the daemons have written theirs again.
+#[rstest]
+#[case::at_a_new_version(0, 0)]
+#[case::at_a_version_that_was_watched_before(100, 300)]
+#[tokio::test(start_paused = true)]
+async fn a_configuration_that_is_accepted_after_a_restore_is_ignored(
+    #[case] forgotten: u32,
+    #[case] written: u32,
+) {
+    let cluster = Cluster::start(9, 9).await;
+    cluster.store.state_era(3);
+    let copy = cluster.store.copy();
+    raise_version(&cluster.store, "forgotten", forgotten).await;
+    let mut revision = Revision(1);
+    for number in 2..5 {
+        revision = cluster.commit(number, Some(revision)).await;
+    }
+    cluster.wait_for_revision(revision).await;
+    cluster.store.restore(&copy);
+    let accepted = cluster.commit(9, Some(Revision(1))).await;
+    raise_version(&cluster.store, "written", written).await;
+    assert!(accepted > revision, "{accepted} after {revision}");
+    assert!(cluster.wait_for_revision(accepted).await < IN_FORCE);
+    sleep(Duration::from_secs(30)).await;
+    let next = cluster.commit(10, Some(accepted)).await;
+    assert!(cluster.wait_for_revision(next).await < IN_FORCE);
+    for daemon in cluster.daemons.values() {
+        assert_eq!(document_number(&daemon.hub), Some(10));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_status_from_before_a_restore_stays_in_the_store() {
+    let mut cluster = Cluster::start(9, 9).await;
+    cluster.store.state_era(3);
+    sleep(Duration::from_secs(10)).await;
+    let copy = cluster.store.copy();
+    cluster.kill(18).await;
+    let status = async || {
+        let key = ObjectKey::from(format!("{STATUS_PREFIX}{}", centre(18)));
+        let object = cluster.store.get(&key).await.unwrap().unwrap();
+        let status: CentreStatus = serde_json::from_slice(&object.value).unwrap();
+        status.processes
+    };
+    assert_eq!(status().await, 6);
+    sleep(Duration::from_secs(20)).await;
+    assert_eq!(status().await, 5);
+    cluster.store.restore(&copy);
+    sleep(Duration::from_secs(20)).await;
+    assert_eq!(status().await, 5);
+}
+
 /// Entries change their parents while a site starts, and those left behind wait for heartbeats.
 #[rstest]
 #[case::one_data_centre_of_three_entries(9, 9)]
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -177,6 +177,7 @@
     /// era rises by one.
     pub(crate) fn restore(&self, copy: &StoreCopy) {
         self.inner.lock().unwrap().restore(copy);
+        self.changed.send_modify(|n| *n += 1);
     }
 
     /// Restores the store just before the call `number`, counted from the next one.
@@ -204,16 +205,21 @@
         }
     }
 
-    fn changed_since(&self, prefix: &str, after: ObjectVersion) -> WatchReply {
-        let inner = self.inner.lock().unwrap();
+    fn changed_since(&self, prefix: &str, after: ObjectVersion) -> Result<WatchReply, StoreError> {
+        let mut inner = self.inner.lock().unwrap();
+        let era = inner.era;
+        inner.stated_era.observe(era);
+        if after.0 > inner.version {
+            return Err(error(StoreFault::WatchGap));
+        }
         let objects = inner
             .objects
             .values()
             .filter(|o| o.version > after && o.key.as_ref().starts_with(prefix));
-        WatchReply {
+        Ok(WatchReply {
             objects: objects.cloned().collect(),
             version: ObjectVersion(inner.version),
-        }
+        })
     }
 }
 
@@ -275,7 +281,7 @@
 
     async fn list(&self, prefix: &str) -> Result<Vec<Object>, StoreError> {
         self.read(|_| ())?;
-        Ok(self.changed_since(prefix, ObjectVersion(0)).objects)
+        Ok(self.changed_since(prefix, ObjectVersion(0))?.objects)
     }
 
     async fn watch(
@@ -288,7 +294,7 @@
         let until = tokio::time::Instant::now() + wait;
         self.read(|_| ())?;
         loop {
-            let reply = self.changed_since(prefix, after);
+            let reply = self.changed_since(prefix, after)?;
             if !reply.objects.is_empty() {
                 return Ok(reply);
             }
