fix(core): a record of the lease that was read before a restore doesn't count after it

A process whose first answer of the store came from before a restore, and which learnt of the era from another call meanwhile, kept the record that it had read. If it was paused then, it wrote over the version of that record, which the restored store had given to another holder: two held the lease.

A process that starts reads the object once more than before, if the store states an era.

--- a/crates/core/src/lease/state.rs
+++ b/crates/core/src/lease/state.rs
@@ -129,9 +129,9 @@
         }
     }
 
-    /// Returns whether the store was restored since the last step was returned.
+    /// Returns whether the store may have been restored since the last step was returned.
     fn is_outdated(&self) -> bool {
-        self.step_era.stated().is_some() && self.step_era != self.era
+        self.step_era != self.era
     }
 
     /// Returns the next step to perform for the lease.
--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -61,6 +61,8 @@
     Down,
     /// The reply is lost, and a write takes effect just before the next step.
     Late,
+    /// The store is restored after the call, and the process learns of that before it has the reply.
+    Restored,
 }
 
 /// Performs one step of the lease; the store replies `delay` milliseconds later.
@@ -74,10 +76,16 @@
             lease.observe_era(store.era);
             lease.on_read(LeaseRead::Found(store.object.clone()), then);
         }
+        LeaseStep::Read if fault == Fault::Restored => {
+            let found = store.object.clone();
+            store.restore();
+            lease.observe_era(store.era);
+            lease.on_read(LeaseRead::Found(found), then);
+        }
         LeaseStep::Read => lease.on_read(LeaseRead::Failed, then),
         LeaseStep::Write { version, record } => {
             let end = match fault {
-                Fault::None => store
+                Fault::None | Fault::Restored => store
                     .put(version, record)
                     .map_or(LeaseWrite::Replaced, LeaseWrite::Written),
                 Fault::Lost => {
@@ -90,7 +98,10 @@
                 }
                 Fault::Down => LeaseWrite::Failed,
             };
-            if fault == Fault::None {
+            if fault == Fault::Restored {
+                store.restore();
+            }
+            if matches!(fault, Fault::None | Fault::Restored) {
                 lease.observe_era(store.era);
             }
             lease.on_write(end, then);
@@ -244,6 +255,20 @@
     assert_eq!(a.status(at(now)), LeaseStatus::NotHeld);
 }
 
+/// Its version also stands for the record of a takeover in the restored store.
+#[test]
+fn a_record_that_was_read_before_a_restore_counts() {
+    let mut store = store_of_era(1);
+    let (mut a, mut b, mut c) = (lease("a"), lease("b"), lease("c"));
+    let now = wait_for_lease(&mut b, &mut store, 0);
+    step(&mut c, &mut store, at(now), 0, Fault::Restored);
+    let now = wait_for_lease(&mut a, &mut store, now);
+    step(&mut c, &mut store, at(now), 0, Fault::None);
+    assert_eq!(c.status(at(now)), LeaseStatus::NotHeld);
+    let holder = store.object.as_ref().map(|(_, record)| &record.holder);
+    assert_eq!(holder, Some(&entry("a")));
+}
+
 /// A process that was paused replaces the record of a takeover at a version that it knows from before the
 /// restore.
 #[test]
@@ -302,6 +327,10 @@
     ]
 }
 
+fn faults_and_restores() -> impl Strategy<Value = Fault> {
+    prop_oneof![20 => faults(), 1 => Just(Fault::Restored)]
+}
+
 proptest! {
     #[test]
     fn two_processes_never_hold_the_lease_at_once(
@@ -344,7 +373,7 @@
     #[test]
     fn no_restore_lets_two_processes_hold_the_lease_or_gives_an_epoch_out_again(
         steps in proptest::collection::vec(
-            (0..3usize, 0..4_000u64, 0..6_000u64, faults(), 0..30u8),
+            (0..3usize, 0..4_000u64, 0..6_000u64, faults_and_restores(), 0..30u8),
             1..300,
         )
     ) {
