--- a/crates/daemon/src/config/commit.rs
+++ b/crates/daemon/src/config/commit.rs
@@ -88,7 +88,7 @@
 ) -> Result<Option<Revision>, ConfigError> {
     let current = read_config(store).await?;
     let stored = current.as_ref().map(|c| c.head.revision);
-    if !is_forgotten(store.era(), stored, Some(held.revision)) {
+    if !is_forgotten(store.era(), stored, held.revision) {
         return Ok(None);
     }
     match commit_once(store, ids, current.as_ref(), &held.document).await? {
@@ -97,10 +97,11 @@
     }
 }
 
-/// Returns whether the store has lost a configuration that a daemon holds: it shows an earlier one, or
-/// none, which was not committed since its last restore.
-pub fn is_forgotten(era: StoreEra, stored: Option<Revision>, held: Option<Revision>) -> bool {
-    era.stated().is_some() && stored < held && !stored.is_some_and(|r| era.is_current(r.0))
+/// Returns whether the store has lost the held configuration in a restore: it has none, or an earlier one
+/// that was not committed since.
+fn is_forgotten(era: StoreEra, stored: Option<Revision>, held: Revision) -> bool {
+    let is_earlier = |stored: Revision| stored < held && !era.is_current(stored.0);
+    era.stated().is_some() && stored.is_none_or(is_earlier)
 }
 
 /// Makes one attempt to commit a document over `current`; returns `None` when another commit came first.
--- a/crates/daemon/src/config/mod.rs
+++ b/crates/daemon/src/config/mod.rs
@@ -5,9 +5,7 @@
 mod incarnation;
 mod reader;
 
-pub use commit::{
-    CommitOutcome, ConfigConflict, Proposal, commit_document, is_forgotten, restore_document,
-};
+pub use commit::{CommitOutcome, ConfigConflict, Proposal, commit_document, restore_document};
 pub use error::ConfigError;
 pub use incarnation::{AssignedIncarnation, raise_incarnation};
 pub use reader::{CONFIG_PREFIX, StoredConfig, decode_head, fetch_snapshot, follow, read_config};
