fix(core): a process whose agents all fail watches the store for the configuration

Cause: an entry that finds no agent tried three agents in a row, paused 0.1 s and began anew, for as long as the fault lasted, and read the store only once per time limit.

Change: after two failed rounds and 1.5 s the process watches the store; it tries one agent after 2 s, then after twice the time, up to 30 s, each process at a time of its own. A lasting fault is logged once.

Result: in a minute of outage at most 32 store calls and 60 tries with 1 to 1,000 agents, no gap between two reads of the store above the process's time limit.

--- a/crates/core/src/serving/config_upstream.rs
+++ b/crates/core/src/serving/config_upstream.rs
@@ -4,11 +4,14 @@
 //! interface. The first agents watch the store; all other agents, and the entries, follow an agent.
 //! Only a few processes of a region then read a configuration from the store, however many follow
 //! it. A process that has heard of no confirmation by the store for too long reads the store itself.
+//! One for which all agents fail for longer, as where no agent runs, watches the store until an agent
+//! serves again; it tries them seldom, so that a lasting fault costs few calls and log lines.
 
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use kumquatkeel_types::digest::hash_bytes;
 use kumquatkeel_types::{DataCentreName, EntryName, Timestamp};
 
 use crate::spread::{PollTree, Upstream};
@@ -21,13 +24,22 @@
 const ROUND_PAUSE: Duration = Duration::from_millis(100);
 /// Longest wait for the agents while no configuration is known.
 const FIRST_PATIENCE: Duration = Duration::from_millis(600);
+/// Rounds without success after which a process watches the store.
+const MAX_FAILED_ROUNDS: usize = 2;
+/// How long all agents must have failed before a process watches the store; one that restarts is back
+/// sooner.
+const MIN_FAILING_TIME: Duration = Duration::from_millis(1_500);
+/// Time until a process that watches the store tries an agent again, doubled with each failure.
+const MIN_RETRY_DELAY: Duration = Duration::from_secs(2);
+/// Upper bound of that time.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(30);
 /// Name of the only group of the tree; the hosts that are passed in belong to one region.
 const GROUP: &str = "region";
 
 /// What a process does next to learn of configurations.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum UpstreamStep {
-    /// Watch the store: the process is a relay, or knows of none.
+    /// Watch the store: the process is a relay, knows of no agent, or all agents fail.
     WatchStore,
     /// Call the store once, as no confirmation has come through the agents for too long.
     ReadStore,
@@ -67,6 +79,24 @@
     known: bool,
     /// Whether an agent has failed since the last call to the store.
     agent_failed: bool,
+    /// Agents that have failed since the last one that served.
+    failures: usize,
+    /// When a step was first decided after a failure.
+    failing_since: Option<Timestamp>,
+    /// Set while all agents fail and the process watches the store.
+    detached: Option<Detached>,
+    /// The process's share of the random part of delays, from 0 to 1.
+    jitter: f64,
+}
+
+/// When a process that watches the store for lack of a serving agent tries one again.
+#[derive(Debug, Clone, Copy)]
+struct Detached {
+    retry_at: Timestamp,
+    /// The time from the last try to the next one, without its random part.
+    delay: Duration,
+    /// The failures before the last try.
+    failures: usize,
 }
 
 impl ConfigUpstream {
@@ -79,6 +109,10 @@
             confirmed: now,
             known: false,
             agent_failed: false,
+            failures: 0,
+            failing_since: None,
+            detached: None,
+            jitter: 0.0,
         }
     }
 
@@ -87,6 +121,7 @@
         let candidates = candidates(own, hosts);
         let changed = self.candidates.first() != candidates.first();
         self.candidates = candidates;
+        self.jitter = (hash_bytes(own.to_string()) % 1_000) as f64 / 1_000.0;
         if changed {
             self.next = 0;
         }
@@ -103,6 +138,18 @@
         if self.candidates.is_empty() {
             return UpstreamStep::WatchStore;
         }
+        if self.failures > 0 {
+            self.failing_since.get_or_insert(now);
+        }
+        self.update_detached(now);
+        if let Some(detached) = self.detached {
+            let index = self.failures % self.candidates.len();
+            return if now < detached.retry_at {
+                UpstreamStep::WatchStore
+            } else {
+                UpstreamStep::Follow(self.candidates[index])
+            };
+        }
         let patience = if self.known {
             self.patience
         } else {
@@ -120,6 +167,32 @@
         UpstreamStep::Pause(ROUND_PAUSE)
     }
 
+    /// Detaches the process once all agents have failed for long enough, and delays the next try after
+    /// each failed one.
+    fn update_detached(&mut self, now: Timestamp) {
+        let delay = match self.detached {
+            Some(detached) if self.failures > detached.failures => {
+                (detached.delay * 2).min(MAX_RETRY_DELAY)
+            }
+            None if self.must_detach(now) => MIN_RETRY_DELAY,
+            Some(_) | None => return,
+        };
+        let random_part = delay.mul_f64(0.5 * self.jitter);
+        self.detached = Some(Detached {
+            retry_at: now.after(delay + random_part),
+            delay,
+            failures: self.failures,
+        });
+    }
+
+    fn must_detach(&self, now: Timestamp) -> bool {
+        let round = self.candidates.len().min(ROUND);
+        let failed_long = self
+            .failing_since
+            .is_some_and(|since| now.since(since) >= MIN_FAILING_TIME);
+        failed_long && self.failures >= MAX_FAILED_ROUNDS * round
+    }
+
     /// Records that the store confirmed the known configuration this long ago.
     pub fn record_confirmation(&mut self, age: Duration, now: Timestamp) {
         let age = age.as_micros() as u64;
@@ -128,10 +201,29 @@
         self.known = true;
     }
 
+    /// Records that the agent of the last step has sent an update with a recent confirmation.
+    pub const fn record_success(&mut self) {
+        self.next = 0;
+        self.failures = 0;
+        self.failing_since = None;
+        self.detached = None;
+    }
+
     /// Records that the agent of the last step can't be reached or has no recent confirmation.
     pub const fn record_failure(&mut self) {
         self.next += 1;
         self.agent_failed = true;
+        self.failures += 1;
+    }
+
+    /// Returns whether all agents fail and the process watches the store.
+    pub const fn is_detached(&self) -> bool {
+        self.detached.is_some()
+    }
+
+    /// Returns how many agents have failed since the last one that served.
+    pub const fn failures(&self) -> usize {
+        self.failures
     }
 }
 
--- a/crates/core/tests/serving_config_upstream.rs
+++ b/crates/core/tests/serving_config_upstream.rs
@@ -76,6 +76,81 @@
     assert!(matches!(step, UpstreamStep::Pause(_)), "{step:?}");
 }
 
+/// What a process did in a minute in which every agent refuses.
+#[derive(Debug, Default)]
+struct Outage {
+    /// Tries to follow an agent.
+    tries: usize,
+    /// Calls to the store.
+    calls: usize,
+    /// Longest time between two calls to the store.
+    longest_gap: Duration,
+    /// Time of the last try.
+    last_try: Duration,
+}
+
+/// Plays a process whose connections to agents are refused at once, and whose watches of the store end
+/// after `wait` without a change.
+fn play_outage(upstream: &mut ConfigUpstream, start: Timestamp, wait: Duration) -> Outage {
+    let (mut now, mut called, mut outage) = (start, start, Outage::default());
+    while now.since(start) < Duration::from_mins(1) {
+        match upstream.next_step(now) {
+            UpstreamStep::Follow(_) => {
+                outage.tries += 1;
+                outage.last_try = now.since(start);
+                upstream.record_failure();
+                now = now.after(Duration::from_millis(1));
+            }
+            UpstreamStep::Pause(pause) => now = now.after(pause),
+            step @ (UpstreamStep::WatchStore | UpstreamStep::ReadStore) => {
+                outage.calls += 1;
+                outage.longest_gap = outage.longest_gap.max(now.since(called));
+                now = now.after(wait);
+                called = now;
+                assert!(step == UpstreamStep::WatchStore || outage.calls <= 2);
+                upstream.record_confirmation(Duration::ZERO, now);
+            }
+        }
+    }
+    outage
+}
+
+/// Where no agent runs, a process that tries one agent after the other misses configurations and logs
+/// each try.
+#[test]
+fn a_process_whose_agents_all_fail_watches_the_store() {
+    for count in [1, 2, 3, 60, 1_000] {
+        let agents: Vec<IpAddr> = (1..=count).map(host).collect();
+        let mut upstream = ConfigUpstream::new(PATIENCE, at(0));
+        upstream.set_hosts(host(2_000), agents.iter().copied());
+        upstream.record_confirmation(Duration::ZERO, at(0));
+        let outage = play_outage(&mut upstream, at(0), PATIENCE);
+        assert!(outage.longest_gap <= PATIENCE, "{count} agents: {outage:?}");
+        assert!(outage.calls <= 32, "{count} agents: {outage:?}");
+        assert!(outage.tries <= 60, "{count} agents: {outage:?}");
+        // It still tries them, and follows the first one that serves.
+        assert!(outage.last_try > Duration::from_secs(20), "{outage:?}");
+        upstream.record_success();
+        let step = upstream.next_step(at(61_000));
+        assert!(matches!(step, UpstreamStep::Follow(_)), "{step:?}");
+    }
+}
+
+/// All entries lose their agents at once; they must not return to them at once.
+#[test]
+fn processes_try_agents_again_at_different_times() {
+    let mut tries = Vec::new();
+    for own in 2_000..2_068 {
+        let mut upstream = ConfigUpstream::new(PATIENCE, at(0));
+        upstream.set_hosts(host(own), (1..=60).map(host));
+        upstream.record_confirmation(Duration::ZERO, at(0));
+        tries.push(play_outage(&mut upstream, at(0), Duration::from_millis(50)).last_try);
+    }
+    tries.sort_unstable();
+    let spread = tries[tries.len() - 1].saturating_sub(tries[0]);
+    assert!(spread > Duration::from_secs(3), "{spread:?}");
+}
+
 proptest! {
     /// Agents with different views of the others would hold on to an old configuration together.
     #[test]
--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -37,6 +37,9 @@
 /// How long after the last confirmation of the configuration an agent reads the store itself. It only
 /// plans by the configuration, so it leaves the link to the entries for longer than they wait.
 const CONFIG_PATIENCE: Duration = Duration::from_secs(6);
+/// Longest wait of one watch call for the configuration. Each answer is a confirmation for all
+/// followers, so it is well below [`kumquatkeel_core::serving::MAX_CONFIRMATION_AGE`].
+const CONFIG_WATCH_WAIT: Duration = Duration::from_millis(900);
 /// Longest wait of one watch call; an agent's reads may be stale, so it needs no shorter one.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(4);
 /// Interval between two steps while orders are queued.
@@ -178,6 +181,7 @@
         let config = FollowerSettings {
             own: self.settings.gossip,
             patience: CONFIG_PATIENCE,
+            watch_wait: CONFIG_WATCH_WAIT,
         };
         let hosts = watch::Sender::new(Vec::new());
         let instruments = self.instruments.clone();
--- a/crates/serving/src/config_relay/follower.rs
+++ b/crates/serving/src/config_relay/follower.rs
@@ -29,9 +29,6 @@
 const FIRST_UPDATE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest wait for the first list of targets, which names the agents.
 const HOSTS_TIMEOUT: Duration = Duration::from_millis(300);
-/// Wait of one watch call to the store. Each answer is a confirmation for all followers, so it is
-/// well below [`MAX_CONFIRMATION_AGE`].
-const WATCH_WAIT: Duration = Duration::from_millis(900);
 
 /// The place of a process among the followers.
 #[derive(Debug, Clone)]
@@ -40,6 +37,8 @@
     pub(crate) own: SocketAddr,
     /// How long after the last confirmation the process reads the store itself.
     pub(crate) patience: Duration,
+    /// Longest wait of one watch call to the store.
+    pub(crate) watch_wait: Duration,
 }
 
 /// Sends each newer configuration as a feed event and to the followers of this process.
@@ -72,7 +71,7 @@
         let options = FollowOptions {
             kind: FeedKind::Config,
             mode: ReadMode::Linearizable,
-            wait: WATCH_WAIT,
+            wait: settings.watch_wait,
         };
         let (sender, stored) = mpsc::channel(1);
         Self {
@@ -102,7 +101,13 @@
 
     async fn step(&mut self) -> Result<(), ReceiverGone> {
         self.update_hosts();
-        match self.upstream.next_step(self.clock.now()) {
+        let was_detached = self.upstream.is_detached();
+        let step = self.upstream.next_step(self.clock.now());
+        if self.upstream.is_detached() && !was_detached {
+            let failures = self.upstream.failures();
+            log::warn!(failures; "no agent serves the configuration; watching the store");
+        }
+        match step {
             UpstreamStep::WatchStore | UpstreamStep::ReadStore => self.call_store().await,
             UpstreamStep::Pause(pause) => {
                 sleep(pause).await;
@@ -112,7 +117,12 @@
                 let agent = SocketAddr::new(host, self.settings.own.port());
                 self.calls_store = false;
                 if let Err(error) = self.follow(agent).await? {
-                    log::info!(agent:%, error:%; "configuration upstream lost");
+                    // A fault that lasts is logged once, however often agents are tried.
+                    if self.upstream.failures() == 0 {
+                        log::info!(agent:%, error:%; "configuration upstream lost");
+                    } else {
+                        log::debug!(agent:%, error:%; "configuration upstream failed again");
+                    }
                     self.upstream.record_failure();
                 }
                 Ok(())
@@ -198,12 +208,20 @@
                 let reason = format!("the last confirmation is {} ms old", age.as_millis());
                 return Ok(Err(io::Error::other(reason)));
             }
+            self.record_served(agent);
             if self.update_hosts() {
                 return Ok(Ok(()));
             }
         }
     }
 
+    fn record_served(&mut self, agent: SocketAddr) {
+        if self.upstream.failures() > 0 {
+            log::info!(agent:%, failures = self.upstream.failures(); "configuration upstream recovered");
+        }
+        self.upstream.record_success();
+    }
+
     async fn connect(&self, agent: SocketAddr) -> io::Result<TcpStream> {
         let mut stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(agent)).await??;
         set_socket_options(&stream)?;
--- a/crates/serving/src/entry/daemon.rs
+++ b/crates/serving/src/entry/daemon.rs
@@ -137,6 +137,7 @@
         let config = FollowerSettings {
             own: shared.settings.gossip,
             patience: wait,
+            watch_wait: wait,
         };
         let hosts = shared.agent_hosts.subscribe();
         let instruments = shared.instruments.clone();
