fix(serving): what a heartbeat states outlives its interval in a fleet of any size

Cause: agents send heartbeats to an entry each 15 ms x entries, twice that across regions: 1.0 and 2.0 s at 68 entries. Entries took 1.9 s without one as a stalled instance and gave up requests that waited there, forgot the planner after 1.5 s and sent it no demand, and took the others' backlog for none. Entries reach agents each 8 ms x agents, at 840 as rarely as 6.7 s, where agents forgot them after 2.5 s.

Change: intervals and expiry stand together in core::serving::heartbeat and grow together. An entry asks a silent agent at whose engine a request waits whether it is alive, so that a stalled instance is found within 2.2 s however rarely reports come. The planner gets demand more often than other agents, and announces itself to all entries at once.

--- a/crates/core/src/serving/engine.rs
+++ b/crates/core/src/serving/engine.rs
@@ -6,13 +6,26 @@
 use kumquatkeel_types::Timestamp;
 use serde::{Deserialize, Serialize};
 
+use super::heartbeat::statement_ttl;
+
 /// Report intervals without a report after which a target is avoided.
 const SILENT_INTERVALS: f64 = 3.25;
 /// Report intervals without a report after which the target's instance may be stalled.
 const STALLED_INTERVALS: f64 = 5.0;
-/// Upper bound on both times, whatever the report interval. Callers abandon a stream without a
-/// first event after about three seconds.
+/// Upper bound on both times where reports are frequent. Callers abandon a stream without a first event
+/// after about three seconds.
 const MAX_SILENCE: Duration = Duration::from_millis(1_900);
+/// Lower bound of [`MAX_SILENCE`] in report intervals: one report may be lost and the next one late.
+const MIN_SILENT_INTERVALS: f64 = 2.35;
+/// Time between two questions to an agent that count as two: those at one time may be lost together.
+const QUESTION_SPACING: Duration = Duration::from_millis(150);
+/// Questions without an answer after which a target is avoided, and how long ago the first one was sent.
+const SILENT_QUESTIONS: (u32, Duration) = (2, Duration::from_millis(600));
+/// The same for a target whose instance may be stalled.
+const STALLED_QUESTIONS: (u32, Duration) = (4, Duration::from_millis(1_000));
+/// Time without word of an agent, and without a byte of its engine, after which it is asked whether it is
+/// alive while a request waits there.
+const PROBE_AFTER: Duration = Duration::from_millis(500);
 /// Time without a byte from an engine after which its instance counts as stalled, if its agent is
 /// silent too. A request that was just sent waits as long, or an engine without its agent would serve
 /// none.
@@ -172,6 +185,8 @@
     pub report: EngineReport,
     /// When the last report arrived; `None` before the first.
     pub reported: Option<Timestamp>,
+    /// When a datagram of the agent last arrived; `None` before the first.
+    pub heard: Option<Timestamp>,
     /// Work that this entry has sent.
     pub own_backlog: Backlog,
     /// Work that the other entries have sent, as last stated by the agent.
@@ -184,6 +199,37 @@
     pub report_interval: Duration,
     /// When this entry last received a byte of an answer; `None` before the first.
     pub last_byte: Option<Timestamp>,
+    /// The questions to the agent since it was last heard.
+    pub questions: Questions,
+}
+
+/// Questions to an agent that has not been heard since the first of them.
+///
+/// Reports come seldom in a large fleet. The answer to a question shows within a round trip whether an
+/// agent is alive, so that a stalled instance is found as soon as in a small one.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Questions {
+    count: u32,
+    first: Timestamp,
+    last: Timestamp,
+}
+
+impl Questions {
+    /// Records a question; one shortly after another counts as the same.
+    pub fn record(&mut self, now: Timestamp) {
+        if self.count == 0 {
+            self.first = now;
+        } else if now.since(self.last) < QUESTION_SPACING {
+            return;
+        }
+        self.count += 1;
+        self.last = now;
+    }
+
+    /// Returns whether as many questions as `least` were sent without an answer, the first long enough ago.
+    fn are_unanswered(self, (least, age): (u32, Duration), now: Timestamp) -> bool {
+        self.count >= least && now.since(self.first) >= age
+    }
 }
 
 impl EngineState {
@@ -195,20 +241,54 @@
     /// Returns whether the engine's instance is stalled: both its agent and the engine itself are
     /// silent. A request there gains nothing from waiting longer.
     pub fn is_stalled(&self, now: Timestamp) -> bool {
-        let silent = |at: Timestamp| now.since(at) >= ENGINE_SILENCE;
-        self.is_overdue(STALLED_INTERVALS, now) && self.last_byte.is_none_or(silent)
+        let agent_silent =
+            self.is_overdue(STALLED_INTERVALS, now) || self.is_mute(STALLED_QUESTIONS, now);
+        agent_silent && self.is_engine_silent(ENGINE_SILENCE, now)
     }
 
-    /// Returns whether the agent's reports are overdue, so that its target should be avoided.
+    /// Returns whether the agent's reports are overdue or questions to it are unanswered, so that its
+    /// target should be avoided.
     pub fn is_silent(&self, now: Timestamp) -> bool {
-        self.is_overdue(SILENT_INTERVALS, now)
+        self.is_overdue(SILENT_INTERVALS, now) || self.is_mute(SILENT_QUESTIONS, now)
+    }
+
+    /// Returns whether the agent should be asked whether it is alive, as a request waits at its engine.
+    pub fn is_probe_due(&self, now: Timestamp) -> bool {
+        let quiet = self.heard.is_some_and(|at| now.since(at) >= PROBE_AFTER);
+        self.running > 0 && quiet && self.is_engine_silent(PROBE_AFTER, now)
+    }
+
+    /// Records that a datagram of the agent arrived.
+    pub fn record_heard(&mut self, now: Timestamp) {
+        self.heard = Some(now);
+        self.questions = Questions::default();
+    }
+
+    fn is_engine_silent(&self, limit: Duration, now: Timestamp) -> bool {
+        self.last_byte.is_none_or(|at| now.since(at) >= limit)
     }
 
-    /// Returns whether the last report is older than this number of report intervals, or than
-    /// [`MAX_SILENCE`].
+    /// Returns whether an agent that has reported leaves questions unanswered.
+    fn is_mute(&self, limit: (u32, Duration), now: Timestamp) -> bool {
+        self.reported.is_some() && self.questions.are_unanswered(limit, now)
+    }
+
+    /// Returns whether nothing was heard of the agent for this number of report intervals, or for
+    /// [`MAX_SILENCE`] where reports come often enough for that.
     fn is_overdue(&self, intervals: f64, now: Timestamp) -> bool {
-        let limit = self.report_interval.mul_f64(intervals).min(MAX_SILENCE);
-        self.age(now).is_some_and(|age| age >= limit)
+        let interval = self.report_interval;
+        let bound = MAX_SILENCE.max(interval.mul_f64(MIN_SILENT_INTERVALS));
+        let limit = interval.mul_f64(intervals).min(bound);
+        let heard = self.reported.max(self.heard);
+        heard.is_some_and(|at| now.since(at) >= limit)
+    }
+
+    /// Drops what other entries have sent once the agent has not restated it for too long.
+    pub fn expire_peer_backlog(&mut self, now: Timestamp) {
+        let ttl = statement_ttl(self.report_interval);
+        if self.peers_updated.is_some_and(|at| now.since(at) > ttl) {
+            self.peer_backlog = Backlog::default();
+        }
     }
 
     /// Returns whether the other entries' work was last stated at or after `since`.
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -12,6 +12,7 @@
 mod engine;
 mod eviction;
 mod failures;
+mod heartbeat;
 mod holders;
 mod incarnation;
 mod limit_table;
@@ -46,10 +47,12 @@
 };
 pub use drain::{DrainPhase, DrainPlan};
 pub use engine::{
-    Backlog, Band, ENGINE_SILENCE, EngineReport, EngineState, LoadProgress, ResidentModel,
+    Backlog, Band, ENGINE_SILENCE, EngineReport, EngineState, LoadProgress, Questions,
+    ResidentModel,
 };
 pub use eviction::{AdapterKey, AdapterStep, AdapterUse};
 pub use failures::FailureMeter;
+pub use heartbeat::{agent_interval, entry_interval, entry_ttl, planner_interval, statement_ttl};
 pub use holders::{crash_holders, origin_holders, permit_host};
 pub use incarnation::Incarnation;
 pub use limit_table::LimitTable;
--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -346,6 +346,17 @@
         incarnations.max_by_key(|t| t.born).cloned()
     }
 
+    /// Returns the number of listed engines of all services, to whose agents entries send heartbeats.
+    fn engine_count(&self) -> usize {
+        let Some(config) = self.objects.config() else {
+            return 0;
+        };
+        let newest = self.objects.table.newest();
+        newest
+            .filter(|t| config.engine(&t.service).is_some())
+            .count()
+    }
+
     /// Returns the configuration of the target's engine; `None` without a target, a configuration
     /// or an engine in it.
     pub(super) fn engine_spec(&self) -> Option<&EngineSpec> {
@@ -357,7 +368,8 @@
     /// planner.
     async fn step(&mut self) {
         let now = self.clock.now();
-        self.peers.expire(now);
+        let engines = self.engine_count();
+        self.peers.expire(engines, now);
         self.objects.table.expire(now);
         self.poll_engine().await;
         self.restore_models();
--- a/crates/serving/src/agent/peers.rs
+++ b/crates/serving/src/agent/peers.rs
@@ -5,24 +5,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kumquatkeel_core::serving::{Backlog, EngineReport, ModelDemand, TargetId};
+use kumquatkeel_core::serving::{
+    Backlog, EngineReport, ModelDemand, TargetId, agent_interval, entry_ttl,
+};
 use kumquatkeel_types::Timestamp;
 
 use crate::gossip::{AgentHeartbeat, BacklogUpdate, EntryHeartbeat, Stamp};
 
-/// Shortest interval between two heartbeats to an entry.
-const ENTRY_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 /// Shortest interval between two notices of what a target states.
 const MIN_NOTICE_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval between notices that each entry adds, so that an agent's send rate stays bounded in a large
 /// fleet.
 const NOTICE_INTERVAL_PER_ENTRY: Duration = Duration::from_millis(15);
-/// Interval that each entry adds, so that an agent's send rate stays bounded in a large fleet.
-const INTERVAL_PER_ENTRY: Duration = Duration::from_millis(15);
-/// Factor of the interval to an entry in another region, whose link is narrow and charged by use.
-const REMOTE_INTERVAL_FACTOR: u32 = 2;
-/// How long an entry is known after its last datagram.
-const ENTRY_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// How long an agent is known after its last datagram.
 const AGENT_TIMEOUT: Duration = Duration::from_millis(1_800);
 
@@ -169,10 +163,10 @@
         lower.count() < PLANNER_CANDIDATES
     }
 
-    /// Drops peers whose last datagram is too old.
-    pub(super) fn expire(&mut self, now: Timestamp) {
-        self.entries
-            .retain(|_, e| now.since(e.last_seen) < ENTRY_TIMEOUT);
+    /// Drops peers whose last datagram is too old, in a fleet with this number of engines.
+    pub(super) fn expire(&mut self, engines: usize, now: Timestamp) {
+        let ttl = entry_ttl(engines, self.entries.len());
+        self.entries.retain(|_, e| now.since(e.last_seen) < ttl);
         self.agents
             .retain(|_, a| now.since(a.last_seen) < AGENT_TIMEOUT);
     }
@@ -214,16 +208,11 @@
     /// Returns the entries to which a heartbeat is due and marks it as sent; if the report
     /// `changed`, it is due to all.
     pub(super) fn due_entries(&mut self, now: Timestamp, changed: bool) -> Vec<DueEntry> {
-        let base_interval =
-            ENTRY_HEARTBEAT_INTERVAL.max(INTERVAL_PER_ENTRY * self.entries.len() as u32);
+        let entries = self.entries.len();
         let total = self.total_backlog();
         let mut due = Vec::new();
         for (address, entry) in &mut self.entries {
-            let interval = if entry.remote {
-                base_interval * REMOTE_INTERVAL_FACTOR
-            } else {
-                base_interval
-            };
+            let interval = agent_interval(entries, entry.remote);
             let recently_sent = entry
                 .last_sent
                 .is_some_and(|last_sent| now.since(last_sent) < interval);
--- a/crates/serving/src/agent/planning.rs
+++ b/crates/serving/src/agent/planning.rs
@@ -44,6 +44,8 @@
             self.planning = planning;
             self.planning_since = now;
             self.planner = Planner::default();
+            // The next heartbeat goes to all entries at once, which then send their demand here.
+            self.last_published = None;
         }
         if planning && now.since(self.planning_since) >= DEMAND_PERIOD {
             self.plan_round(now);
--- a/crates/serving/src/entry/daemon.rs
+++ b/crates/serving/src/entry/daemon.rs
@@ -10,7 +10,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
-use kumquatkeel_core::serving::{Backlog, DrainPhase, DrainPlan, Target};
+use kumquatkeel_core::serving::{DrainPhase, DrainPlan, Target, entry_interval, planner_interval};
 use rand::RngExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
@@ -27,12 +27,8 @@
 use crate::signals::{ProcessSignal, Signals};
 use crate::start::{StartError, bind_gossip, start_metrics};
 
-/// Shortest interval between two heartbeats to the agents.
-const MIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
-/// Heartbeat interval per agent, so that the datagram rate of a large fleet stays bounded.
-const HEARTBEAT_INTERVAL_PER_AGENT: Duration = Duration::from_millis(8);
-/// Heartbeat interval to an agent in another region while there is nothing to report.
-const REMOTE_IDLE_INTERVAL: Duration = Duration::from_millis(1_200);
+/// Interval between two checks of which heartbeats to the agents are due.
+const HEARTBEAT_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval between two sweeps of idle connections, lapsed targets and stalled targets.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval between two checks of the drain phase.
@@ -227,42 +223,47 @@
 
 async fn heartbeat_loop(shared: Arc<Shared>) {
     loop {
-        let agents = send_heartbeats(&shared);
+        send_heartbeats(&shared);
         shared.send_crash_reports();
         shared.send_verdicts();
-        let pause = MIN_HEARTBEAT_INTERVAL.max(HEARTBEAT_INTERVAL_PER_AGENT * agents);
         let jitter = rand::rng().random_range(0.9..1.1);
-        tokio::time::sleep(pause.mul_f64(jitter)).await;
+        tokio::time::sleep(HEARTBEAT_POLL_INTERVAL.mul_f64(jitter)).await;
     }
 }
 
-/// Sends this entry's state to the agents of all engines; returns their number.
-fn send_heartbeats(shared: &Shared) -> u32 {
+/// Sends this entry's state to the agents to which a heartbeat is due.
+fn send_heartbeats(shared: &Shared) {
     let now = shared.now();
     let mut state = shared.lock();
-    let demand = state.demand.rates(now);
-    let targets: Vec<Arc<Target>> = state.objects.table.newest().cloned().collect();
-    let mut agents = 0;
+    let newest = state.objects.table.newest();
+    let engines = newest.filter(|target| state.engine_spec(&target.service).is_some());
+    let targets: Vec<Arc<Target>> = engines.cloned().collect();
+    let entries = state.entries();
     for target in &targets {
-        if state.engine_spec(&target.service).is_none() {
-            continue;
-        }
-        agents += 1;
         let agent = shared.settings.agent_of(target);
         let planner = state.is_planner(agent, now);
+        let remote = shared.is_remote(&target.data_centre);
+        let idle = remote && !state.has_news(&target.id);
+        let interval = if planner {
+            planner_interval(entries)
+        } else {
+            entry_interval(targets.len(), idle)
+        };
+        if !state.is_heartbeat_due(agent, interval, now) {
+            continue;
+        }
         let heartbeat = EntryHeartbeat {
             stamp: state.stamp.advance(),
             target: target.id.clone(),
             backlog: state.own_backlog(&target.id),
             adapters: state.take_used_adapters(&target.id),
-            remote: shared.is_remote(&target.data_centre),
-            demand: if planner { demand.clone() } else { Vec::new() },
+            remote,
+            demand: if planner {
+                state.demand.rates(now)
+            } else {
+                Vec::new()
+            },
         };
-        let idle =
-            heartbeat.backlog == Backlog::default() && heartbeat.adapters.is_empty() && !planner;
-        if heartbeat.remote && idle && !state.is_heartbeat_due(agent, REMOTE_IDLE_INTERVAL, now) {
-            continue;
-        }
         state.record_heartbeat(agent, now);
         shared.gossip.send(agent, &Datagram::Entry(heartbeat));
         let incarnation = target.incarnation();
@@ -270,7 +271,6 @@
             (shared.gossip).send(agent, &Datagram::Leaving(incarnation));
         }
     }
-    agents
 }
 
 async fn sweep_loop(shared: Arc<Shared>) {
@@ -290,6 +290,7 @@
         for target in &ended_limits {
             shared.record_limit_change(target);
         }
+        shared.probe_silent_agents();
         shared.update_stalled();
     }
 }
--- a/crates/serving/src/entry/selection.rs
+++ b/crates/serving/src/entry/selection.rs
@@ -14,7 +14,7 @@
 use super::exchange::{Exchange, millis};
 use super::in_flight::InFlightGuard;
 use super::state::State;
-use crate::gossip::{AdapterRequest, BacklogQuery, Datagram};
+use crate::gossip::{AdapterRequest, Datagram};
 use crate::platform::ForwardOptions;
 
 /// Routes with an objective below this are interactive; others get the deferred band.
@@ -136,11 +136,7 @@
             if shared.is_remote(&target.data_centre) {
                 continue;
             }
-            let query = BacklogQuery {
-                target: target.id.clone(),
-            };
-            let agent = shared.settings.agent_of(target);
-            shared.gossip.send(agent, &Datagram::Query(query));
+            state.ask_agent(target, shared, now);
             queried.push(target.id.clone());
         }
         queried
--- a/crates/serving/src/entry/state.rs
+++ b/crates/serving/src/entry/state.rs
@@ -10,7 +10,7 @@
     Acceptance, AdapterKey, Backlog, BandRates, Candidate, DemandMeter, DrainPlan, ENGINE_SILENCE,
     EngineReport, EngineSpec, EngineState, FailureMeter, Incarnation, LimitTable, OriginTable,
     PermitHolder, PrefillEstimator, ResidentModel, RetryQuota, RouteTable, ServingConfig,
-    StreamScope, Target, TargetId, Urgency, origin_holders,
+    StreamScope, Target, TargetId, Urgency, origin_holders, statement_ttl,
 };
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_types::Timestamp;
@@ -21,8 +21,8 @@
 use super::quarantine::QuarantineState;
 use crate::feed::FeedEvent;
 use crate::gossip::{
-    AgentHeartbeat, BacklogReply, BacklogUpdate, Datagram, GossipSocket, OriginRecord, PermitReply,
-    Stamp,
+    AgentHeartbeat, BacklogQuery, BacklogReply, BacklogUpdate, Datagram, GossipSocket,
+    OriginRecord, PermitReply, Stamp,
 };
 use crate::metrics::Instruments;
 use crate::net::{Pool, PoolLimits};
@@ -36,10 +36,6 @@
 const REGION_PATH_COST: Duration = Duration::from_millis(15);
 /// Path cost to another region: the round trip, and the price of the bytes expressed as time.
 const REMOTE_PATH_COST: Duration = Duration::from_millis(130);
-/// How long the backlog of other entries at a target counts after the agent's last report of it.
-const PEER_BACKLOG_TTL: Duration = Duration::from_millis(1_500);
-/// How long an agent counts as the planner after its last heartbeat.
-const PLANNER_TTL: Duration = Duration::from_millis(1_500);
 
 /// The configuration in force, with its routes indexed.
 #[derive(Debug)]
@@ -82,6 +78,8 @@
     seen: Timestamp,
     stamp: Stamp,
     planner: bool,
+    /// Time until its next heartbeat.
+    interval: Duration,
 }
 
 /// The state behind the lock of [`Shared`].
@@ -212,6 +210,20 @@
         });
     }
 
+    /// Asks the agents beside silent engines at which requests wait whether they are alive.
+    pub(super) fn probe_silent_agents(&self) {
+        let now = self.now();
+        let mut state = self.lock();
+        let due = state.engines.iter().filter(|(_, e)| e.is_probe_due(now));
+        let due: Vec<TargetId> = due.map(|(id, _)| id.clone()).collect();
+        for id in due {
+            let Some(target) = state.objects.table.get(&id).cloned() else {
+                continue;
+            };
+            state.ask_agent(&target, self, now);
+        }
+    }
+
     /// Waits until a draining entry must respond to the requests that are still open; never returns
     /// without a stop signal.
     pub(super) async fn wait_for_drain_deadline(&self) {
@@ -269,12 +281,14 @@
         if known.is_some_and(|a| !heartbeat.stamp.is_newer_than(a.stamp)) {
             return;
         }
+        let interval = Duration::from_millis(u64::from(heartbeat.interval_ms));
         state.agents.insert(
             from,
             AgentPeer {
                 seen: now,
                 stamp: heartbeat.stamp,
                 planner: heartbeat.planner,
+                interval,
             },
         );
         state.entries = usize::from(heartbeat.entries.max(1));
@@ -295,7 +309,8 @@
         engine.reported = Some(now);
         engine.peers_updated = Some(now);
         engine.peer_backlog = heartbeat.others;
-        engine.report_interval = Duration::from_millis(u64::from(heartbeat.interval_ms));
+        engine.report_interval = interval;
+        engine.record_heard(now);
         drop(state);
         if notifies {
             self.notify();
@@ -309,6 +324,7 @@
             engine.peer_backlog = reply.others;
             engine.peers_updated = Some(now);
             engine.report.kv_used = reply.kv_used;
+            engine.record_heard(now);
         });
         self.backlog_version.send_modify(|version| *version += 1);
     }
@@ -380,16 +396,14 @@
     }
 
     /// Ensures that each usable target of a service has an engine state, and clears the backlog of
-    /// other entries where it is older than [`PEER_BACKLOG_TTL`].
+    /// other entries where it is out of date.
     fn refresh_engines(&mut self, service: &str, now: Timestamp) {
         for target in self.objects.table.ready(service) {
             let engine = self.engines.entry(target.id.clone()).or_default();
             if engine.reported.is_none() && engine.report.models.is_empty() {
                 engine.report = report_from_listing(target);
             }
-            if (engine.peers_updated).is_some_and(|at| now.since(at) > PEER_BACKLOG_TTL) {
-                engine.peer_backlog = Backlog::default();
-            }
+            engine.expire_peer_backlog(now);
         }
     }
 
@@ -419,6 +433,16 @@
         targets.iter().map(candidate).collect()
     }
 
+    /// Asks the agent beside a target for the other entries' backlog.
+    pub(super) fn ask_agent(&mut self, target: &Target, shared: &Shared, now: Timestamp) {
+        self.update_engine(&target.id, |engine| engine.questions.record(now));
+        let query = BacklogQuery {
+            target: target.id.clone(),
+        };
+        let agent = shared.settings.agent_of(target);
+        shared.gossip.send(agent, &Datagram::Query(query));
+    }
+
     /// Returns whether the backlog of other entries at a target was reported at or after `since`.
     pub(super) fn has_fresh_backlog(&self, id: &TargetId, since: Timestamp) -> bool {
         let engine = self.engines.get(id);
@@ -471,6 +495,12 @@
         }
     }
 
+    /// Returns whether the next heartbeat to a target's agent has a backlog or an adapter in use.
+    pub(super) fn has_news(&self, id: &TargetId) -> bool {
+        let adapters = self.adapters.get(id).is_some_and(|used| !used.is_empty());
+        adapters || self.own_backlog(id) != Backlog::default()
+    }
+
     /// Returns the adapters used at a target since the last call, and drops those no longer in use.
     pub(super) fn take_used_adapters(&mut self, id: &TargetId) -> Vec<AdapterKey> {
         let Some(adapters) = self.adapters.get_mut(id) else {
@@ -548,7 +578,7 @@
     /// Returns whether the agent at this address is the current placement planner.
     pub(super) fn is_planner(&self, agent: SocketAddr, now: Timestamp) -> bool {
         let peer = self.agents.get(&agent);
-        peer.is_some_and(|a| a.planner && now.since(a.seen) < PLANNER_TTL)
+        peer.is_some_and(|a| a.planner && now.since(a.seen) < statement_ttl(a.interval))
     }
 
     /// Returns the specification of a service's engines; `None` if the service serves no models.
