--- a/crates/serving/src/objects.rs
+++ b/crates/serving/src/objects.rs
@@ -1,5 +1,6 @@
 //! The local copy of the platform's objects: the configuration in force and the targets.
 
+use std::collections::HashMap;
 use std::net::IpAddr;
 use std::sync::Arc;
 
@@ -11,12 +12,17 @@
 use crate::locality::Locality;
 use crate::platform::FeedItem;
 
+/// Most objects whose last fault is remembered.
+const MAX_FAULTS: usize = 256;
+
 /// The newest objects received from the feed.
 #[derive(Debug, Clone, Default)]
 pub struct KnownObjects {
     /// The listed targets.
     pub table: TargetTable,
     config: Option<Arc<ServingConfig>>,
+    /// Why objects were last unusable; a fault that is written again and again is logged once.
+    faults: HashMap<Arc<str>, String>,
 }
 
 impl KnownObjects {
@@ -120,12 +126,24 @@
                 log::info!(target_id:% = id, removed; "target removed from the list");
             }
             FeedItem::Unusable { name, reason } => {
-                log::warn!(object:% = name, reason; "skipped an invalid object");
+                self.record_fault(name, reason);
             }
         }
         None
     }
 
+    fn record_fault(&mut self, name: Arc<str>, reason: String) {
+        if self.faults.get(&name) == Some(&reason) {
+            log::debug!(object:% = name, reason; "skipped an invalid object again");
+            return;
+        }
+        log::warn!(object:% = name, reason; "skipped an invalid object");
+        if self.faults.len() >= MAX_FAULTS {
+            self.faults.clear();
+        }
+        self.faults.insert(name, reason);
+    }
+
     fn apply_listed(&mut self, target: Target, now: Timestamp) {
         let (id, state, version) = (target.id.clone(), target.state, target.version.clone());
         let incarnation = target.incarnation();
