fix(serving): a connection is closed after a refusal that names no attempt

Cause: refusals need not name their attempt. A copy of one that a faulty target wrote later on the kept connection was taken for the refusal of the next request there: its caller was told 'not run' of what ran (REFUSED), or it was sent to a second target (TWICE).

Change: the connection goes back to the pool after a refusal only if that names its attempt, so that a copy can be told apart.

Copies of answers were recognised before.

--- a/crates/serving/src/entry/attempt.rs
+++ b/crates/serving/src/entry/attempt.rs
@@ -217,7 +217,13 @@
             let reason = format!("target rejected the request with status {}", parts.status);
             let head = (framing, &parts.headers);
             if read_full_body(body, head, plan.deadline).await.is_some() {
-                pooled.release();
+                // A copy of a refusal that names no attempt can't be told from a refusal of the next
+                // request on the connection, which is therefore closed.
+                if shared.dialect.names_attempt(&parts.headers) {
+                    pooled.release();
+                } else {
+                    pooled.close();
+                }
             }
             return Err(AttemptFailure::new(AttemptEnd::NotRun, reason));
         }
--- a/crates/serving/src/net/pool.rs
+++ b/crates/serving/src/net/pool.rs
@@ -104,6 +104,12 @@
         self.release_unused();
     }
 
+    /// Closes the connection. Call it only once the whole response has been read; one that is dropped
+    /// earlier is reset.
+    pub fn close(mut self) {
+        self.connection.finish();
+    }
+
     /// Returns the connection to the pool, over which no request has been sent since it was taken.
     pub fn release_unused(self) {
         let mut idle = self
--- a/crates/serving/src/platform.rs
+++ b/crates/serving/src/platform.rs
@@ -195,6 +195,9 @@
     /// set and headers of a single connection, and adds the options.
     fn write_request(&self, headers: &HeaderMap, options: &ForwardOptions) -> HeaderMap;
 
+    /// Returns whether the headers of a response name the attempt that it belongs to.
+    fn names_attempt(&self, headers: &HeaderMap) -> bool;
+
     /// Classifies a target's response to the request with this attempt id.
     fn classify_response(
         &self,
