feat(serving): relays read the list of targets consistently for the entries of their region

Change: two agents of each region read the list consistently about once a second and state the position of the last change after which a target must not be used. An entry makes cheap calls, which may be old, for as long as a relay confirms that it knows all such changes, and consistent ones otherwise. The decision is core::serving::ListReader.

--- a/crates/core/src/serving/heartbeat.rs
+++ b/crates/core/src/serving/heartbeat.rs
@@ -14,6 +14,10 @@
 const INTERVAL_PER_AGENT: Duration = Duration::from_millis(8);
 /// Interval that each entry adds to the heartbeats to the planner, which alone receives them from all.
 const PLANNER_INTERVAL_PER_ENTRY: Duration = Duration::from_millis(4);
+/// Shortest interval between two notices of a relay of the list of targets to one entry.
+const MIN_LIST_NOTICE_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval that each entry adds to the notices of a relay.
+const LIST_NOTICE_INTERVAL_PER_ENTRY: Duration = Duration::from_millis(3);
 /// Factor of an agent's interval to an entry in another region, whose link is narrow and charged by use.
 const REMOTE_FACTOR: u32 = 2;
 /// Shortest interval to an agent in another region while there is nothing to report.
@@ -50,6 +54,11 @@
     MIN_INTERVAL.max(PLANNER_INTERVAL_PER_ENTRY * count(entries))
 }
 
+/// Returns the interval between the notices of a relay of the list of targets to one of `entries`.
+pub fn list_notice_interval(entries: usize) -> Duration {
+    MIN_LIST_NOTICE_INTERVAL.max(LIST_NOTICE_INTERVAL_PER_ENTRY * count(entries))
+}
+
 /// Returns how long a statement holds that is replaced after each `interval`.
 pub fn statement_ttl(interval: Duration) -> Duration {
     MIN_TTL.max(interval.mul_f64(TTL_INTERVALS))
--- a/crates/core/src/serving/holders.rs
+++ b/crates/core/src/serving/holders.rs
@@ -9,6 +9,10 @@
 const ORIGIN_HOLDERS: usize = 3;
 /// Number of agents that judge crashes.
 const CRASH_HOLDERS: usize = 5;
+/// Number of agents of a region that read the list of targets for its entries.
+const LIST_RELAYS: usize = 2;
+/// Key by which the agents that read the list are chosen.
+const LIST_KEY: &str = "target list";
 /// Key by which the agents that judge crashes are chosen.
 const CRASH_KEY: &str = "crashes";
 
@@ -23,6 +27,11 @@
     holders(CRASH_KEY, hosts, CRASH_HOLDERS)
 }
 
+/// Returns the hosts, of those of a region, whose agents read the list of targets for its entries.
+pub fn list_relays(hosts: impl IntoIterator<Item = IpAddr>) -> Vec<IpAddr> {
+    holders(LIST_KEY, hosts, LIST_RELAYS)
+}
+
 /// Returns the host whose agent issues the permits for requests to a target that has no agent.
 pub fn permit_host(target: &str, hosts: impl IntoIterator<Item = IpAddr>) -> Option<IpAddr> {
     holders(target, hosts, 1).first().copied()
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -16,6 +16,7 @@
 mod holders;
 mod incarnation;
 mod limit_table;
+mod list_reader;
 mod orders;
 mod origin_table;
 mod permit_holder;
@@ -52,10 +53,14 @@
 };
 pub use eviction::{AdapterKey, AdapterStep, AdapterUse};
 pub use failures::FailureMeter;
-pub use heartbeat::{agent_interval, entry_interval, entry_ttl, planner_interval, statement_ttl};
-pub use holders::{crash_holders, origin_holders, permit_host};
+pub use heartbeat::{
+    agent_interval, entry_interval, entry_ttl, list_notice_interval, planner_interval,
+    statement_ttl,
+};
+pub use holders::{crash_holders, list_relays, origin_holders, permit_host};
 pub use incarnation::Incarnation;
 pub use limit_table::LimitTable;
+pub use list_reader::{ListCall, ListNotice, ListReader, ListRole};
 pub use orders::{EngineOrder, OrderQueue};
 pub use origin_table::OriginTable;
 pub use permit_holder::PermitHolder;
--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use kumquatkeel_core::serving::{
-    Acceptance, Backlog, EngineReport, EngineSpec, LoadCommand, OrderQueue, OriginTable, Planner,
-    Target, TargetId,
+    Acceptance, Backlog, EngineReport, EngineSpec, ListReader, ListRole, LoadCommand, OrderQueue,
+    OriginTable, Planner, Target, TargetId,
 };
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_types::Timestamp;
@@ -18,17 +18,16 @@
 use super::quarantine::QuarantineState;
 use super::verdicts::sync_verdicts;
 use crate::config_relay::{ConfigFollower, ConfigHub, FollowerSettings, serve_followers};
-use crate::feed::{EVENT_CAPACITY, FollowOptions, follow};
+use crate::feed::{EVENT_CAPACITY, follow_list};
 use crate::gossip::{
     AgentHeartbeat, BacklogQuery, BacklogReply, Datagram, GossipSocket, OriginQuery, OriginRecord,
     Stamp,
 };
+use crate::list_feed::ListFeed;
 use crate::locality::Locality;
 use crate::metrics::Instruments;
 use crate::objects::KnownObjects;
-use crate::platform::{
-    EngineClient, FeedKind, ObjectFeed, OrderReply, PlatformError, ReadMode, VerdictStore,
-};
+use crate::platform::{EngineClient, ObjectFeed, OrderReply, PlatformError, VerdictStore};
 use crate::signals::{ProcessSignal, Signals};
 use crate::start::{StartError, bind_internal, start_metrics};
 
@@ -77,6 +76,10 @@
     pub(super) clock: Clock,
     pub(super) stamp: Stamp,
     pub(super) objects: KnownObjects,
+    /// How the list of targets is read.
+    pub(super) list: ListFeed,
+    /// When this agent last checked whether it is a relay of the list.
+    pub(super) list_checked: Timestamp,
     pub(super) peers: Peers,
     /// Origins of streams that entries have asked this agent to keep.
     pub(super) origins: OriginTable,
@@ -134,6 +137,8 @@
             clock,
             stamp: Stamp::start(),
             objects: KnownObjects::default(),
+            list: ListFeed::new(ListReader::new(ListRole::Planner, WATCH_TIMEOUT), clock),
+            list_checked: Timestamp::ZERO,
             peers: Peers::default(),
             origins: OriginTable::default(),
             permits: PermitState::default(),
@@ -171,13 +176,9 @@
 
     /// Runs the event loop until the process is told to stop.
     pub async fn run(mut self, feed: Arc<dyn ObjectFeed>, mut signals: Signals) {
-        let options = FollowOptions {
-            kind: FeedKind::Targets,
-            mode: ReadMode::Stale,
-            wait: WATCH_TIMEOUT,
-        };
         let (sender, mut events) = mpsc::channel(EVENT_CAPACITY);
-        tokio::spawn(follow(feed.clone(), options, sender.clone()));
+        let list = self.list.clone();
+        tokio::spawn(follow_list(feed.clone(), list, sender.clone()));
         let config = FollowerSettings {
             own: self.settings.gossip,
             patience: CONFIG_PATIENCE,
@@ -277,7 +278,10 @@
             Datagram::Limit(record) => self.handle_limit(&record),
             Datagram::LimitNotice(record) => self.handle_limit_notice(&record),
             Datagram::Leaving(incarnation) => self.handle_leaving(&incarnation),
-            Datagram::Count(_) | Datagram::Origin(_) | Datagram::PermitReply(_) => {
+            Datagram::Count(_)
+            | Datagram::Origin(_)
+            | Datagram::PermitReply(_)
+            | Datagram::List(_) => {
                 log::debug!(peer:% = from; "ignored datagram for entries");
             }
             Datagram::Agent(heartbeat) => self.peers.record_agent(from, heartbeat, now),
@@ -380,6 +384,7 @@
         self.judge_crashes();
         self.publish_limits();
         self.publish_leaving();
+        self.publish_list_notice();
         self.plan();
     }
 
--- a/crates/serving/src/agent/mod.rs
+++ b/crates/serving/src/agent/mod.rs
@@ -6,6 +6,7 @@
 
 mod daemon;
 mod leaving;
+mod list_relay;
 mod peers;
 mod permits;
 mod planning;
--- a/crates/serving/src/agent/peers.rs
+++ b/crates/serving/src/agent/peers.rs
@@ -186,6 +186,12 @@
         self.entries.keys().copied()
     }
 
+    /// Returns the addresses of the known entries of the agent's region.
+    pub(super) fn local_entries(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        let local = self.entries.iter().filter(|(_, entry)| !entry.remote);
+        local.map(|(address, _)| *address)
+    }
+
     /// Returns the addresses of the known agents that are the planner or its next successors.
     pub(super) fn planner_candidates(&self) -> Vec<SocketAddr> {
         let mut agents: Vec<SocketAddr> = self.agents.keys().copied().collect();
--- a/crates/serving/src/entry/daemon.rs
+++ b/crates/serving/src/entry/daemon.rs
@@ -19,11 +19,11 @@
 use super::handler;
 use super::state::Shared;
 use crate::config_relay::{ConfigFollower, ConfigHub, FollowerSettings};
-use crate::feed::{EVENT_CAPACITY, FeedEvent, FollowOptions, follow};
+use crate::feed::{EVENT_CAPACITY, FeedEvent, follow_list};
 use crate::gossip::{Datagram, EntryHeartbeat};
 use crate::locality::Locality;
 use crate::net::{ServeOptions, serve_connection, serve_listener};
-use crate::platform::{Dialect, FeedKind, ObjectFeed, ReadMode};
+use crate::platform::{Dialect, ObjectFeed};
 use crate::signals::{ProcessSignal, Signals};
 use crate::start::{StartError, bind_gossip, start_metrics};
 
@@ -123,13 +123,9 @@
     pub async fn run(self, feed: Arc<dyn ObjectFeed>, mut signals: Signals) {
         let Self { shared, frontend } = self;
         let wait = shared.settings.watch_wait;
-        let options = FollowOptions {
-            kind: FeedKind::Targets,
-            mode: ReadMode::Linearizable,
-            wait,
-        };
         let (sender, events) = mpsc::channel(EVENT_CAPACITY);
-        tokio::spawn(follow(feed.clone(), options, sender.clone()));
+        let list = shared.list.clone();
+        tokio::spawn(follow_list(feed.clone(), list, sender.clone()));
         let config = FollowerSettings {
             own: shared.settings.gossip,
             patience: wait,
@@ -203,6 +199,7 @@
             Datagram::PermitReply(reply) => shared.handle_permit_reply(reply),
             Datagram::LimitNotice(record) => shared.handle_limit_notice(&record),
             Datagram::Leaving(incarnation) => shared.handle_leaving(&incarnation),
+            Datagram::List(notice) => shared.list.record_notice(notice),
             Datagram::Entry(_)
             | Datagram::Alive(_)
             | Datagram::Want(_)
--- a/crates/serving/src/entry/state.rs
+++ b/crates/serving/src/entry/state.rs
@@ -8,9 +8,9 @@
 use kumquatkeel_core::retry::{AttemptResult, Ejector};
 use kumquatkeel_core::serving::{
     Acceptance, AdapterKey, Backlog, BandRates, Candidate, DemandMeter, DrainPlan, ENGINE_SILENCE,
-    EngineReport, EngineSpec, EngineState, FailureMeter, Incarnation, LimitTable, OriginTable,
-    PermitHolder, PrefillEstimator, ResidentModel, RetryQuota, RouteTable, ServingConfig,
-    StreamScope, Target, TargetId, Urgency, origin_holders, statement_ttl,
+    EngineReport, EngineSpec, EngineState, FailureMeter, Incarnation, LimitTable, ListReader,
+    ListRole, OriginTable, PermitHolder, PrefillEstimator, ResidentModel, RetryQuota, RouteTable,
+    ServingConfig, StreamScope, Target, TargetId, Urgency, origin_holders, statement_ttl,
 };
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_types::Timestamp;
@@ -24,6 +24,7 @@
     AgentHeartbeat, BacklogQuery, BacklogReply, BacklogUpdate, Datagram, GossipSocket,
     OriginRecord, PermitReply, Stamp,
 };
+use crate::list_feed::ListFeed;
 use crate::metrics::Instruments;
 use crate::net::{Pool, PoolLimits};
 use crate::objects::KnownObjects;
@@ -63,6 +64,8 @@
     /// The hosts of the region's agents.
     pub(super) agent_hosts: watch::Sender<Vec<IpAddr>>,
     pub(super) gossip: GossipSocket,
+    /// How the list of targets is read.
+    pub(super) list: ListFeed,
     state: Mutex<State>,
 }
 
@@ -130,12 +133,15 @@
         instruments: Instruments,
         gossip: GossipSocket,
     ) -> Self {
+        let clock = Clock::start();
+        let reader = ListReader::new(ListRole::User, settings.watch_wait);
         Self {
             settings,
             dialect,
             instruments,
             gossip,
-            clock: Clock::start(),
+            clock,
+            list: ListFeed::new(reader, clock),
             draining: watch::Sender::new(None),
             state_version: watch::Sender::new(0),
             backlog_version: watch::Sender::new(0),
--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -5,12 +5,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use kumquatkeel_core::serving::{ListCall, TargetState};
 use kumquatkeel_core::store::{EraChange, StoreEra, StorePosition};
 use rand::RngExt;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
-use crate::platform::{FeedBatch, FeedItem, FeedKind, ObjectFeed, ReadMode};
+use crate::list_feed::ListFeed;
+use crate::platform::{FeedBatch, FeedItem, FeedKind, ObjectFeed, PlatformError, ReadMode};
 
 /// Delay after a configuration change, so that changes in series arrive in one watch call.
 const CONFIG_CHANGE_DELAY: Duration = Duration::from_millis(250);
@@ -56,6 +58,22 @@
     pub wait: Duration,
 }
 
+/// Sends the events of the list of targets, read as `list` decides, until the receiver is dropped.
+pub(crate) async fn follow_list(
+    feed: Arc<dyn ObjectFeed>,
+    list: ListFeed,
+    events: mpsc::Sender<FeedEvent>,
+) {
+    let options = FollowOptions {
+        kind: FeedKind::Targets,
+        mode: ReadMode::Linearizable,
+        wait: Duration::ZERO,
+    };
+    let mut follower = Follower::new(feed, options, events);
+    follower.list = Some(list);
+    while follower.step().await.is_ok() {}
+}
+
 /// Sends the events of one kind of object until the receiver is dropped.
 pub async fn follow(
     feed: Arc<dyn ObjectFeed>,
@@ -77,6 +95,8 @@
     Confirmed(Instant),
     /// The call failed.
     Failed,
+    /// The call was given up for a consistent one.
+    Superseded,
 }
 
 /// Reads one kind of object from the store, one call at a time.
@@ -84,6 +104,8 @@
     feed: Arc<dyn ObjectFeed>,
     options: FollowOptions,
     events: mpsc::Sender<FeedEvent>,
+    /// How to read the list of targets; `None` reads as `options` state.
+    list: Option<ListFeed>,
     /// The revision to watch from; `None` if all objects must be listed first.
     revision: Option<u64>,
     era: StoreEra,
@@ -107,6 +129,7 @@
             feed,
             options,
             events,
+            list: None,
             revision: None,
             era: StoreEra::new(),
             restored: false,
@@ -123,13 +146,86 @@
     ///
     /// Returns an error when the receiver of the events was dropped.
     pub(crate) async fn step(&mut self) -> Result<FollowStep, ReceiverGone> {
-        sleep(std::mem::take(&mut self.pause)).await;
+        self.wait_for_pause().await;
         match self.revision {
             None => self.list_all().await,
             Some(revision) => self.watch_changes(revision).await,
         }
     }
 
+    /// Waits for the pause that the last call requires, less if an urgent change must be read.
+    async fn wait_for_pause(&mut self) {
+        let end = Instant::now() + std::mem::take(&mut self.pause);
+        let known = self.position();
+        match &self.list {
+            Some(list) if known.revision > 0 => tokio::select! {
+                () = sleep_until(end) => {}
+                () = list.wait_for_urgent(known) => {}
+            },
+            Some(_) | None => sleep_until(end).await,
+        }
+    }
+
+    /// Returns the state of the store up to which the objects are known.
+    fn position(&self) -> StorePosition {
+        StorePosition {
+            era: self.era.number(),
+            revision: self.revision.unwrap_or_default(),
+        }
+    }
+
+    /// Returns how to make the next watch call.
+    fn next_call(&self) -> ListCall {
+        let FollowOptions { kind, mode, wait } = self.options;
+        let call = ListCall {
+            consistent: mode == ReadMode::Linearizable,
+            wait,
+            delay: match kind {
+                FeedKind::Config => CONFIG_CHANGE_DELAY,
+                FeedKind::Targets => TARGETS_CHANGE_DELAY,
+            },
+        };
+        let list = self.list.as_ref();
+        list.map_or(call, |list| list.next_call(self.position()))
+    }
+
+    /// Makes a watch call; `None` if it was given up for a consistent one.
+    async fn watch(
+        &mut self,
+        revision: u64,
+        call: ListCall,
+    ) -> Option<Result<FeedBatch, PlatformError>> {
+        let known = self.position();
+        let mode = if call.consistent {
+            ReadMode::Linearizable
+        } else {
+            ReadMode::Stale
+        };
+        let watch = self
+            .feed
+            .watch(self.options.kind, mode, revision, call.wait);
+        match &self.list {
+            Some(list) if !call.consistent => tokio::select! {
+                result = watch => Some(result),
+                () = list.wait_for_consistent(known) => None,
+            },
+            Some(_) | None => Some(watch.await),
+        }
+    }
+
+    /// Records what a consistent answer with these items confirms.
+    fn record_confirmation(&self, at: Instant, items: &[FeedItem], is_list: bool) {
+        let is_urgent = |item: &FeedItem| match item {
+            FeedItem::TargetRemoved(_) => true,
+            FeedItem::Target(target) => target.state == TargetState::Leaving,
+            FeedItem::Config { .. } | FeedItem::Unusable { .. } => false,
+        };
+        if let Some(list) = &self.list {
+            let urgent = is_list || items.iter().any(is_urgent);
+            list.record_confirmation(at, urgent.then(|| self.position()));
+        }
+    }
+
     /// Continues with a watch after `position`, as the objects up to it came from elsewhere; revision 0
     /// means that none did.
     pub(crate) fn resume_after(&mut self, position: StorePosition) {
@@ -149,13 +245,14 @@
                     EraChange::Outdated => return self.record_outdated().await,
                 }
                 self.record_success(revision);
+                self.revision = Some(revision);
+                self.record_confirmation(Instant::now(), &items, true);
                 let event = if std::mem::take(&mut self.restored) {
                     FeedEvent::Restored(items)
                 } else {
                     FeedEvent::Snapshot(items)
                 };
                 self.send(event).await?;
-                self.revision = Some(revision);
                 self.batch_count = 0;
                 Ok(FollowStep::Confirmed(Instant::now()))
             }
@@ -164,9 +261,13 @@
     }
 
     async fn watch_changes(&mut self, revision: u64) -> Result<FollowStep, ReceiverGone> {
-        let FollowOptions { kind, mode, wait } = self.options;
+        let kind = self.options.kind;
         let sent = Instant::now();
-        match self.feed.watch(kind, mode, revision, wait).await {
+        let call = self.next_call();
+        let Some(result) = self.watch(revision, call).await else {
+            return Ok(FollowStep::Superseded);
+        };
+        match result {
             Ok(batch) => {
                 match self.era.observe(batch.era) {
                     EraChange::Unchanged => {}
@@ -179,20 +280,26 @@
                 }
                 self.record_success(batch.revision);
                 self.revision = Some(batch.revision.max(revision));
+                // The store answers without changes at the end of the wait.
+                let confirmed = if batch.items.is_empty() {
+                    (sent + call.wait).min(Instant::now())
+                } else {
+                    Instant::now()
+                };
+                if call.consistent {
+                    self.record_confirmation(confirmed, &batch.items, false);
+                }
                 if batch.items.is_empty() {
-                    // The store answers without changes at the end of the wait.
-                    let confirmed = (sent + wait).min(Instant::now());
                     return Ok(FollowStep::Confirmed(confirmed));
                 }
                 self.send(FeedEvent::Changes(batch.items)).await?;
                 self.batch_count += 1;
-                let delay = match kind {
-                    _ if self.batch_count <= INITIAL_BATCHES => INITIAL_DELAY,
-                    FeedKind::Config => CONFIG_CHANGE_DELAY,
-                    FeedKind::Targets => TARGETS_CHANGE_DELAY,
+                self.pause = if self.batch_count <= INITIAL_BATCHES {
+                    INITIAL_DELAY
+                } else {
+                    call.delay
                 };
-                self.pause = delay;
-                Ok(FollowStep::Confirmed(Instant::now()))
+                Ok(FollowStep::Confirmed(confirmed))
             }
             Err(error) if error.history_gone => {
                 log::info!(kind:%, revision; "revision expired; listing all objects");
--- a/crates/serving/src/gossip.rs
+++ b/crates/serving/src/gossip.rs
@@ -10,8 +10,8 @@
 
 use kumquatkeel_core::quarantine::{Suspect, Verdict};
 use kumquatkeel_core::serving::{
-    AdapterKey, Backlog, EngineReport, Incarnation, LimitTable, LoadCommand, ModelDemand,
-    PermitDecision, RequestRate, StreamOrigin, TargetId, Urgency,
+    AdapterKey, Backlog, EngineReport, Incarnation, LimitTable, ListNotice, LoadCommand,
+    ModelDemand, PermitDecision, RequestRate, StreamOrigin, TargetId, Urgency,
 };
 use kumquatkeel_types::Timestamp;
 use serde::{Deserialize, Serialize};
@@ -276,6 +276,8 @@
     /// From an entry to the agent beside a target, and from that agent to entries and to agents that are
     /// candidates for planner: the incarnation has stated that it leaves.
     Leaving(Incarnation),
+    /// From a relay of the list of targets to the entries of its region: the last urgent change.
+    List(ListNotice),
 }
 
 /// Most suspects in one notice.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod entry;
 pub mod feed;
 pub mod gossip;
+mod list_feed;
 pub mod locality;
 pub mod logging;
 pub mod metrics;
--- a/crates/serving/src/objects.rs
+++ b/crates/serving/src/objects.rs
@@ -84,7 +84,7 @@
 
     /// Returns the hosts of the agents in the process's region. Agents run beside engines; before
     /// the first configuration names the services with engines, beside targets that hold models.
-    fn agent_hosts(&self, locality: &Locality) -> Vec<IpAddr> {
+    pub(crate) fn agent_hosts(&self, locality: &Locality) -> Vec<IpAddr> {
         let is_engine = |target: &Target| match &self.config {
             Some(config) => config.engine(&target.service).is_some(),
             None => !target.models.is_empty(),
