perf(core): a load is evaluated by the engines that it concerns

Change: holders, copies and utilisation are counted once in each step; a load is evaluated by the engines that hold one of its models. The decisions are the same.

--- a/crates/core/src/serving/planner.rs
+++ b/crates/core/src/serving/planner.rs
@@ -5,7 +5,7 @@
 //! lowers the total cost most. The cost adds up the engines' squared utilisation and the models
 //! that no engine holds; a model in demand that no engine holds costs most.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -154,9 +154,11 @@
             burst,
         } = settings;
         let mut grant = self.limiter.grant(now, loading, concurrency, rate, burst);
+        let copies = engines.iter().flat_map(|engine| &engine.cached);
+        let cached: HashSet<Arc<str>> = copies.cloned().collect();
         let mut commands = Vec::new();
         while commands.len() < MAX_COMMANDS {
-            let step = Step::new(&engines, input);
+            let step = Step::new(&engines, input, &cached);
             let Some(best) = step.best_load(grant > 0) else {
                 break;
             };
@@ -222,27 +224,76 @@
     }
 }
 
+/// What the engines as planned so far make of one model.
+#[derive(Debug, Default)]
+struct ModelState {
+    /// Indices of the engines that hold the model, or will.
+    holders: Vec<usize>,
+    /// Number of holders whose copy counts.
+    copies: usize,
+    /// Number of engines that serve the model now, as far as its demand goes.
+    serving: usize,
+    demand: f64,
+}
+
+impl ModelState {
+    /// Returns the demand for each of `copies`; 0 without a copy.
+    fn share(&self, copies: usize) -> f64 {
+        if copies == 0 {
+            0.0
+        } else {
+            self.demand / copies as f64
+        }
+    }
+}
+
 /// One step of a round: evaluates the possible loads for the engines as planned so far.
+///
+/// A load is evaluated by the engines that hold one of its models, and not by all engines, so that a round
+/// takes little time in a large fleet.
 struct Step<'a> {
     engines: &'a [PlannedEngine],
     input: &'a PlannerInput<'a>,
-    /// Number of engines that hold each model, or will.
-    copies: HashMap<Arc<str>, usize>,
+    /// The models of which an instance caches the weights.
+    cached: &'a HashSet<Arc<str>>,
+    /// The models that engines hold.
+    models: HashMap<&'a str, ModelState>,
+    /// The utilisation of each engine.
+    utilisation: Vec<f64>,
 }
 
 impl<'a> Step<'a> {
-    fn new(engines: &'a [PlannedEngine], input: &'a PlannerInput<'a>) -> Self {
-        let mut copies = HashMap::new();
-        for engine in engines {
-            let counted = engine.held.iter().filter(|m| counts(engine, m, input));
-            for model in counted {
-                *copies.entry(model.clone()).or_insert(0) += 1;
+    fn new(
+        engines: &'a [PlannedEngine],
+        input: &'a PlannerInput<'a>,
+        cached: &'a HashSet<Arc<str>>,
+    ) -> Self {
+        let mut models: HashMap<&str, ModelState> = HashMap::new();
+        for (index, engine) in engines.iter().enumerate() {
+            for name in &engine.held {
+                let counts = counts(engine, name, input);
+                let model = models.entry(name).or_default();
+                model.holders.push(index);
+                model.copies += usize::from(counts);
+                model.serving += usize::from(counts && engine.serving.contains(name));
             }
         }
+        for (name, model) in &mut models {
+            model.demand = input.demand.get(*name).copied().unwrap_or(0.0);
+        }
+        let utilisation = |engine: &PlannedEngine| {
+            let shares = engine.held.iter().map(|name| {
+                let model = &models[&**name];
+                model.share(model.copies)
+            });
+            shares.sum()
+        };
         Self {
+            utilisation: engines.iter().map(utilisation).collect(),
             engines,
             input,
-            copies,
+            cached,
+            models,
         }
     }
 
@@ -251,12 +302,19 @@
         engine.serving.contains(model) && counts(engine, model, self.input)
     }
 
+    /// Returns the number of engines other than `index` that serve a model now. A copy that is still being
+    /// loaded does not count, since it serves no requests for seconds.
+    fn serving_elsewhere(&self, model: &Arc<str>, index: usize) -> usize {
+        let serving = self.models.get(&**model).map_or(0, |m| m.serving);
+        serving - usize::from(self.serves(&self.engines[index], model))
+    }
+
     fn demand(&self, model: &str) -> f64 {
         self.input.demand.get(model).copied().unwrap_or(0.0)
     }
 
     fn count(&self, model: &str) -> usize {
-        self.copies.get(model).copied().unwrap_or(0)
+        self.models.get(model).map_or(0, |m| m.copies)
     }
 
     fn best_load(&self, store_allowed: bool) -> Option<PlannedLoad> {
@@ -310,19 +368,10 @@
     /// new copy serves. A model whose demand per remaining copy is at most half of the new model's
     /// demand per copy may always be evicted. The gain accounts for the loss of a last copy.
     fn may_evict(&self, evict: &[Arc<str>], index: usize, model: &ModelSpec) -> bool {
-        let serving = |name: &Arc<str>, without: Option<usize>| {
-            let others = self
-                .engines
-                .iter()
-                .enumerate()
-                .filter(|(i, _)| Some(*i) != without);
-            others
-                .filter(|(_, engine)| self.serves(engine, name))
-                .count()
-        };
-        let per_copy = self.demand(&model.name) / serving(&model.name, None).max(1) as f64;
+        let serving = self.models.get(&*model.name).map_or(0, |m| m.serving);
+        let per_copy = self.demand(&model.name) / serving.max(1) as f64;
         evict.iter().all(|name| {
-            let left = serving(name, Some(index));
+            let left = self.serving_elsewhere(name, index);
             let load = self.demand(name) / left.max(1) as f64;
             left == 0 || load <= MAX_EVICT_DEMAND.max(per_copy / 2.0)
         })
@@ -348,59 +397,56 @@
             0.0
         };
         let cost = ABSENT_COST + requested + ABSENT_DEMAND_COST * demand;
-        let cached = self.engines.iter().any(|e| e.cached.contains(model));
-        if cached {
+        if self.cached.contains(model) {
             cost * CACHED_COST_SHARE
         } else {
             cost
         }
     }
 
-    /// Returns whether an engine other than `index` serves a model now. A copy that is still being
-    /// loaded does not count, since it serves no requests for seconds.
-    fn is_served_elsewhere(&self, model: &Arc<str>, index: usize) -> bool {
-        let others = self.engines.iter().enumerate().filter(|(i, _)| *i != index);
-        others
-            .map(|(_, engine)| engine)
-            .any(|engine| self.serves(engine, model))
-    }
-
     /// Returns by how much the total cost falls if engine `index` holds a copy of `model`, if any,
     /// and no longer holds the models in `evict`.
     fn gain(&self, index: usize, model: Option<&Arc<str>>, evict: &[Arc<str>]) -> f64 {
-        let before = |m: &Arc<str>| self.count(m);
-        let added = |m: &Arc<str>| usize::from(Some(m) == model);
-        let after = |m: &Arc<str>| before(m) + added(m) - usize::from(evict.contains(m));
-        let share = |m: &Arc<str>, count: usize| {
-            if count == 0 {
-                0.0
-            } else {
-                self.demand(m) / count as f64
-            }
+        let no_copies = ModelState {
+            demand: model.map_or(0.0, |m| self.demand(m)),
+            ..ModelState::default()
         };
+        let state = |m: &Arc<str>| self.models.get(&**m).unwrap_or(&no_copies);
+        let after = |m: &Arc<str>| {
+            let added = usize::from(Some(m) == model);
+            state(m).copies + added - usize::from(evict.contains(m))
+        };
+        let affected: Vec<&Arc<str>> = model.into_iter().chain(evict).collect();
+        let mut engines: Vec<usize> = affected
+            .iter()
+            .flat_map(|m| state(m).holders.iter().copied())
+            .chain([index])
+            .collect();
+        engines.sort_unstable();
+        engines.dedup();
         let mut gain = 0.0;
-        for (i, engine) in self.engines.iter().enumerate() {
-            let affected = |m: &Arc<str>| Some(m) == model || evict.contains(m);
-            if engine.limited {
-                continue;
-            }
-            if i != index && !engine.held.iter().any(affected) {
-                continue;
-            }
-            let old: f64 = engine.held.iter().map(|m| share(m, before(m))).sum();
-            let mut new: f64 = (engine.held.iter())
-                .filter(|m| i != index || !evict.contains(m))
-                .map(|m| share(m, after(m)))
-                .sum();
-            if let Some(model) = model.filter(|_| i == index) {
-                new += share(model, after(model));
+        for i in engines.into_iter().filter(|i| !self.engines[*i].limited) {
+            let mut change = 0.0;
+            for m in &affected {
+                let held = self.engines[i].held.contains(m);
+                let kept = held && !(i == index && evict.contains(m));
+                if held {
+                    change -= state(m).share(state(m).copies);
+                }
+                if kept || (i == index && Some(*m) == model) {
+                    change += state(m).share(after(m));
+                }
             }
-            gain += utilisation_cost(old) - utilisation_cost(new);
+            let old = self.utilisation[i];
+            gain += utilisation_cost(old) - utilisation_cost(old + change);
         }
-        if let Some(model) = model.filter(|m| before(m) == 0) {
+        if let Some(model) = model.filter(|m| state(m).copies == 0) {
             gain += self.absent_cost(model);
         }
-        for evicted in evict.iter().filter(|m| !self.is_served_elsewhere(m, index)) {
+        for evicted in evict
+            .iter()
+            .filter(|m| self.serving_elsewhere(m, index) == 0)
+        {
             gain -= self.absent_cost(evicted);
         }
         gain
