fix(core): moved demand is followed at the weight store's rate

Cause: at most three loads began in a round of 0.3 s and eight commands were given, whatever the weight store allows: 10 loads a second of 18 on the large site. The planner learnt of the end of a load with the next heartbeat, up to half a second later.

Change: as many loads may start at once as the rate allows in half a second, besides the three; a round gives up to 32 commands. An agent tells the planner at once that its engine's models have changed.

--- a/crates/core/src/serving/planner.rs
+++ b/crates/core/src/serving/planner.rs
@@ -47,8 +47,16 @@
 const MAX_LIMITED_DEMAND: f64 = 0.1;
 /// Maximum number of models considered for a further copy in one step.
 const MAX_CANDIDATES: usize = 6;
+/// Share of the weight store's load rate that is used.
+const RATE_SHARE: f64 = 0.9;
+/// Loads from the weight store that may start at once at any rate; the platform allows three above its
+/// rate.
+const MIN_BURST: f64 = 3.0;
+/// Time whose loads may start at once besides: more than one round, or the rate could not be used. With
+/// the share that is used they stay within what the platform allows in its window of several seconds.
+const BURST_TIME: Duration = Duration::from_millis(500);
 /// Maximum number of commands in one round.
-const MAX_COMMANDS: usize = 8;
+const MAX_COMMANDS: usize = 32;
 
 /// Tells the agent of one engine to load a model.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -73,6 +81,18 @@
     pub burst: f64,
 }
 
+impl PlannerSettings {
+    /// Returns the limits for a weight store that allows `load_rate` loads per second.
+    pub fn for_rate(load_rate: f64, spec: &EngineSpec) -> Self {
+        let rate = load_rate * RATE_SHARE;
+        Self {
+            rate,
+            concurrency: spec.max_concurrent_loads(rate),
+            burst: MIN_BURST + rate * BURST_TIME.as_secs_f64(),
+        }
+    }
+}
+
 /// The input of one planning round.
 #[derive(Debug)]
 pub struct PlannerInput<'a> {
--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -564,6 +564,13 @@
         }
         if changed {
             self.last_published = Some(published);
+            // The planner gives an engine its next load once it knows of the end of the last one.
+            heartbeat.cached = self.report.as_ref().map(|r| r.cached.clone());
+            let own = self.settings.gossip;
+            let candidates = self.peers.planner_candidates();
+            for agent in candidates.into_iter().filter(|agent| *agent != own) {
+                self.gossip.send(agent, &Datagram::Agent(heartbeat.clone()));
+            }
         }
         if now.since(self.agents_notified) >= AGENT_HEARTBEAT_INTERVAL {
             let own = self.settings.gossip;
--- a/crates/serving/src/agent/planning.rs
+++ b/crates/serving/src/agent/planning.rs
@@ -22,10 +22,6 @@
 const DEMAND_PERIOD: Duration = Duration::from_millis(600);
 /// Interval between two log lines on the model in most demand.
 const LOG_INTERVAL: Duration = Duration::from_secs(2);
-/// Share of the weight store's load rate that the planner uses.
-const LOAD_RATE_SHARE: f64 = 0.9;
-/// Loads from the weight store that may start at once; the platform allows three above its rate.
-const LOAD_BURST: f64 = 3.0;
 
 impl Agent {
     /// Updates the planner role and runs a planning round if this agent is the planner, each when
@@ -67,12 +63,7 @@
         }
         let ready = self.objects.table.ready(&target.service);
         engines.retain(|id, _| ready.iter().any(|t| t.id == *id));
-        let rate = spec.load_rate * LOAD_RATE_SHARE;
-        let settings = PlannerSettings {
-            rate,
-            concurrency: spec.max_concurrent_loads(rate),
-            burst: LOAD_BURST,
-        };
+        let settings = PlannerSettings::for_rate(spec.load_rate, spec);
         let demand = self.peers.demand();
         let input = PlannerInput {
             now,
