fix(serving): a planned stop cuts off no request on a connection that was just accepted

Cause: an entry that was stopping closed a new connection before it read the request that had come with it. It ended as soon as it saw no open connection, while others waited in the listener's queue or were accepted and not counted yet.

--- a/crates/core/src/serving/drain.rs
+++ b/crates/core/src/serving/drain.rs
@@ -51,6 +51,13 @@
         DrainPhase::Closing
     }
 
+    /// Returns whether new connections are still accepted at `elapsed` after the stop request, with `open`
+    /// connections left. A connection that is accepted later may be cut off by the exit.
+    pub fn accepts(self, elapsed: Duration, open: usize) -> bool {
+        let ends = self.phase(elapsed, open) == DrainPhase::Exit;
+        !ends && elapsed < self.answer_deadline()
+    }
+
     /// Returns the time after the stop request by which every request must have an answer, so that
     /// the answer is sent before the exit.
     pub const fn answer_deadline(self) -> Duration {
--- a/crates/serving/src/entry/daemon.rs
+++ b/crates/serving/src/entry/daemon.rs
@@ -14,6 +14,7 @@
 use rand::RngExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
 use super::handler;
@@ -140,17 +141,16 @@
         tokio::spawn(receive_datagrams(shared.clone()));
         tokio::spawn(heartbeat_loop(shared.clone()));
         tokio::spawn(sweep_loop(shared.clone()));
-        let (closing, closed) = watch::channel(false);
-        tokio::spawn(accept_loop(shared.clone(), frontend, closed));
+        let acceptor = Acceptor::start(shared.clone(), frontend);
         while signals.next().await == ProcessSignal::Reload {
             log::info!("reload signal ignored; the entry has nothing to reload");
         }
-        drain(&shared, &closing).await;
+        drain(&shared, acceptor).await;
         log::info!(instance:% = shared.settings.instance; "stopped");
     }
 }
 
-async fn drain(shared: &Shared, closing: &watch::Sender<bool>) {
+async fn drain(shared: &Shared, mut acceptor: Acceptor) {
     let started = Instant::now();
     shared.draining.send_replace(Some(started));
     shared.notify();
@@ -158,10 +158,14 @@
     let plan = DrainPlan::new(shared.settings.grace);
     loop {
         let open = shared.lock().open;
+        if !plan.accepts(started.elapsed(), open) && acceptor.stop().await {
+            // Connections that waited in the listener's queue have been accepted last.
+            continue;
+        }
         match plan.phase(started.elapsed(), open) {
             DrainPhase::Serving => {}
             DrainPhase::Closing => {
-                closing.send_replace(true);
+                acceptor.closing.send_replace(true);
             }
             DrainPhase::Exit => return,
         }
@@ -292,25 +296,80 @@
     }
 }
 
-async fn accept_loop(shared: Arc<Shared>, listener: TcpListener, closing: watch::Receiver<bool>) {
+/// Accepts callers' connections until it is stopped.
+struct Acceptor {
+    /// Set to have idle connections closed.
+    closing: watch::Sender<bool>,
+    stopping: watch::Sender<bool>,
+    /// The accepting task; `None` once it has ended.
+    task: Option<JoinHandle<()>>,
+}
+
+impl Acceptor {
+    fn start(shared: Arc<Shared>, listener: TcpListener) -> Self {
+        let (closing, stopping) = (watch::Sender::new(false), watch::Sender::new(false));
+        let accepting = accept_loop(shared, listener, closing.subscribe(), stopping.subscribe());
+        Self {
+            task: Some(tokio::spawn(accepting)),
+            closing,
+            stopping,
+        }
+    }
+
+    /// Accepts the connections that wait in the listener's queue and closes the listener; returns whether
+    /// it was open.
+    async fn stop(&mut self) -> bool {
+        self.stopping.send_replace(true);
+        self.closing.send_replace(true);
+        let Some(task) = self.task.take() else {
+            return false;
+        };
+        if let Err(error) = task.await {
+            log::error!(step = "accept", error:%; "the accepting task ended");
+        }
+        true
+    }
+}
+
+async fn accept_loop(
+    shared: Arc<Shared>,
+    listener: TcpListener,
+    closing: watch::Receiver<bool>,
+    mut stopping: watch::Receiver<bool>,
+) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let serving = serve_caller(shared.clone(), stream, closing.clone());
-                tokio::spawn(serving);
-            }
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopping.wait_for(|stopping| *stopping) => break,
+        };
+        match accepted {
+            Ok((stream, _)) => spawn_caller(&shared, stream, &closing),
             Err(error) => {
                 log::warn!(step = "accept", error:%; "accepting a connection failed");
                 tokio::time::sleep(Duration::from_millis(20)).await;
             }
         }
     }
+    // The runtime may not know yet of connections in the queue, so the system is asked for them.
+    if let Ok(listener) = listener.into_std() {
+        while let Ok((stream, _)) = listener.accept() {
+            let stream = stream.set_nonblocking(true).map(|()| stream);
+            if let Ok(stream) = stream.and_then(TcpStream::from_std) {
+                spawn_caller(&shared, stream, &closing);
+            }
+        }
+    }
+}
+
+/// Counts a connection as open, before the process may see that there is none left, and serves it.
+fn spawn_caller(shared: &Arc<Shared>, stream: TcpStream, closing: &watch::Receiver<bool>) {
+    shared.lock().open += 1;
+    tokio::spawn(serve_caller(shared.clone(), stream, closing.clone()));
 }
 
 async fn serve_caller(shared: Arc<Shared>, stream: TcpStream, closing: watch::Receiver<bool>) {
     let options = {
-        let mut state = shared.lock();
-        state.open += 1;
+        let state = shared.lock();
         state
             .active
             .as_ref()
--- a/crates/serving/src/net/serve.rs
+++ b/crates/serving/src/net/serve.rs
@@ -15,6 +15,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::timeout;
 
 use super::abort::{AbortStream, SharedFlag};
 
@@ -22,6 +23,9 @@
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Pause after a failure to accept a connection, as when no descriptor is left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// How long a new connection may take to its first request when connections are to be closed: the request
+/// may have been sent already.
+const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(400);
 /// Longest idle time of a connection that [`serve_listener`] accepted.
 const LISTENER_IDLE: Duration = Duration::from_secs(30);
 
@@ -34,7 +38,8 @@
     pub idle: Duration,
 }
 
-/// Serves one connection until it closes, or until `closing` is true and no request is in progress.
+/// Serves one connection until it closes, or until `closing` is true and no request is in progress. A new
+/// connection is then kept until its first request has been answered, if that comes soon.
 pub async fn serve_connection<S, B>(
     stream: TcpStream,
     options: ServeOptions,
@@ -58,18 +63,29 @@
     // HTTP/1.0 has no chunks: the end of the connection ends the response. Only a reset marks one
     // that broke off.
     let (aborts, unframed) = (SharedFlag::default(), SharedFlag::default());
+    let started = watch::Sender::new(false);
+    let mut has_request = started.subscribe();
     let service = {
         let unframed = unframed.clone();
         service_fn(move |request: Request<Incoming>| {
+            started.send_replace(true);
             unframed.set(request.version() < Version::HTTP_11);
             service.call(request)
         })
     };
+    let must_close = async move {
+        let _ = closing.wait_for(|closing| *closing).await;
+        let _ = timeout(
+            FIRST_REQUEST_WAIT,
+            has_request.wait_for(|has_request| *has_request),
+        )
+        .await;
+    };
     let stream = TokioIo::new(AbortStream::new(stream, aborts.clone()));
     let mut connection = pin!(builder.serve_connection(stream, service));
     let ended = tokio::select! {
         result = connection.as_mut() => Some(result),
-        _ = closing.wait_for(|closing| *closing) => None,
+        () = must_close => None,
     };
     let result = if let Some(result) = ended {
         result
