fix(serving): a store that fails is asked seldom by processes that a relay tells of its return

Change: all processes but the relays wait up to 3.2 s between two calls for the list and are woken when a relay confirms it again; an entry waits up to 0.8 of its bound for the configuration. The outage counts as lasting until the first answer, so that records which expired in it are kept for their grace period.

--- a/crates/core/src/serving/list_reader.rs
+++ b/crates/core/src/serving/list_reader.rs
@@ -20,6 +20,11 @@
 const RELAY_DELAY: Duration = Duration::from_millis(250);
 /// Delay of other processes after changes, so that changes in series arrive in one answer.
 const DELAY: Duration = Duration::from_millis(900);
+/// Longest time between two calls of a relay while the store fails. The others learn from it that the store
+/// answers again.
+const RELAY_BACKOFF: Duration = Duration::from_millis(800);
+/// The same for all other processes, of which there are many.
+const BACKOFF: Duration = Duration::from_millis(3_200);
 /// Share of the time within which a change must be known for which a confirmation of a relay counts.
 const CONFIRMATION_SHARE: f64 = 0.5;
 /// Share of that time for which cheap calls may go on without an urgent change that a relay has stated.
@@ -51,6 +56,8 @@
     pub wait: Duration,
     /// Delay after changes until the next call.
     pub delay: Duration,
+    /// Longest time between two calls while the store fails.
+    pub backoff: Duration,
 }
 
 /// The part that a process has in reading the list.
@@ -132,20 +139,29 @@
                 consistent: true,
                 wait: RELAY_WAIT,
                 delay: RELAY_DELAY,
+                backoff: RELAY_BACKOFF,
             },
             ListRole::Planner => ListCall {
                 consistent: false,
                 wait: self.bound,
                 delay: DELAY,
+                backoff: BACKOFF,
             },
             ListRole::User => ListCall {
                 consistent: self.consistent_at(known).is_some_and(|at| now >= at),
                 wait: self.bound,
                 delay: DELAY,
+                backoff: BACKOFF,
             },
         }
     }
 
+    /// Returns whether a relay has confirmed the list recently, so that the store serves the relay.
+    pub fn is_confirmed(&self, now: Timestamp) -> bool {
+        let age = self.confirmed.map(|at| now.since(at));
+        age.is_some_and(|age| age < self.bound.mul_f64(CONFIRMATION_SHARE))
+    }
+
     /// Returns from when on a process that knows the list up to `known` must read it consistently; `None`
     /// if it need not.
     pub fn consistent_at(&self, known: StorePosition) -> Option<Timestamp> {
--- a/crates/serving/src/config_relay/follower.rs
+++ b/crates/serving/src/config_relay/follower.rs
@@ -27,6 +27,8 @@
 /// Longest wait for an agent's first update, which an agent with a configuration sends at once, and
 /// longest pause within it.
 const FIRST_UPDATE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest time between two calls while the store fails, in waits of a watch call.
+const MAX_BACKOFF_SHARE: f64 = 0.8;
 /// Longest wait for the first list of targets, which names the agents.
 const HOSTS_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -73,12 +75,13 @@
             mode: ReadMode::Linearizable,
             wait: settings.watch_wait,
         };
+        let max_backoff = settings.watch_wait.mul_f64(MAX_BACKOFF_SHARE);
         let (sender, stored) = mpsc::channel(1);
         Self {
             upstream: ConfigUpstream::new(settings.patience, clock.now()),
             settings,
             hosts,
-            store: Follower::new(feed, options, sender),
+            store: Follower::new(feed, options, sender).with_max_backoff(max_backoff),
             stored,
             calls_store: false,
             hub,
--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -28,7 +28,7 @@
 pub(crate) const EVENT_CAPACITY: usize = 16;
 /// Upper bound of the delay after the first failed call.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
-/// Upper bound of the delay after repeated failures.
+/// Upper bound of the delay after repeated failures, unless a caller sets another.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
 
 /// An event of a followed kind of object.
@@ -116,6 +116,7 @@
     /// Pause before the next call, so that changes in series arrive in one answer.
     pause: Duration,
     backoff: Duration,
+    max_backoff: Duration,
     failed: bool,
 }
 
@@ -136,10 +137,17 @@
             batch_count: 0,
             pause: Duration::ZERO,
             backoff: MIN_BACKOFF,
+            max_backoff: MAX_BACKOFF,
             failed: false,
         }
     }
 
+    /// Sets the upper bound of the delay after repeated failures.
+    pub(crate) const fn with_max_backoff(mut self, limit: Duration) -> Self {
+        self.max_backoff = limit;
+        self
+    }
+
     /// Pauses as the last call requires, makes one call to the store and sends what it brought.
     ///
     /// # Errors
@@ -184,6 +192,7 @@
                 FeedKind::Config => CONFIG_CHANGE_DELAY,
                 FeedKind::Targets => TARGETS_CHANGE_DELAY,
             },
+            backoff: self.max_backoff,
         };
         let list = self.list.as_ref();
         list.map_or(call, |list| list.next_call(self.position()))
@@ -244,7 +253,7 @@
                     EraChange::Restored => self.record_restore(),
                     EraChange::Outdated => return self.record_outdated().await,
                 }
-                self.record_success(revision);
+                self.record_success(revision).await?;
                 self.revision = Some(revision);
                 self.record_confirmation(Instant::now(), &items, true);
                 let event = if std::mem::take(&mut self.restored) {
@@ -278,7 +287,7 @@
                     }
                     EraChange::Outdated => return self.record_outdated().await,
                 }
-                self.record_success(batch.revision);
+                self.record_success(batch.revision).await?;
                 self.revision = Some(batch.revision.max(revision));
                 // The store answers without changes at the end of the wait.
                 let confirmed = if batch.items.is_empty() {
@@ -333,13 +342,18 @@
             .await
     }
 
-    /// Resets the backoff after a successful call and logs the end of an outage.
-    fn record_success(&mut self, revision: u64) {
+    /// Resets the backoff after a successful call and logs the end of an outage. Where the pauses between
+    /// calls are long, sends [`FeedEvent::Failed`] once more, as the outage may have lasted until now.
+    async fn record_success(&mut self, revision: u64) -> Result<(), ReceiverGone> {
         self.backoff = MIN_BACKOFF;
         if std::mem::take(&mut self.failed) {
             let kind = self.options.kind;
             log::info!(dependency = "store", kind:%, revision; "dependency recovered");
+            if self.list.is_some() {
+                self.send(FeedEvent::Failed(kind)).await?;
+            }
         }
+        Ok(())
     }
 
     /// Logs the start of an outage, sends [`FeedEvent::Failed`] and waits for the backoff, with
@@ -351,8 +365,16 @@
         }
         self.send(FeedEvent::Failed(kind)).await?;
         let jitter = rand::rng().random_range(0.5..1.0);
-        sleep(self.backoff.mul_f64(jitter)).await;
-        self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
+        let pause = sleep(self.backoff.mul_f64(jitter));
+        match &self.list {
+            Some(list) => tokio::select! {
+                () = pause => {}
+                () = list.wait_for_recovery() => {}
+            },
+            None => pause.await,
+        }
+        let limit = self.next_call().backoff;
+        self.backoff = (self.backoff * 2).min(limit);
         Ok(FollowStep::Failed)
     }
 }
--- a/crates/serving/src/list_feed.rs
+++ b/crates/serving/src/list_feed.rs
@@ -90,6 +90,16 @@
         self.wait_until(|reader| reader.urgent_at(known)).await;
     }
 
+    /// Waits until a relay confirms the list again after a time in which none did; forever if one does, as
+    /// where the store fails this process only.
+    pub(crate) async fn wait_for_recovery(&self) {
+        let mut changes = self.reader.subscribe();
+        let is_confirmed = |reader: &ListReader| reader.is_confirmed(self.clock.now());
+        if is_confirmed(&changes.borrow()) || changes.wait_for(is_confirmed).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Waits until the time that `due` returns, which may change; `None` stands for never.
     async fn wait_until(&self, due: impl Fn(&ListReader) -> Option<Timestamp>) {
         let mut changes = self.reader.subscribe();
