fix(core): entries that know no difference between targets spread over them

Cause: among targets of equal load the first in the list was chosen. Each of 68 entries has few requests at a plain service, so that nearly all went to the first target of a data centre. Between engines the random tie-break repeated after 64 and gave neighbours nearly equal values.

Change: ties are broken by a hash of the decision's seed and the target's place, for both kinds.

--- a/crates/core/src/serving/dispatch.rs
+++ b/crates/core/src/serving/dispatch.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::band_rates::BandRates;
 use super::engine::{Band, EngineState};
@@ -199,8 +200,14 @@
 
 /// Chooses a target of a service without models, by unfinished requests, path cost and penalty.
 ///
-/// `slots` states how many requests each candidate runs at once, in the order of `candidates`.
-pub fn choose_target(candidates: &[Candidate<'_>], slots: &[u32]) -> DispatchDecision {
+/// `slots` states how many requests each candidate runs at once, in the order of `candidates`. `tie_seed` is
+/// drawn at random for each decision: each of many entries has few requests at a target, so that most of
+/// them know no difference between the targets of a data centre, and must not all choose the first.
+pub fn choose_target(
+    candidates: &[Candidate<'_>],
+    slots: &[u32],
+    tie_seed: u64,
+) -> DispatchDecision {
     let open = |c: &Candidate<'_>| c.closed.is_none();
     if !candidates.is_empty() && !candidates.iter().any(open) {
         let closed = candidates.iter().filter_map(|c| c.closed).min();
@@ -216,11 +223,11 @@
     };
     let best = (0..candidates.len())
         .filter(|i| open(&candidates[*i]) && (!any_usable || !candidates[*i].avoided))
-        .map(|i| (score(i), i))
+        .map(|i| (score(i), tie_break(tie_seed, i), i))
         .min();
     best.map_or_else(
         || refuse(RefusalReason::NoTarget, Duration::from_millis(500)),
-        |(predicted, index)| DispatchDecision::Send {
+        |(predicted, _, index)| DispatchDecision::Send {
             index,
             predicted,
             band: Band::First,
@@ -254,7 +261,7 @@
 
 /// Returns a time below [`TIE_SPREAD`] that depends on the seed and the candidate's index.
 fn tie_break(seed: u64, index: usize) -> Duration {
-    let mixed = seed.rotate_left((index as u32 * 11) % 64);
+    let mixed = xxh3_64_with_seed(&(index as u64).to_le_bytes(), seed);
     TIE_SPREAD.mul_f64((mixed % 1_024) as f64 / 1_024.0)
 }
 
--- a/crates/core/tests/serving_dispatch.rs
+++ b/crates/core/tests/serving_dispatch.rs
@@ -55,14 +55,14 @@
         _ => None,
     };
     assert_eq!(index(choose_engine(&candidates, &input())), Some(1));
-    assert_eq!(index(choose_target(&candidates, &[8, 8])), Some(1));
+    assert_eq!(index(choose_target(&candidates, &[8, 8], 0)), Some(1));
     candidates[1].closed = Some(Duration::from_millis(200));
     let expected = DispatchDecision::Refuse {
         reason: RefusalReason::TargetsClosed,
         retry_after: Duration::from_millis(200),
     };
     assert_eq!(choose_engine(&candidates, &input()), expected);
-    assert_eq!(choose_target(&candidates, &[8, 8]), expected);
+    assert_eq!(choose_target(&candidates, &[8, 8], 0), expected);
 }
 
 #[test]
@@ -176,7 +176,7 @@
     assert!(
         matches!(decision, DispatchDecision::Refuse { retry_after, .. } if retry_after > Duration::ZERO)
     );
-    let decision = choose_target(&[], &[]);
+    let decision = choose_target(&[], &[], 0);
     assert!(
         matches!(decision, DispatchDecision::Refuse { retry_after, .. } if retry_after > Duration::ZERO)
     );
@@ -188,7 +188,7 @@
     let mut candidates: Vec<_> = engines.iter().map(candidate).collect();
     candidates[0].penalty = Duration::from_millis(900);
     assert!(matches!(
-        choose_target(&candidates, &[6, 6]),
+        choose_target(&candidates, &[6, 6], 0),
         DispatchDecision::Send { index: 1, .. }
     ));
 }
@@ -407,3 +407,48 @@
     }
     assert_eq!(backlog, Backlog::default());
 }
+
+/// Each of many entries has at most one request at the targets of a data centre, and knows of no others.
+#[rstest]
+#[case::small(3)]
+#[case::large(6)]
+#[case::design_size(60)]
+fn entries_that_know_no_difference_spread_over_the_targets(#[case] targets: usize) {
+    const REQUESTS_PER_TARGET: usize = 100;
+    let engines = vec![EngineState::default(); targets];
+    let candidates: Vec<_> = engines.iter().map(candidate).collect();
+    let slots = vec![6; targets];
+    let mut random = Pcg64::seed_from_u64(5);
+    let mut counts = vec![0; targets];
+    for _ in 0..REQUESTS_PER_TARGET * targets {
+        match choose_target(&candidates, &slots, random.random()) {
+            DispatchDecision::Send { index, .. } => counts[index] += 1,
+            decision => panic!("{decision:?}"),
+        }
+    }
+    let most = counts.iter().copied().max().unwrap_or_default();
+    assert!(most <= REQUESTS_PER_TARGET * 3 / 2, "{counts:?}");
+}
+
+/// Engines far apart in the list must not be equal in every draw.
+#[test]
+fn ties_between_all_engines_are_broken_apart() {
+    let engines = vec![holder(&[]); 840];
+    let candidates: Vec<_> = engines.iter().map(candidate).collect();
+    let mut random = Pcg64::seed_from_u64(6);
+    let mut chosen = vec![0; 840];
+    for _ in 0..3_360 {
+        let input = DispatchInput {
+            tie_seed: random.random(),
+            ..input()
+        };
+        if let DispatchDecision::Send { index, .. } = choose_engine(&candidates, &input) {
+            chosen[index] += 1;
+        }
+    }
+    let unused = chosen.iter().filter(|count| **count == 0).count();
+    assert!(
+        unused < 84,
+        "{unused} of 840 engines are never chosen in four requests for each"
+    );
+}
--- a/crates/serving/src/entry/selection.rs
+++ b/crates/serving/src/entry/selection.rs
@@ -157,7 +157,8 @@
             (choose_engine(&candidates, &input), input.prefill)
         } else {
             let slots: Vec<u32> = targets.iter().map(|t| t.slots).collect();
-            (choose_target(&candidates, &slots), Duration::ZERO)
+            let decision = choose_target(&candidates, &slots, rand::random());
+            (decision, Duration::ZERO)
         };
         match decision {
             DispatchDecision::Refuse {
