fix(serving): the demand of many models fits into a heartbeat

Cause: an entry stated its demand for all models in one datagram, which is dropped if it has more than 8 KiB; from about 400 models on the planner would know nothing of the entry.

Change: the 256 highest demands are stated.

--- a/crates/core/src/serving/demand.rs
+++ b/crates/core/src/serving/demand.rs
@@ -3,6 +3,7 @@
 //! Entries send rates rather than increments, so a planner that takes over the role or misses a
 //! datagram knows the demand as soon as the next datagram arrives.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -43,6 +44,19 @@
         *self.pending.entry(model.clone()).or_default() += work.as_micros() as u64;
     }
 
+    /// Updates the smoothed rates to `now` and returns the highest `limit` of them, sorted by model.
+    ///
+    /// One message carries them, whose size is limited; the rest of a longer list is of little weight.
+    pub fn highest_rates(&mut self, limit: usize, now: Timestamp) -> Vec<ModelDemand> {
+        let mut rates = self.rates(now);
+        if rates.len() > limit {
+            rates.select_nth_unstable_by_key(limit, |demand| Reverse(demand.rate_us));
+            rates.truncate(limit);
+            rates.sort_unstable_by(|a, b| a.model.cmp(&b.model));
+        }
+        rates
+    }
+
     /// Updates the smoothed rates to `now` and returns them, sorted by model.
     pub fn rates(&mut self, now: Timestamp) -> Vec<ModelDemand> {
         let last = *self.updated.get_or_insert(now);
--- a/crates/core/tests/serving_state.rs
+++ b/crates/core/tests/serving_state.rs
@@ -221,6 +221,26 @@
     );
 }
 
+/// One datagram carries the demand for more models than it holds.
+#[test]
+fn the_highest_demands_are_stated_of_a_long_list() {
+    let mut meter = DemandMeter::default();
+    meter.rates(at(0));
+    for model in 0..720_u64 {
+        let name = Arc::from(format!("m{model:03}"));
+        meter.record(&name, Duration::from_millis(10 + (model * 7) % 720));
+    }
+    let stated = meter.highest_rates(256, at(1_000));
+    assert_eq!(stated.len(), 256);
+    assert!(stated.is_sorted_by_key(|demand| demand.model.clone()));
+    let lowest = stated.iter().map(|demand| demand.rate_us).min().unwrap();
+    let higher = meter
+        .rates(at(1_000))
+        .into_iter()
+        .filter(|d| d.rate_us > lowest);
+    assert_eq!(higher.count(), 255);
+}
+
 #[test]
 fn demand_follows_the_requested_work_and_decays() {
     let model: Arc<str> = Arc::from("m");
--- a/crates/serving/src/entry/daemon.rs
+++ b/crates/serving/src/entry/daemon.rs
@@ -21,7 +21,7 @@
 use super::state::Shared;
 use crate::config_relay::{ConfigFollower, ConfigHub, FollowerSettings};
 use crate::feed::{EVENT_CAPACITY, FeedEvent, follow_list};
-use crate::gossip::{Datagram, EntryHeartbeat};
+use crate::gossip::{Datagram, EntryHeartbeat, MAX_DEMANDS};
 use crate::locality::Locality;
 use crate::net::{ServeOptions, serve_connection, serve_listener};
 use crate::platform::{Dialect, ObjectFeed};
@@ -260,7 +260,7 @@
             adapters: state.take_used_adapters(&target.id),
             remote,
             demand: if planner {
-                state.demand.rates(now)
+                state.demand.highest_rates(MAX_DEMANDS, now)
             } else {
                 Vec::new()
             },
--- a/crates/serving/src/gossip.rs
+++ b/crates/serving/src/gossip.rs
@@ -20,6 +20,9 @@
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 
+/// Most models whose demand one heartbeat states, so that it fits into a datagram.
+pub const MAX_DEMANDS: usize = 256;
+
 /// Orders the datagrams of one incarnation of a process.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
