fix(serving): datagrams that can't be decoded are counted, and few of them logged

Cause: each datagram of a stranger or of another build wrote a line.

Change: the number of such datagrams is logged when it doubles.

Result: any and damaged bytes are decoded or an error (proptest; they were before).

--- a/crates/serving/src/gossip.rs
+++ b/crates/serving/src/gossip.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use kumquatkeel_core::quarantine::{Suspect, Verdict};
@@ -314,6 +315,8 @@
 #[derive(Debug)]
 pub struct GossipSocket {
     socket: UdpSocket,
+    /// Datagrams that could not be sent for their size, or not be decoded.
+    faults: AtomicU64,
 }
 
 impl GossipSocket {
@@ -324,7 +327,8 @@
     /// Returns an error when the address can't be bound.
     pub async fn bind(address: SocketAddr) -> io::Result<Self> {
         let socket = UdpSocket::bind(address).await?;
-        Ok(Self { socket })
+        let faults = AtomicU64::new(0);
+        Ok(Self { socket, faults })
     }
 
     /// Returns the bound address.
@@ -345,19 +349,34 @@
                     log::debug!(peer:% = to, error:%; "datagram not sent");
                 }
             }
-            Ok(bytes) => log::warn!(peer:% = to, bytes = bytes.len(); "datagram too large"),
+            Ok(bytes) => {
+                if let Some(faults) = self.count_fault() {
+                    log::warn!(peer:% = to, bytes = bytes.len(), faults; "datagram too large");
+                }
+            }
             Err(error) => log::warn!(peer:% = to, error:%; "datagram not encoded"),
         }
     }
 
-    /// Waits for the next datagram that can be decoded; logs and skips others.
+    /// Counts a fault; returns the number of faults if this one is to be logged. A peer of another build or
+    /// a stranger may send many.
+    fn count_fault(&self) -> Option<u64> {
+        let faults = self.faults.fetch_add(1, Ordering::Relaxed) + 1;
+        faults.is_power_of_two().then_some(faults)
+    }
+
+    /// Waits for the next datagram that can be decoded; counts others, and logs some of them.
     pub async fn receive(&self) -> (SocketAddr, Datagram) {
         let mut buffer = [0; MAX_DATAGRAM_BYTES];
         loop {
             match self.socket.recv_from(&mut buffer).await {
                 Ok((size, from)) => match postcard::from_bytes(&buffer[..size]) {
                     Ok(datagram) => return (from, datagram),
-                    Err(error) => log::warn!(peer:% = from, error:%; "datagram not decoded"),
+                    Err(error) => {
+                        if let Some(faults) = self.count_fault() {
+                            log::warn!(peer:% = from, size, error:%, faults; "datagram not decoded");
+                        }
+                    }
                 },
                 Err(error) => {
                     // The error may come from an earlier send that the peer's host refused.
--- a/crates/serving/tests/message_sizes.rs
+++ b/crates/serving/tests/message_sizes.rs
@@ -13,8 +13,9 @@
     RouteShare, ServingConfig, TargetId,
 };
 use kumquatkeel_serving::gossip::{
-    AgentHeartbeat, CrashReport, Datagram, EntryHeartbeat, QuarantineNotice, Stamp,
+    AgentHeartbeat, CrashReport, Datagram, EntryHeartbeat, MAX_DEMANDS, QuarantineNotice, Stamp,
 };
+use proptest::prelude::*;
 use rstest::rstest;
 
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
@@ -51,6 +52,23 @@
     })
 }
 
+/// Returns a demand for models whose names are longer than those of any deployment so far.
+fn long_demand(models: usize) -> Datagram {
+    let name = |index| Arc::from(format!("organisation/{index:011}"));
+    let demand = (0..models).map(|index| ModelDemand {
+        model: name(index),
+        rate_us: 1_000_000,
+    });
+    Datagram::Entry(EntryHeartbeat {
+        stamp: stamp(),
+        target: target(),
+        backlog: Backlog::default(),
+        adapters: Vec::new(),
+        remote: true,
+        demand: demand.collect(),
+    })
+}
+
 fn report(models: usize, adapters: usize, cached: usize) -> Datagram {
     let model = |name: Arc<str>| ResidentModel {
         name,
@@ -97,6 +115,7 @@
 
 #[rstest]
 #[case::demand_for_300_models(demand(300))]
+#[case::longest_demand_of_long_names(long_demand(MAX_DEMANDS))]
 #[case::report_of_an_engine(report(8, 16, 32))]
 #[case::notice(notice(32, 64))]
 #[case::crash_report(crash(128))]
@@ -107,6 +126,27 @@
     assert!(bytes <= MAX_DATAGRAM_BYTES, "{bytes} bytes");
 }
 
+proptest! {
+    /// A stranger, a faulty peer or one of another build may send anything.
+    #[test]
+    fn any_bytes_are_a_datagram_or_an_error(bytes in prop::collection::vec(any::<u8>(), 0..2_000)) {
+        let _ = postcard::from_bytes::<Datagram>(&bytes);
+    }
+
+    #[test]
+    fn a_damaged_datagram_is_a_datagram_or_an_error(
+        position in any::<prop::sample::Index>(), byte in any::<u8>(), length in any::<prop::sample::Index>(),
+    ) {
+        for datagram in [demand(40), report(2, 8, 10), notice(4, 4), crash(4)] {
+            let mut bytes = postcard::to_allocvec(&datagram).unwrap();
+            let changed = position.index(bytes.len());
+            bytes[changed] = byte;
+            bytes.truncate(length.index(bytes.len()) + 1);
+            let _ = postcard::from_bytes::<Datagram>(&bytes);
+        }
+    }
+}
+
 #[test]
 fn an_encoded_configuration_grows_with_its_routes_only() {
     let route = |index: usize| Route {
