--- a/crates/core/src/serving/engine.rs
+++ b/crates/core/src/serving/engine.rs
@@ -22,7 +22,7 @@
 /// Questions without an answer after which a target is avoided, and how long ago the first one was sent.
 const SILENT_QUESTIONS: (u32, Duration) = (2, Duration::from_millis(600));
 /// The same for a target whose instance may be stalled.
-const STALLED_QUESTIONS: (u32, Duration) = (4, Duration::from_millis(1_000));
+const STALLED_QUESTIONS: (u32, Duration) = (4, Duration::from_secs(1));
 /// Time without word of an agent, and without a byte of its engine, after which it is asked whether it is
 /// alive while a request waits there.
 const PROBE_AFTER: Duration = Duration::from_millis(500);
--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -177,8 +177,8 @@
     /// Runs the event loop until the process is told to stop.
     pub async fn run(mut self, feed: Arc<dyn ObjectFeed>, mut signals: Signals) {
         let (sender, mut events) = mpsc::channel(EVENT_CAPACITY);
-        let list = self.list.clone();
-        tokio::spawn(follow_list(feed.clone(), list, sender.clone()));
+        let list_feed = self.list.clone();
+        tokio::spawn(follow_list(feed.clone(), list_feed, sender.clone()));
         let config = FollowerSettings {
             own: self.settings.gossip,
             patience: CONFIG_PATIENCE,
