fix(core): a false notice of a relay costs an entry one consistent read

Cause: an entry that was told of an urgent change which does not exist, by a faulty process or one of another build, would read the list consistently ten times a second for ever.

Change: a consistent read that was sent after the notice settles it.

Result: serving_list_reader with false notices of the known and the highest era: at most five consistent reads in 20 s, and urgent changes are known within the bound as before.

--- a/crates/core/src/serving/list_reader.rs
+++ b/crates/core/src/serving/list_reader.rs
@@ -132,6 +132,16 @@
         }
     }
 
+    /// Records that a consistent call that was sent at `sent` has brought the list up to `known`.
+    ///
+    /// A later urgent change that was stated before does not exist, as in a notice of a faulty process; it
+    /// would have the list read again and again.
+    pub fn record_read(&mut self, known: StorePosition, sent: Timestamp) {
+        if self.stated <= sent {
+            self.urgent = self.urgent.min(known);
+        }
+    }
+
     /// Decides on the next call of a process that knows the list up to `known`.
     pub fn next_call(&self, known: StorePosition, now: Timestamp) -> ListCall {
         match self.role {
--- a/crates/core/tests/serving_list_reader.rs
+++ b/crates/core/tests/serving_list_reader.rs
@@ -45,6 +45,8 @@
     relay_ends: u64,
     /// Which notices are lost, in turn.
     lost: Vec<bool>,
+    /// The era of a change that a faulty process states although it doesn't exist.
+    false_notice: Option<u64>,
 }
 
 /// One reader of the store: between two calls, or waiting for the answer to one.
@@ -137,8 +139,18 @@
                     }
                 }
             }
+            if let Some(urgent) = self.false_notice.filter(|_| now == LENGTH_MS / 4) {
+                let notice = ListNotice {
+                    urgent: (urgent, u64::MAX),
+                    age_ms: 0,
+                };
+                deciding.record_notice(notice, at(now));
+            }
             let was_idle = entry.call.is_none();
-            entry.step(&deciding, self, now);
+            let sent = entry.call.map_or(now, |(_, sent)| sent);
+            if entry.step(&deciding, self, now) {
+                deciding.record_read(position(entry.known), at(sent));
+            }
             let call = entry.call.filter(|_| was_idle);
             consistent += usize::from(call.is_some_and(|(call, _)| call.consistent));
             for (late, time) in late.iter_mut().zip(&self.urgent) {
@@ -159,8 +171,10 @@
         lag_ms in 0_u64..30_000,
         relay_ends in 0_u64..LENGTH_MS * 2,
         lost in prop::collection::vec(prop::bool::weighted(0.3), 1..40),
+        false_notice in prop::option::of(prop::sample::select(vec![0, u64::MAX])),
     ) -> Load {
-        Load { urgent: urgent.into_iter().collect(), change_ms, lag_ms, relay_ends, lost }
+        let urgent = urgent.into_iter().collect();
+        Load { urgent, change_ms, lag_ms, relay_ends, lost, false_notice }
     }
 }
 
@@ -198,9 +212,16 @@
         lag_ms: 300,
         relay_ends: LENGTH_MS,
         lost: vec![false, false, false, true],
+        false_notice: None,
     };
     let (consistent, _) = load.play(Duration::from_millis(3_250));
     assert!(consistent <= 4, "{consistent} consistent calls in 20 s");
+    let misled = Load {
+        false_notice: Some(u64::MAX),
+        ..load.clone()
+    };
+    let (consistent, _) = misled.play(Duration::from_millis(3_250));
+    assert!(consistent <= 5, "{consistent} with a false notice");
     let alone = Load {
         relay_ends: 0,
         ..load
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -22,6 +22,12 @@
         Timestamp::from_micros(self.origin.elapsed().as_micros() as u64)
     }
 
+    /// Converts an instant of the runtime to a timestamp of this clock; one before the origin is zero.
+    pub fn timestamp(&self, at: Instant) -> Timestamp {
+        let since = at.saturating_duration_since(self.origin);
+        Timestamp::from_micros(since.as_micros() as u64)
+    }
+
     /// Converts a timestamp of this clock to an instant of the runtime, for timers.
     pub fn instant(&self, at: Timestamp) -> Instant {
         self.origin + at.since(Timestamp::ZERO)
--- a/crates/serving/src/feed.rs
+++ b/crates/serving/src/feed.rs
@@ -222,8 +222,9 @@
         }
     }
 
-    /// Records what a consistent answer with these items confirms.
-    fn record_confirmation(&self, at: Instant, items: &[FeedItem], is_list: bool) {
+    /// Records what a consistent answer with these items confirms, by the times of the call and of the
+    /// confirmation.
+    fn record_confirmation(&self, times: (Instant, Instant), items: &[FeedItem], is_list: bool) {
         let is_urgent = |item: &FeedItem| match item {
             FeedItem::TargetRemoved(_) => true,
             FeedItem::Target(target) => target.state == TargetState::Leaving,
@@ -231,7 +232,7 @@
         };
         if let Some(list) = &self.list {
             let urgent = is_list || items.iter().any(is_urgent);
-            list.record_confirmation(at, urgent.then(|| self.position()));
+            list.record_confirmation(times, self.position(), urgent);
         }
     }
 
@@ -242,6 +243,7 @@
     }
 
     async fn list_all(&mut self) -> Result<FollowStep, ReceiverGone> {
+        let sent = Instant::now();
         match self.feed.list(self.options.kind, self.options.mode).await {
             Ok(FeedBatch {
                 items,
@@ -255,7 +257,7 @@
                 }
                 self.record_success(revision).await?;
                 self.revision = Some(revision);
-                self.record_confirmation(Instant::now(), &items, true);
+                self.record_confirmation((sent, Instant::now()), &items, true);
                 let event = if std::mem::take(&mut self.restored) {
                     FeedEvent::Restored(items)
                 } else {
@@ -296,7 +298,7 @@
                     Instant::now()
                 };
                 if call.consistent {
-                    self.record_confirmation(confirmed, &batch.items, false);
+                    self.record_confirmation((sent, confirmed), &batch.items, false);
                 }
                 if batch.items.is_empty() {
                     return Ok(FollowStep::Confirmed(confirmed));
--- a/crates/serving/src/list_feed.rs
+++ b/crates/serving/src/list_feed.rs
@@ -70,9 +70,18 @@
         self.reader.borrow().next_call(known, self.clock.now())
     }
 
-    /// Records that the store confirmed the known list at this time, in which the last urgent change is at
-    /// `urgent` if there is a new one.
-    pub(crate) fn record_confirmation(&self, at: Instant, urgent: Option<StorePosition>) {
+    /// Records that the store confirmed the list up to `known` at this time, in answer to a call that was
+    /// sent at `sent`; `urgent` states whether it brought an urgent change.
+    pub(crate) fn record_confirmation(
+        &self,
+        (sent, at): (Instant, Instant),
+        known: StorePosition,
+        urgent: bool,
+    ) {
+        let sent = self.clock.timestamp(sent);
+        self.reader
+            .send_modify(|reader| reader.record_read(known, sent));
+        let urgent = urgent.then_some(known);
         self.progress.send_modify(|progress| {
             progress.confirmed = progress.confirmed.max(Some(at));
             progress.urgent = progress.urgent.max(urgent.unwrap_or_default());
