fix(core): an entry does not stay at the plain target that it used first

Cause: ties were broken among exactly equal targets only. The target to which an entry has a connection is a round trip nearer, so the entry stayed there: a sequential caller never reached the others, which two tests of entry_wire showed, each in about half of its runs.

Change: the random part outweighs a new connection, and not the path to another data centre.

Result: the two tests are unchanged; serving_dispatch has both cases.

--- a/crates/core/src/serving/dispatch.rs
+++ b/crates/core/src/serving/dispatch.rs
@@ -32,6 +32,10 @@
 /// Upper bound of the random tie-break, so that predictions that differ by less count as about
 /// equal; a tenth of a typical prefill.
 const TIE_SPREAD: Duration = Duration::from_millis(10);
+/// Share of the tie-break by which targets without models are ordered apart: more than the cost of a new
+/// connection, which would keep an entry at the target that it used first, and less than that of the path
+/// to another data centre.
+const TARGET_TIE_SHARE: f64 = 0.2;
 /// Shortest time after which a refused caller may retry.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -223,13 +227,16 @@
     };
     let best = (0..candidates.len())
         .filter(|i| open(&candidates[*i]) && (!any_usable || !candidates[*i].avoided))
-        .map(|i| (score(i), tie_break(tie_seed, i), i))
+        .map(|i| {
+            let tie = tie_break(tie_seed, i).mul_f64(TARGET_TIE_SHARE);
+            (score(i) + tie, i)
+        })
         .min();
     best.map_or_else(
         || refuse(RefusalReason::NoTarget, Duration::from_millis(500)),
-        |(predicted, _, index)| DispatchDecision::Send {
+        |(_, index)| DispatchDecision::Send {
             index,
-            predicted,
+            predicted: score(index),
             band: Band::First,
         },
     )
--- a/crates/core/tests/serving_dispatch.rs
+++ b/crates/core/tests/serving_dispatch.rs
@@ -416,7 +416,12 @@
 fn entries_that_know_no_difference_spread_over_the_targets(#[case] targets: usize) {
     const REQUESTS_PER_TARGET: usize = 100;
     let engines = vec![EngineState::default(); targets];
-    let candidates: Vec<_> = engines.iter().map(candidate).collect();
+    let mut candidates: Vec<_> = engines.iter().map(candidate).collect();
+    // An entry has a connection to the target that it used before, which saves a round trip.
+    candidates[0].path_cost = Duration::from_millis(1);
+    for candidate in &mut candidates[1..] {
+        candidate.path_cost = Duration::from_millis(2);
+    }
     let slots = vec![6; targets];
     let mut random = Pcg64::seed_from_u64(5);
     let mut counts = vec![0; targets];
@@ -426,8 +431,24 @@
             decision => panic!("{decision:?}"),
         }
     }
-    let most = counts.iter().copied().max().unwrap_or_default();
-    assert!(most <= REQUESTS_PER_TARGET * 3 / 2, "{counts:?}");
+    let others = counts[1..].iter().copied().max().unwrap_or_default();
+    assert!(others <= REQUESTS_PER_TARGET * 3 / 2, "{counts:?}");
+    let first_share = counts[0] as f64 / (REQUESTS_PER_TARGET * targets) as f64;
+    assert!(first_share <= 0.75, "{counts:?}");
+}
+
+/// The random order does not send requests to another data centre.
+#[test]
+fn a_target_of_the_same_data_centre_is_preferred() {
+    let engines = vec![EngineState::default(); 2];
+    let mut candidates: Vec<_> = engines.iter().map(candidate).collect();
+    candidates[0].path_cost = Duration::from_millis(15);
+    candidates[1].path_cost = Duration::from_millis(2);
+    let mut random = Pcg64::seed_from_u64(7);
+    for _ in 0..1_000 {
+        let decision = choose_target(&candidates, &[6, 6], random.random());
+        assert!(matches!(decision, DispatchDecision::Send { index: 1, .. }));
+    }
 }
 
 /// Engines far apart in the list must not be equal in every draw.
