--- a/crates/core/tests/serving_demand_shift.rs
+++ b/crates/core/tests/serving_demand_shift.rs
@@ -225,3 +225,20 @@
     let before = fleet.started.iter().filter(|at| **at < SHIFT_MS).count();
     assert!(fleet.started.len() > before, "the demand has moved");
 }
+
+/// All the loads that the limits allow, right after an idle time.
+#[test]
+fn the_limits_for_a_rate_keep_within_each_window() {
+    let spec = Fleet::new(1, 2, 1.0).spec;
+    for tenths in 1..=2_000 {
+        let rate = f64::from(tenths) / 10.0;
+        let settings = PlannerSettings::for_rate(rate, &spec);
+        let window_s = WINDOW_MS as f64 / 1e3;
+        let most = settings.rate * window_s + settings.burst;
+        let allowed = rate * window_s * WINDOW_SHARE + WINDOW_SLACK;
+        assert!(
+            most <= allowed,
+            "{most} of {allowed} at {rate} loads a second"
+        );
+    }
+}
