--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -56,7 +56,9 @@
             std::thread::sleep(LINK);
             let attempt = request.header("x-attempt-id").to_owned();
             if let Some(copy) = copy.take() {
-                self.record.line(&format!("server writes the copy, before it answers {attempt}"));
+                self.record.line(&format!(
+                    "server writes the copy, before it answers {attempt}"
+                ));
                 if wire.write(&copy).is_err() {
                     return;
                 }
@@ -64,7 +66,8 @@
             let text = self.answer(&attempt, request.header("x-expect-instance"));
             if has_trouble() && chance() < COPIED {
                 *self.copies.lock().unwrap() += 1;
-                self.record.line(&format!("server will copy its answer to {attempt}"));
+                self.record
+                    .line(&format!("server will copy its answer to {attempt}"));
                 copy = Some(text.clone());
             }
             std::thread::sleep(LINK);
@@ -90,11 +93,16 @@
             *count += 1;
             *count
         };
-        self.record.line(&format!("server runs {attempt} (run {runs})"));
+        self.record
+            .line(&format!("server runs {attempt} (run {runs})"));
         std::thread::sleep(Duration::from_secs_f64(2.0 * WORK_MS / 1_000.0 * chance()));
         self.places.lock().unwrap().working -= 1;
         self.freed.notify_one();
-        let headers = format!("{echo}X-Server-Stamp: {}.{:08x}\r\n", self.id, random() as u32);
+        let headers = format!(
+            "{echo}X-Server-Stamp: {}.{:08x}\r\n",
+            self.id,
+            random() as u32
+        );
         answer("200 OK", &headers, "booked")
     }
 
@@ -170,7 +178,9 @@
         let limit = Duration::from_millis(DEADLINE_MS + 1_000);
         let _ = channel.stream.set_read_timeout(Some(limit));
         record.line(&format!("client sends {attempt} on /{path}/"));
-        let reply = channel.write(&request).and_then(|()| channel.read_message());
+        let reply = channel
+            .write(&request)
+            .and_then(|()| channel.read_message());
         let status = reply.as_ref().map_or(0, common::Message::status);
         record.line(&format!("client gets {status} for {attempt}"));
         statuses.lock().unwrap().insert(attempt, status);
@@ -201,7 +211,9 @@
         copies: Mutex::default(),
     });
     let bind = |machine: u8| TcpListener::bind((network.host(machine), 0));
-    let (Ok(app), Ok(listener)) = (bind(2), bind(3)) else { fail("no address for a server") };
+    let (Ok(app), Ok(listener)) = (bind(2), bind(3)) else {
+        fail("no address for a server")
+    };
     let engine = app.local_addr().unwrap();
     serve(app, serve_engine);
     let address = listener.local_addr().unwrap();
@@ -216,12 +228,15 @@
         store.put("servers", id, &spec);
     };
     list("i-desk1", "desk", address, SLOTS, "");
-    let models = ",\"phase\":\"unified\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}]";
+    let models =
+        ",\"phase\":\"unified\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}]";
     list("i-assist1", "assist", engine, 64, models);
     let site = Site::new(network, store.address);
     let agent = site.agent(2, engine);
     let entry = site.entry(1);
-    wait_for("the entry is ready", Duration::from_secs(20), || entry.is_ready());
+    wait_for("the entry is ready", Duration::from_secs(20), || {
+        entry.is_ready()
+    });
     std::thread::sleep(Duration::from_secs(1));
 
     let statuses = Statuses::default();
@@ -252,7 +267,10 @@
     });
     let broken: Vec<&String> = refused_and_run.map(|(attempt, _)| attempt).collect();
     for attempt in &broken {
-        record.line(&format!("REFUSED: {attempt} was answered {} and has run", statuses[*attempt]));
+        record.line(&format!(
+            "REFUSED: {attempt} was answered {} and has run",
+            statuses[*attempt]
+        ));
     }
     let twice = runs.iter().filter(|(_, count)| **count > 1);
     let twice = twice
@@ -264,9 +282,16 @@
         statuses.len(),
         runs.len()
     ));
-    record.say(&format!("refused although they have run: {}; run twice: {twice}", broken.len()));
+    record.say(&format!(
+        "refused although they have run: {}; run twice: {twice}",
+        broken.len()
+    ));
     if counts.get(&200).copied().unwrap_or(0) < 100 {
         fail("too few bookings were served");
     }
-    finish(if broken.is_empty() && twice == 0 { HELD } else { BROKEN });
+    finish(if broken.is_empty() && twice == 0 {
+        HELD
+    } else {
+        BROKEN
+    });
 }
--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -44,7 +44,9 @@
 
 impl Engine {
     fn start(site: Network, machine: u8, version: &'static str, record: &Arc<Record>) -> Arc<Self> {
-        let Ok(listener) = TcpListener::bind((site.host(machine), 0)) else { fail("no address") };
+        let Ok(listener) = TcpListener::bind((site.host(machine), 0)) else {
+            fail("no address")
+        };
         let engine = Arc::new(Self {
             id: format!("i-assist{machine}"),
             version,
@@ -59,7 +61,12 @@
 
     /// Returns the entry that the server writes.
     fn entry(&self) -> String {
-        let Self { version, born, address, .. } = self;
+        let Self {
+            version,
+            born,
+            address,
+            ..
+        } = self;
         format!(
             "{{\"service\":\"assist\",\"address\":\"{address}\",\"zone\":\"amman-a\",\"version\":\"{version}\",\
              \"slots\":64,\"state\":\"ready\",\"cold_left_ms\":0,\"phase\":\"unified\",\"born\":{born},\
@@ -83,7 +90,11 @@
                  \"kv_total\":160000,\"handles\":0}}",
                 self.born
             );
-            return wire.write(&answer("200 OK", "Content-Type: application/json\r\n", &body));
+            return wire.write(&answer(
+                "200 OK",
+                "Content-Type: application/json\r\n",
+                &body,
+            ));
         }
         let attempt = request.header("x-attempt-id");
         let echo = format!("X-Attempt-Id: {attempt}\r\nX-Instance-Id: {}\r\n", self.id);
@@ -92,7 +103,9 @@
         }
         let last: u64 = request.header("last-event-id").parse().unwrap_or(0);
         let (id, version) = (&self.id, self.version);
-        self.record.line(&format!("server {id} ({version}) runs {attempt} after event {last}"));
+        self.record.line(&format!(
+            "server {id} ({version}) runs {attempt} after event {last}"
+        ));
         wire.write(&format!(
             "HTTP/1.1 200 OK\r\n{echo}X-Server-Stamp: {id}.{:08x}\r\nX-Weight-Versions: 1\r\n\
              Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
@@ -155,10 +168,17 @@
 ) -> Duration {
     const PAUSE: Duration = Duration::from_millis(200);
     let attempt = attempt_id();
-    let Ok(mut wire) = Wire::connect(entry, Duration::from_secs(1)) else { return PAUSE };
-    let _ = wire.stream.set_read_timeout(Some(left.min(Duration::from_secs(20))));
+    let Ok(mut wire) = Wire::connect(entry, Duration::from_secs(1)) else {
+        return PAUSE;
+    };
+    let _ = wire
+        .stream
+        .set_read_timeout(Some(left.min(Duration::from_secs(20))));
     let resumed = stream.first.as_ref().map(|first| {
-        format!("Last-Event-Id: {}\r\nResumes: {first}\r\n", stream.versions.len())
+        format!(
+            "Last-Event-Id: {}\r\nResumes: {first}\r\n",
+            stream.versions.len()
+        )
     });
     let request = format!(
         "POST /check/2f HTTP/1.1\r\nHost: swap.example\r\nX-Attempt-Id: {attempt}\r\nX-Model: m\r\n\
@@ -175,7 +195,10 @@
         return PAUSE;
     };
     if head.status() != 200 {
-        record.line(&format!("client {number} gets {} for {attempt}", head.status()));
+        record.line(&format!(
+            "client {number} gets {} for {attempt}",
+            head.status()
+        ));
         let seconds = head.header("retry-after").parse().unwrap_or(0.2);
         return Duration::from_secs_f64(seconds);
     }
@@ -190,16 +213,23 @@
             }
             Err(_) => {
                 let events = stream.versions.len();
-                record.line(&format!("client {number}: {attempt} broke off after event {events}"));
+                record.line(&format!(
+                    "client {number}: {attempt} broke off after event {events}"
+                ));
                 return PAUSE;
             }
         }
         while let Some((event, rest)) = text.split_once("\n\n") {
             let data = event.lines().find_map(|line| line.strip_prefix("data: "));
-            let version = data.and_then(|d| d.split('.').next()).unwrap_or_default().to_owned();
+            let version = data
+                .and_then(|d| d.split('.').next())
+                .unwrap_or_default()
+                .to_owned();
             if stream.versions.last() != Some(&version) {
                 let event = event.replace('\n', " ");
-                record.line(&format!("client {number}: {attempt} brings events of {version}: {event}"));
+                record.line(&format!(
+                    "client {number}: {attempt} brings events of {version}: {event}"
+                ));
             }
             stream.first.get_or_insert_with(|| attempt.clone());
             stream.versions.push(version);
@@ -213,13 +243,19 @@
     let network = Network::find(9);
     let store = Store::start(network.host(9), Duration::ZERO);
     store.put("config", "main", config());
-    let old: Vec<_> = [3, 4].map(|m| Engine::start(network, m, "v1", &record)).into();
-    let others: Vec<_> = [5, 6].map(|m| Engine::start(network, m, "v2", &record)).into();
+    let old: Vec<_> = [3, 4]
+        .map(|m| Engine::start(network, m, "v1", &record))
+        .into();
+    let others: Vec<_> = [5, 6]
+        .map(|m| Engine::start(network, m, "v2", &record))
+        .into();
     for engine in old.iter().chain(&others) {
         store.put("servers", &engine.id, &engine.entry());
     }
     // These are up and not listed yet.
-    let new: Vec<_> = [7, 8].map(|m| Engine::start(network, m, "v2", &record)).into();
+    let new: Vec<_> = [7, 8]
+        .map(|m| Engine::start(network, m, "v2", &record))
+        .into();
     let site = Site::new(network, store.address);
     let mut nodes = Vec::new();
     for (machine, engine) in (3..).zip(old.iter().chain(&others).chain(&new)) {
@@ -252,7 +288,10 @@
         record.line(&format!("store: {} ({}) is listed", new.id, new.version));
         store.put("servers", &new.id, &new.entry());
         std::thread::sleep(OVERLAP);
-        record.line(&format!("store: the entry of {} ({}) is removed", old.id, old.version));
+        record.line(&format!(
+            "store: the entry of {} ({}) is removed",
+            old.id, old.version
+        ));
         store.remove("servers", &old.id);
     }
     wait_until(KILLED);
@@ -280,8 +319,13 @@
     });
     let (mixed, complete) = (mixed.count(), streams.iter().filter(|s| s.complete).count());
     let begun = streams.iter().filter(|s| s.first.is_some()).count();
-    record.say(&format!("streams {}, begun {begun}, complete {complete}", streams.len()));
-    record.say(&format!("streams with events of two software versions: {mixed}"));
+    record.say(&format!(
+        "streams {}, begun {begun}, complete {complete}",
+        streams.len()
+    ));
+    record.say(&format!(
+        "streams with events of two software versions: {mixed}"
+    ));
     if begun < STREAMS {
         fail("not all streams have begun");
     }
--- a/review/stand-ins/common.rs
+++ b/review/stand-ins/common.rs
@@ -93,7 +93,10 @@
 impl Message {
     /// Returns a header's value, or an empty text.
     pub fn header(&self, name: &str) -> &str {
-        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map_or("", |(_, value)| value)
     }
 
@@ -110,7 +113,8 @@
     }
 
     fn is_chunked(&self) -> bool {
-        self.header("transfer-encoding").eq_ignore_ascii_case("chunked")
+        self.header("transfer-encoding")
+            .eq_ignore_ascii_case("chunked")
     }
 }
 
@@ -131,6 +135,15 @@
         Ok(Self::new(TcpStream::connect_timeout(&address, limit)?))
     }
 
+    /// Returns whether the peer has closed the channel, which a client checks before it uses it again.
+    pub fn is_closed(&self) -> bool {
+        let mut byte = [0];
+        let _ = self.stream.set_nonblocking(true);
+        let seen = self.stream.peek(&mut byte);
+        let _ = self.stream.set_nonblocking(false);
+        !matches!(seen, Err(error) if error.kind() == ErrorKind::WouldBlock)
+    }
+
     fn fill(&mut self) -> std::io::Result<()> {
         let mut bytes = [0; 16 * 1024];
         let size = self.stream.read(&mut bytes)?;
@@ -286,7 +299,14 @@
 
 impl Change {
     fn object(&self) -> String {
-        let Self { name, revision, created, spec, status, .. } = self;
+        let Self {
+            name,
+            revision,
+            created,
+            spec,
+            status,
+            ..
+        } = self;
         format!(
             "{{\"metadata\":{{\"name\":\"{name}\",\"revision\":{revision},\"created\":{created},\
              \"finalizers\":[],\"deleting\":false}},\"spec\":{spec},\"status\":{status}}}"
@@ -304,7 +324,10 @@
     /// Returns the objects of a kind as of a revision.
     fn objects(&self, kind: &str, revision: u64) -> BTreeMap<String, Change> {
         let mut objects = BTreeMap::new();
-        let past = self.changes.iter().filter(|c| c.kind == kind && c.revision <= revision);
+        let past = self
+            .changes
+            .iter()
+            .filter(|c| c.kind == kind && c.revision <= revision);
         for change in past {
             if change.deleted {
                 objects.remove(&change.name);
@@ -383,9 +406,14 @@
     }
 
     fn respond(&self, request: &Message) -> String {
-        let (path, query) = request.path().split_once('?').unwrap_or((request.path(), ""));
-        let query: BTreeMap<&str, &str> =
-            query.split('&').filter_map(|pair| pair.split_once('=')).collect();
+        let (path, query) = request
+            .path()
+            .split_once('?')
+            .unwrap_or((request.path(), ""));
+        let query: BTreeMap<&str, &str> = query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .collect();
         let Some(rest) = path.strip_prefix("/kumquatkeel/objects/") else {
             return json_answer("404 Not Found", "{}");
         };
@@ -479,7 +507,11 @@
 }
 
 fn json_answer(status: &str, body: &str) -> String {
-    answer(status, "Content-Type: application/json\r\nStore-Era: 1\r\n", body)
+    answer(
+        status,
+        "Content-Type: application/json\r\nStore-Era: 1\r\n",
+        body,
+    )
 }
 
 // ---------------------------------------------------------------------------------------------------
@@ -507,7 +539,8 @@
             let hosts: Vec<Ipv4Addr> = (1..=machines).map(|m| network.host(m)).collect();
             let is_free = |port: u16| {
                 let free = |host: &Ipv4Addr| {
-                    TcpListener::bind((*host, port)).is_ok() && UdpSocket::bind((*host, port)).is_ok()
+                    TcpListener::bind((*host, port)).is_ok()
+                        && UdpSocket::bind((*host, port)).is_ok()
                 };
                 hosts.iter().all(free)
             };
@@ -537,7 +570,9 @@
 /// Ends all processes that were started, and the run.
 pub fn finish(code: i32) -> ! {
     for process in PROCESSES.lock().unwrap().drain(..) {
-        let _ = Command::new("kill").args(["-9", &process.to_string()]).status();
+        let _ = Command::new("kill")
+            .args(["-9", &process.to_string()])
+            .status();
     }
     std::process::exit(code);
 }
@@ -551,14 +586,21 @@
 /// Reserves a free port of a host.
 pub fn free_port(host: Ipv4Addr) -> SocketAddr {
     let listener = TcpListener::bind((host, 0)).unwrap_or_else(|e| fail(&e.to_string()));
-    listener.local_addr().unwrap_or_else(|e| fail(&e.to_string()))
+    listener
+        .local_addr()
+        .unwrap_or_else(|e| fail(&e.to_string()))
 }
 
 /// The part of a process of the system.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Role {
-    Entry { frontend: SocketAddrV4, readiness: SocketAddrV4 },
-    Agent { app: SocketAddrV4 },
+    Entry {
+        frontend: SocketAddrV4,
+        readiness: SocketAddrV4,
+    },
+    Agent {
+        app: SocketAddrV4,
+    },
 }
 
 /// A process of the system on a machine of its own.
@@ -583,14 +625,21 @@
     /// Creates the temporary folder of a run.
     pub fn new(network: Network, store: SocketAddr) -> Self {
         let folder = std::env::var("RUN_FOLDER").map_or_else(|_| fail("RUN_FOLDER"), PathBuf::from);
-        Self { network, store, folder }
+        Self {
+            network,
+            store,
+            folder,
+        }
     }
 
     fn settings(&self, name: &str, machine: u8, role: Role) -> String {
         let ip = self.network.host(machine);
         let (internal, store) = (self.network.internal, self.store);
         let (class, serves, listen, app) = match role {
-            Role::Entry { frontend, readiness } => (
+            Role::Entry {
+                frontend,
+                readiness,
+            } => (
                 "edge",
                 "  - \"edge\"\n",
                 format!("\n  frontend: \"{frontend}\"\n  readiness: \"{readiness}\""),
@@ -626,7 +675,10 @@
         let host = self.network.host(machine);
         let port = |a: SocketAddr| SocketAddrV4::new(host, a.port());
         let (frontend, readiness) = (port(free_port(host)), port(free_port(host)));
-        let role = Role::Entry { frontend, readiness };
+        let role = Role::Entry {
+            frontend,
+            readiness,
+        };
         self.node(&format!("edge-{machine}"), machine, role)
     }
 
@@ -655,11 +707,21 @@
 
 /// Returns the words of a role's command in the deploy file.
 fn command_of(role: &str) -> Vec<String> {
-    let text = std::fs::read_to_string("deploy/system.toml").unwrap_or_else(|e| fail(&e.to_string()));
-    let section = text.split(&format!("[roles.{role}]")).nth(1).unwrap_or_default();
+    let text =
+        std::fs::read_to_string("deploy/system.toml").unwrap_or_else(|e| fail(&e.to_string()));
+    let section = text
+        .split(&format!("[roles.{role}]"))
+        .nth(1)
+        .unwrap_or_default();
     let line = section.lines().find_map(|line| line.strip_prefix("run = "));
-    let Some(line) = line else { fail("no command in the deploy file") };
-    line.trim().trim_matches('"').split(' ').map(str::to_owned).collect()
+    let Some(line) = line else {
+        fail("no command in the deploy file")
+    };
+    line.trim()
+        .trim_matches('"')
+        .split(' ')
+        .map(str::to_owned)
+        .collect()
 }
 
 impl Node {
@@ -676,16 +738,26 @@
         let log = self.folder.join(format!("{}-{start}.log", self.name));
         let log = File::create(log).unwrap_or_else(|e| fail(&e.to_string()));
         let mut command = Command::new(&words[0]);
-        command.args(&words[1..]).env_clear().env("KUMQUATKEEL_CONFIG", &self.settings);
+        command
+            .args(&words[1..])
+            .env_clear()
+            .env("KUMQUATKEEL_CONFIG", &self.settings);
         for name in ["PATH", "HOME", "LANG"] {
             if let Ok(value) = std::env::var(name) {
                 command.env(name, value);
             }
         }
-        let child = command.stdin(Stdio::null()).stdout(log).stderr(Stdio::inherit()).spawn();
+        let child = command
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(Stdio::inherit())
+            .spawn();
         let child = child.unwrap_or_else(|e| fail(&e.to_string()));
         PROCESSES.lock().unwrap().push(child.id());
-        let list = File::options().create(true).append(true).open(self.folder.join("pids"));
+        let list = File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join("pids"));
         let _ = list.and_then(|mut list| writeln!(list, "{}", child.id()));
         *self.child.lock().unwrap() = Some(child);
     }
@@ -695,21 +767,38 @@
         if let Some(mut child) = self.child.lock().unwrap().take() {
             let _ = child.kill();
             let _ = child.wait();
-            PROCESSES.lock().unwrap().retain(|process| *process != child.id());
+            PROCESSES
+                .lock()
+                .unwrap()
+                .retain(|process| *process != child.id());
         }
     }
 
     /// Sends a signal, such as `TERM` or `STOP`.
     pub fn signal(&self, name: &str) {
         if let Some(child) = &*self.child.lock().unwrap() {
-            let _ = Command::new("kill").args([&format!("-{name}"), &child.id().to_string()]).status();
+            let _ = Command::new("kill")
+                .args([&format!("-{name}"), &child.id().to_string()])
+                .status();
         }
     }
 
     /// Returns whether the process has ended by itself.
     pub fn has_ended(&self) -> bool {
         let mut child = self.child.lock().unwrap();
-        child.as_mut().is_some_and(|c| !matches!(c.try_wait(), Ok(None)))
+        child
+            .as_mut()
+            .is_some_and(|c| !matches!(c.try_wait(), Ok(None)))
+    }
+
+    /// Returns the memory that the process has in use, in megabytes.
+    pub fn memory_mb(&self) -> u64 {
+        let id = self.child.lock().unwrap().as_ref().map(Child::id);
+        let status = id.and_then(|id| std::fs::read_to_string(format!("/proc/{id}/status")).ok());
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kb = line.and_then(|l| l.split_whitespace().next()?.parse::<u64>().ok());
+        kb.unwrap_or(0) / 1_000
     }
 
     pub fn frontend(&self) -> SocketAddr {
@@ -721,10 +810,13 @@
 
     /// Asks the entry whether it is ready, as the platform does.
     pub fn is_ready(&self) -> bool {
-        let Role::Entry { readiness, .. } = self.role else { return true };
+        let Role::Entry { readiness, .. } = self.role else {
+            return true;
+        };
         let ask = || -> std::io::Result<u16> {
             let mut wire = Wire::connect(readiness.into(), Duration::from_millis(500))?;
-            wire.stream.set_read_timeout(Some(Duration::from_millis(500)))?;
+            wire.stream
+                .set_read_timeout(Some(Duration::from_millis(500)))?;
             wire.write("GET /kumquatkeel/readyz HTTP/1.1\r\nHost: platform\r\n\r\n")?;
             Ok(wire.read_message()?.status())
         };
