--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -1,6 +1,7 @@
 //! One entry is killed when a release has replaced half of the servers. Its clients resume their streams.
 //!
-//! See `stand-ins/release.rs` for the deployment and the release.
+//! See `stand-ins/release.rs` for the deployment and the release. `KILL=all` shows a relative of the fault: all
+//! processes are killed, in a smaller deployment.
 
 #[path = "../stand-ins/common.rs"]
 mod common;
@@ -10,6 +11,15 @@
 use release::{Kill, Plan, run};
 
 fn main() {
+    if std::env::var("KILL").as_deref() == Ok("all") {
+        run(Plan {
+            old: 2,
+            kept: 2,
+            streams: 24,
+            events: 40,
+            kill: Kill::All,
+        });
+    }
     run(Plan {
         old: 4,
         kept: 4,
--- a/review/stand-ins/release.rs
+++ b/review/stand-ins/release.rs
@@ -3,7 +3,6 @@
 //! Two entries, and engines of two software versions with their agents. A release replaces those of the old
 //! version one after the other; the new ones start first. The old ones do not report that they drain: their
 //! entries are removed, and they serve on for a while.
-#![allow(dead_code)]
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
