--- a/review/stand-ins/release.rs
+++ b/review/stand-ins/release.rs
@@ -2,9 +2,10 @@
 //!
 //! Two entries, and engines of two software versions with their agents. A release replaces those of the old
 //! version one after the other; the new ones start first. The old ones do not report that they drain: their
-//! entries are removed, and they serve on for a while.
+//! entries are removed, and they serve on for a while and say in all their answers that they leave.
 
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -59,6 +60,8 @@
     born: u64,
     address: SocketAddr,
     record: Arc<Record>,
+    /// Whether the server leaves, which all its answers then state.
+    leaves: AtomicBool,
 }
 
 impl Engine {
@@ -78,6 +81,7 @@
             born: unix_ms(),
             address: listener.local_addr().unwrap(),
             record: record.clone(),
+            leaves: AtomicBool::new(false),
         });
         let server = engine.clone();
         serve(listener, move |wire| server.serve(wire));
@@ -107,6 +111,15 @@
         }
     }
 
+    /// Returns the header by which a server that leaves says so.
+    fn notice(&self) -> &'static str {
+        if self.leaves.load(Ordering::SeqCst) {
+            "Server-Leaving: 1\r\n"
+        } else {
+            ""
+        }
+    }
+
     fn respond(&self, wire: &mut Wire, request: &Message) -> std::io::Result<()> {
         if request.path().starts_with("/kumquatkeel/report") {
             let body = format!(
@@ -115,14 +128,15 @@
                  \"kv_total\":160000,\"handles\":0}}",
                 self.born
             );
-            return wire.write(&answer(
-                "200 OK",
-                "Content-Type: application/json\r\n",
-                &body,
-            ));
+            let headers = format!("Content-Type: application/json\r\n{}", self.notice());
+            return wire.write(&answer("200 OK", &headers, &body));
         }
         let attempt = request.header("x-attempt-id");
-        let echo = format!("X-Attempt-Id: {attempt}\r\nX-Instance-Id: {}\r\n", self.id);
+        let echo = format!(
+            "X-Attempt-Id: {attempt}\r\nX-Instance-Id: {}\r\n{}",
+            self.id,
+            self.notice()
+        );
         if request.header("x-expect-instance") != self.id {
             return wire.write(&answer("421 Misdirected Request", &echo, ""));
         }
@@ -324,6 +338,7 @@
             "store: the entry of {} ({}) is removed",
             old.id, old.version
         ));
+        old.leaves.store(true, Ordering::SeqCst);
         store.remove("servers", &old.id);
     }
     std::thread::sleep(KILL_DELAY);
