test(review): streams go on at another software version with planned work only

Cause: the case needed a kill. The same fault shows where the entries are stopped and started in turn during a release, so that nothing unplanned happens. Change: case 2 stops both entries as planned; kills are kept as relatives. Clients make three tries at most.

--- a/review/stand-ins/release.rs
+++ b/review/stand-ins/release.rs
@@ -1,4 +1,4 @@
-//! Streams that clients resume after processes of the system were killed during a release.
+//! Streams that clients resume after processes of the system were stopped or killed during a release.
 //!
 //! Two entries, and engines of two software versions with their agents. A release replaces those of the old
 //! version one after the other; the new ones start first. The old ones do not report that they drain: their
@@ -18,6 +18,8 @@
 const PAUSE: Duration = Duration::from_millis(150);
 /// The time budget of a client, and the route's.
 const DEADLINE: Duration = Duration::from_secs(12);
+/// Tries of a client, with the first one.
+const TRIES: usize = 3;
 /// Time between the starts of two streams.
 const START_INTERVAL: Duration = Duration::from_millis(3);
 /// When the first server is replaced, the pause until the next one is, and the time from the entry of a new
@@ -29,6 +31,9 @@
 const KILL_DELAY: Duration = Duration::from_millis(400);
 /// Time until the processes are started again.
 const RESTART: Duration = Duration::from_millis(500);
+/// The pause between the planned stops of two entries, and `grace_s`.
+const STOP_GAP: Duration = Duration::from_millis(1_300);
+const GRACE: Duration = Duration::from_secs(8);
 
 /// The processes that are killed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -37,6 +42,8 @@
     OneEntry,
     /// All processes of the system.
     All,
+    /// None; both entries are stopped and started in turn, as planned.
+    None,
 }
 
 /// What a run does.
@@ -186,7 +193,7 @@
     let mut stream = Stream::default();
     // The balancer selects an entry by a hash of the client, and not evenly.
     let home = usize::from(number % 4 == 0);
-    for entry in (home..).map(|try_| entries[try_ % entries.len()]) {
+    for entry in (home..home + TRIES).map(|try_| entries[try_ % entries.len()]) {
         let left = end.saturating_duration_since(Instant::now());
         if stream.complete || left < Duration::from_millis(100) {
             break;
@@ -279,6 +286,21 @@
     }
 }
 
+/// Stops an entry as the platform does, and starts it again.
+fn restart(entry: &Node, record: &Record) {
+    record.line(&format!("SIGTERM to {}", entry.name));
+    entry.signal("TERM");
+    let end = Instant::now() + GRACE;
+    while !entry.has_ended() && Instant::now() < end {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    entry.kill();
+    record.line(&format!("{} has ended", entry.name));
+    std::thread::sleep(RESTART);
+    entry.start();
+    record.line(&format!("{} starts again", entry.name));
+}
+
 /// Runs a plan and ends the process with the result.
 pub fn run(plan: Plan) -> ! {
     let record = Record::create();
@@ -317,6 +339,16 @@
     let wait_until = |after: Duration| {
         std::thread::sleep((begin + after).saturating_duration_since(Instant::now()));
     };
+    let mut stops = Vec::new();
+    if has_trouble() && plan.kill == Kill::None {
+        for (number, entry) in entries.iter().rev().cloned().enumerate() {
+            let record = record.clone();
+            stops.push(std::thread::spawn(move || {
+                std::thread::sleep(STOP_GAP * number as u32);
+                restart(&entry, &record);
+            }));
+        }
+    }
     let streams: Arc<Mutex<Vec<Stream>>> = Arc::default();
     let clients: Vec<_> = (0..plan.streams)
         .map(|number| {
@@ -342,10 +374,11 @@
         store.remove("servers", &old.id);
     }
     std::thread::sleep(KILL_DELAY);
-    if has_trouble() {
+    if has_trouble() && plan.kill != Kill::None {
         let killed: Vec<&Arc<Node>> = match plan.kill {
             Kill::OneEntry => vec![&entries[0]],
             Kill::All => nodes.iter().collect(),
+            Kill::None => Vec::new(),
         };
         record.line(&format!(
             "{} of {} processes are killed",
@@ -361,8 +394,8 @@
             node.start();
         }
     }
-    for client in clients {
-        let _ = client.join();
+    for thread in clients.into_iter().chain(stops) {
+        let _ = thread.join();
     }
     if nodes.iter().any(|node| node.has_ended()) {
         record.say("a process of the system ended by itself");
