--- a/review/stand-ins/release.rs
+++ b/review/stand-ins/release.rs
@@ -29,21 +29,19 @@
 const OVERLAP: Duration = Duration::from_millis(600);
 /// Time from the end of the release to the kill.
 const KILL_DELAY: Duration = Duration::from_millis(400);
-/// Time until the processes are started again.
+/// Time until a process is started again.
 const RESTART: Duration = Duration::from_millis(500);
 /// The pause between the planned stops of two entries, and `grace_s`.
 const STOP_GAP: Duration = Duration::from_millis(1_300);
 const GRACE: Duration = Duration::from_secs(8);
 
-/// The processes that are killed.
+/// What happens to the entries.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Kill {
-    /// One entry.
-    OneEntry,
-    /// All processes of the system.
-    All,
-    /// None; both entries are stopped and started in turn, as planned.
-    None,
+pub enum Disruption {
+    /// Both are stopped and started in turn, as planned.
+    Stops,
+    /// One is killed after the release, and starts again.
+    Kill,
 }
 
 /// What a run does.
@@ -56,7 +54,7 @@
     pub streams: usize,
     /// Events of a stream.
     pub events: u64,
-    pub kill: Kill,
+    pub disruption: Disruption,
 }
 
 /// A model server of one software version.
@@ -340,7 +338,7 @@
         std::thread::sleep((begin + after).saturating_duration_since(Instant::now()));
     };
     let mut stops = Vec::new();
-    if has_trouble() && plan.kill == Kill::None {
+    if has_trouble() && plan.disruption == Disruption::Stops {
         for (number, entry) in entries.iter().rev().cloned().enumerate() {
             let record = record.clone();
             stops.push(std::thread::spawn(move || {
@@ -374,25 +372,13 @@
         store.remove("servers", &old.id);
     }
     std::thread::sleep(KILL_DELAY);
-    if has_trouble() && plan.kill != Kill::None {
-        let killed: Vec<&Arc<Node>> = match plan.kill {
-            Kill::OneEntry => vec![&entries[0]],
-            Kill::All => nodes.iter().collect(),
-            Kill::None => Vec::new(),
-        };
-        record.line(&format!(
-            "{} of {} processes are killed",
-            killed.len(),
-            nodes.len()
-        ));
-        for node in &killed {
-            node.kill();
-        }
+    if has_trouble() && plan.disruption == Disruption::Kill {
+        let entry = &entries[0];
+        record.line(&format!("{} is killed", entry.name));
+        entry.kill();
         std::thread::sleep(RESTART);
-        record.line("they start again");
-        for node in &killed {
-            node.start();
-        }
+        record.line("it starts again");
+        entry.start();
     }
     for thread in clients.into_iter().chain(stops) {
         let _ = thread.join();
