fix(serving): a stream of unknown origin goes on only if one version can have begun it

An entry took the versions in its list, and those that it had seen leave it, for all that could have begun a stream. One that has started after a release knows one version and let streams of unknown origin go on anywhere.

An invariant by construction: without an origin, a stream goes on only if all versions that can have begun it are known and there is one, and is then bound to it. They stand in a record in the platform's store, kept by the relays of the list (by entries where there is no agent), read consistently by a call sent after the request has come; without a record or an answer the stream is refused as not run. Agents send the origins that they keep to new holders as hosts change, so that origins are rarely unknown.

--- a/crates/core/src/serving/config.rs
+++ b/crates/core/src/serving/config.rs
@@ -1,6 +1,6 @@
 //! The validated configuration of routes, services and engines.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -154,6 +154,14 @@
         self.services.get(service)?.engine.as_ref()
     }
 
+    /// Returns the services that have routes of streams.
+    pub fn stream_services(&self) -> BTreeSet<&Arc<str>> {
+        let is_stream = |route: &&Arc<Route>| route.kind == CallKind::Stream;
+        let routes = self.routes.iter().filter(is_stream);
+        let shares = routes.flat_map(|route| &route.shares);
+        shares.map(|share| &share.service).collect()
+    }
+
     /// Checks what the types don't enforce: the routes' path prefixes, services and weights.
     ///
     /// # Errors
--- a/crates/core/src/serving/holders.rs
+++ b/crates/core/src/serving/holders.rs
@@ -7,6 +7,9 @@
 
 /// Number of agents that keep the origin of a stream.
 const ORIGIN_HOLDERS: usize = 3;
+/// Number of agents that are asked for an origin which its holders don't know: the list of hosts may have
+/// changed since it was recorded.
+const ORIGIN_CANDIDATES: usize = 9;
 /// Number of agents that judge crashes.
 const CRASH_HOLDERS: usize = 5;
 /// Number of agents of a region that read the list of targets for its entries.
@@ -16,9 +19,52 @@
 /// Key by which the agents that judge crashes are chosen.
 const CRASH_KEY: &str = "crashes";
 
-/// Returns the hosts whose agents keep the origin of the stream that an attempt began.
-pub fn origin_holders(attempt: &str, hosts: impl IntoIterator<Item = IpAddr>) -> Vec<IpAddr> {
-    holders(attempt, hosts, ORIGIN_HOLDERS)
+/// The hosts of all agents, among which those are chosen that keep the origin of a stream.
+///
+/// # Examples
+///
+/// ```
+/// use std::net::{IpAddr, Ipv4Addr};
+///
+/// use kumquatkeel_core::serving::OriginHosts;
+///
+/// let host = |number| IpAddr::from(Ipv4Addr::new(10, 0, 0, number));
+/// let before = OriginHosts::new((1..=4).map(host));
+/// let after = OriginHosts::new((2..=4).map(host));
+/// assert_eq!(before.holders("a1").len(), 3);
+/// assert!(after.added_holders("a1", &before).len() <= 1);
+/// ```
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct OriginHosts {
+    /// The hosts in order, each with its hash.
+    hosts: Vec<(IpAddr, u64)>,
+}
+
+impl OriginHosts {
+    /// Creates the choice among these hosts, which may come in any order.
+    pub fn new(hosts: impl IntoIterator<Item = IpAddr>) -> Self {
+        Self {
+            hosts: hashed(hosts),
+        }
+    }
+
+    /// Returns the hosts whose agents keep the origin of the stream that an attempt began.
+    pub fn holders(&self, attempt: &str) -> Vec<IpAddr> {
+        first_by_key(attempt, &self.hosts, ORIGIN_HOLDERS)
+    }
+
+    /// Returns the hosts whose agents may know the origin, the holders first.
+    pub fn candidates(&self, attempt: &str) -> Vec<IpAddr> {
+        first_by_key(attempt, &self.hosts, ORIGIN_CANDIDATES)
+    }
+
+    /// Returns the holders that were none among the hosts `before`.
+    pub fn added_holders(&self, attempt: &str, before: &Self) -> Vec<IpAddr> {
+        let former = before.holders(attempt);
+        let mut added = self.holders(attempt);
+        added.retain(|host| !former.contains(host));
+        added
+    }
 }
 
 /// Returns the hosts whose agents judge crashes: all entries report them to the same few, so that each
@@ -42,14 +88,28 @@
 /// Each host ranks by a hash of its own with the key, so that few keys change their hosts when a host
 /// comes or goes.
 fn holders(key: &str, hosts: impl IntoIterator<Item = IpAddr>, count: usize) -> Vec<IpAddr> {
-    let rank = |host: &IpAddr| {
-        let seed = xxh3_64_with_seed(host.to_string().as_bytes(), 0);
-        Reverse(xxh3_64_with_seed(key.as_bytes(), seed))
-    };
+    first_by_key(key, &hashed(hosts), count)
+}
+
+/// Returns the hosts in order and without duplicates, each with its hash.
+fn hashed(hosts: impl IntoIterator<Item = IpAddr>) -> Vec<(IpAddr, u64)> {
     let mut hosts: Vec<IpAddr> = hosts.into_iter().collect();
     hosts.sort_unstable();
     hosts.dedup();
-    hosts.sort_by_cached_key(rank);
-    hosts.truncate(count);
-    hosts
+    let hash = |host: IpAddr| (host, xxh3_64_with_seed(host.to_string().as_bytes(), 0));
+    hosts.into_iter().map(hash).collect()
+}
+
+fn first_by_key(key: &str, hosts: &[(IpAddr, u64)], count: usize) -> Vec<IpAddr> {
+    let rank = |(host, hash): &(IpAddr, u64)| {
+        let rank = xxh3_64_with_seed(key.as_bytes(), *hash);
+        (Reverse(rank), *host)
+    };
+    let mut ranked: Vec<_> = hosts.iter().map(rank).collect();
+    if ranked.len() > count {
+        ranked.select_nth_unstable(count);
+        ranked.truncate(count);
+    }
+    ranked.sort_unstable();
+    ranked.into_iter().map(|(_, host)| host).collect()
 }
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -34,6 +34,7 @@
 mod table;
 mod target;
 mod target_notice;
+mod version_set;
 
 pub use band_rates::BandRates;
 pub use config::{
@@ -57,7 +58,7 @@
     agent_interval, entry_interval, entry_ttl, list_notice_interval, planner_interval,
     statement_ttl,
 };
-pub use holders::{crash_holders, list_relays, origin_holders, permit_host};
+pub use holders::{OriginHosts, crash_holders, list_relays, permit_host};
 pub use incarnation::Incarnation;
 pub use limit_table::LimitTable;
 pub use list_reader::{ListCall, ListNotice, ListReader, ListRole};
@@ -80,3 +81,4 @@
 pub use table::{TableChange, TargetTable};
 pub use target::{Target, TargetId, TargetState};
 pub use target_notice::{StatedLimit, TargetNotice};
+pub use version_set::{VersionRecorder, VersionSet};
--- a/crates/core/src/serving/origin_table.rs
+++ b/crates/core/src/serving/origin_table.rs
@@ -60,6 +60,12 @@
         self.origins.get(attempt)
     }
 
+    /// Returns all known origins.
+    pub fn iter(&mut self, now: Timestamp) -> impl Iterator<Item = (&Arc<str>, &StreamOrigin)> {
+        self.expire(now);
+        self.origins.iter()
+    }
+
     fn expire(&mut self, now: Timestamp) {
         while (self.order.front()).is_some_and(|(at, _)| now.since(*at) >= ORIGIN_TTL) {
             self.drop_oldest();
--- a/crates/core/src/serving/stream_scope.rs
+++ b/crates/core/src/serving/stream_scope.rs
@@ -14,18 +14,19 @@
     Any,
     /// Targets of one software version.
     Version(Arc<str>),
-    /// No target: the stream's version is unknown, and there are several or none.
+    /// No target: the version that began the stream is unknown.
     Nowhere,
 }
 
 impl StreamScope {
     /// Decides where a stream that its caller resumes may go on.
     ///
-    /// `versions` are the software versions that the service's targets have or had recently.
-    pub fn of_resumed(origin: Option<&StreamOrigin>, versions: &[Arc<str>]) -> Self {
+    /// `versions` are all software versions that may have begun it; `None` if not all are known.
+    pub fn of_resumed(origin: Option<&StreamOrigin>, versions: Option<&[Arc<str>]>) -> Self {
         match (origin, versions) {
             (Some(origin), _) => Self::Version(origin.version.clone()),
-            (None, [_]) => Self::Any,
+            // A version that is listed from now on did not begin the stream.
+            (None, Some([only])) => Self::Version(only.clone()),
             (None, _) => Self::Nowhere,
         }
     }
--- a/crates/core/src/serving/table.rs
+++ b/crates/core/src/serving/table.rs
@@ -16,6 +16,7 @@
 use super::incarnation::Incarnation;
 use super::statement_table::{Acceptance, StatementTable, UNLISTED_TTL};
 use super::target::{Target, TargetId, TargetState};
+use super::version_set::VersionSet;
 
 /// How long a record that expired during an outage may take to return; the platform states about
 /// two seconds.
@@ -282,6 +283,21 @@
         versions
     }
 
+    /// Returns the software versions that targets of these services have, or had until recently.
+    pub fn version_set<'a>(
+        &self,
+        services: impl IntoIterator<Item = &'a Arc<str>>,
+        now: Timestamp,
+    ) -> VersionSet {
+        let mut set = VersionSet::default();
+        for service in services {
+            for version in self.recent_versions(service, now) {
+                set.insert(service.clone(), version);
+            }
+        }
+        set
+    }
+
     /// Returns the latest start of an incarnation at each address.
     fn newest_starts(&self) -> HashMap<SocketAddr, u64> {
         let mut newest = HashMap::new();
--- /dev/null
+++ b/crates/core/src/serving/version_set.rs
@@ -0,0 +1,96 @@
+//! The software versions of services, and how the record of them in the platform's store is kept.
+//!
+//! Whether a stream of unknown origin may go on depends on the versions that could have begun it. A process
+//! that has just started, or all processes after a power loss, can't know them from the list of targets, which
+//! shows only the present ones.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use kumquatkeel_types::Timestamp;
+use serde::{Deserialize, Serialize};
+
+/// How long a version stays in the record after it was last listed, which is longer than any caller waits
+/// for its stream.
+const RECORD_TTL: Duration = Duration::from_mins(2);
+
+/// The software versions of each service.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct VersionSet {
+    services: BTreeMap<Arc<str>, BTreeSet<Arc<str>>>,
+}
+
+impl VersionSet {
+    /// Adds a version of a service.
+    pub fn insert(&mut self, service: Arc<str>, version: Arc<str>) {
+        self.services.entry(service).or_default().insert(version);
+    }
+
+    /// Returns the versions of a service; `None` if nothing is known of it.
+    pub fn of_service(&self, service: &str) -> Option<&BTreeSet<Arc<str>>> {
+        self.services.get(service)
+    }
+
+    fn contains(&self, service: &str, version: &str) -> bool {
+        self.of_service(service)
+            .is_some_and(|versions| versions.contains(version))
+    }
+
+    fn iter(&self) -> impl Iterator<Item = (&Arc<str>, &Arc<str>)> {
+        let services = self.services.iter();
+        services.flat_map(|(service, versions)| versions.iter().map(move |v| (service, v)))
+    }
+}
+
+/// Decides what the record of versions in the store should hold.
+///
+/// Several processes keep the same record. A version is added by the first that sees it, and removed only by
+/// one that has seen it unlisted for two minutes.
+///
+/// # Examples
+///
+/// ```
+/// use kumquatkeel_core::serving::{VersionRecorder, VersionSet};
+/// use kumquatkeel_types::Timestamp;
+///
+/// let (mut listed, mut recorded) = (VersionSet::default(), VersionSet::default());
+/// listed.insert("assist".into(), "v2".into());
+/// recorded.insert("assist".into(), "v1".into());
+/// let record = VersionRecorder::default().next_record(&listed, &recorded, Timestamp::ZERO);
+/// assert_eq!(record.of_service("assist").map(|versions| versions.len()), Some(2));
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct VersionRecorder {
+    /// Since when a recorded version has not been listed, by service and version.
+    unlisted: HashMap<(Arc<str>, Arc<str>), Timestamp>,
+}
+
+impl VersionRecorder {
+    /// Returns what the record should hold, given the versions that are listed and what it holds.
+    pub fn next_record(
+        &mut self,
+        listed: &VersionSet,
+        recorded: &VersionSet,
+        now: Timestamp,
+    ) -> VersionSet {
+        let mut record = listed.clone();
+        let is_unlisted = |service: &str, version: &str| {
+            recorded.contains(service, version) && !listed.contains(service, version)
+        };
+        self.unlisted
+            .retain(|(service, version), _| is_unlisted(service, version));
+        for (service, version) in recorded.iter() {
+            if listed.contains(service, version) {
+                continue;
+            }
+            let key = (service.clone(), version.clone());
+            let since = *self.unlisted.entry(key).or_insert(now);
+            if now.since(since) < RECORD_TTL {
+                record.insert(service.clone(), version.clone());
+            }
+        }
+        record
+    }
+}
--- a/crates/core/tests/serving_origin.rs
+++ b/crates/core/tests/serving_origin.rs
@@ -1,13 +1,14 @@
 //! Origins of streams: kept for a bounded time and number, at hosts that change little, and never
 //! replaced.
 
+use std::collections::BTreeSet;
 use std::net::{IpAddr, Ipv4Addr};
 use std::sync::Arc;
 use std::time::Duration;
 
 use kumquatkeel_core::serving::{
-    OriginTable, StreamOrigin, StreamScope, TableChange, Target, TargetId, TargetState,
-    TargetTable, origin_holders,
+    OriginHosts, OriginTable, StreamOrigin, StreamScope, TableChange, Target, TargetId,
+    TargetState, TargetTable, VersionRecorder, VersionSet,
 };
 use kumquatkeel_types::Timestamp;
 use proptest::prelude::*;
@@ -48,19 +49,26 @@
 }
 
 #[rstest]
-#[case::known(Some("v1"), &["v1", "v2"], StreamScope::Version("v1".into()))]
-#[case::known_and_gone(Some("v1"), &["v2"], StreamScope::Version("v1".into()))]
-#[case::unknown_of_one(None, &["v1"], StreamScope::Any)]
-#[case::unknown_of_none(None, &[], StreamScope::Nowhere)]
-#[case::unknown_of_several(None, &["v1", "v2"], StreamScope::Nowhere)]
+#[case::known(Some("v1"), Some("v1,v2"), StreamScope::Version("v1".into()))]
+#[case::known_and_gone(Some("v1"), Some("v2"), StreamScope::Version("v1".into()))]
+#[case::known_alone(Some("v1"), None, StreamScope::Version("v1".into()))]
+#[case::unknown_of_one(None, Some("v1"), StreamScope::Version("v1".into()))]
+#[case::unknown_of_none(None, Some(""), StreamScope::Nowhere)]
+#[case::unknown_of_several(None, Some("v1,v2"), StreamScope::Nowhere)]
+#[case::unknown_of_unknown(None, None, StreamScope::Nowhere)]
 fn a_stream_goes_on_at_the_version_that_began_it(
     #[case] known: Option<&str>,
-    #[case] versions: &[&str],
+    #[case] versions: Option<&str>,
     #[case] expected: StreamScope,
 ) {
-    let versions: Vec<Arc<str>> = versions.iter().map(|v| Arc::from(*v)).collect();
+    let split = |v: &str| -> Vec<Arc<str>> {
+        let names = v.split(',').filter(|name| !name.is_empty());
+        names.map(Arc::from).collect()
+    };
+    let versions = versions.map(split);
     let known = known.map(origin);
-    assert_eq!(StreamScope::of_resumed(known.as_ref(), &versions), expected);
+    let scope = StreamScope::of_resumed(known.as_ref(), versions.as_deref());
+    assert_eq!(scope, expected);
 }
 
 #[test]
@@ -88,11 +96,74 @@
     assert_eq!(table.recent_versions("desk", now).len(), 0);
 }
 
+fn version_set(versions: &[&str]) -> VersionSet {
+    let mut set = VersionSet::default();
+    for version in versions {
+        set.insert("assist".into(), (*version).into());
+    }
+    set
+}
+
+/// Two processes keep the record, one of which has an older list.
+#[test]
+fn a_recorded_version_is_removed_while_it_may_have_begun_a_stream() {
+    let (listed, old_list) = (version_set(&["v2"]), version_set(&["v1"]));
+    let (mut recorder, mut late) = (VersionRecorder::default(), VersionRecorder::default());
+    let now = Timestamp::ZERO;
+    let both = version_set(&["v1", "v2"]);
+    let record = recorder.next_record(&listed, &old_list, now);
+    assert_eq!(record, both);
+    assert_eq!(late.next_record(&old_list, &record, now), both);
+    let later = now.after(Duration::from_secs(119));
+    assert_eq!(recorder.next_record(&listed, &record, later), both);
+    // Listed once more, the time begins anew.
+    assert_eq!(recorder.next_record(&both, &record, later), both);
+    let later = later.after(Duration::from_mins(1));
+    assert_eq!(recorder.next_record(&listed, &record, later), both);
+    let later = later.after(Duration::from_mins(2));
+    assert_eq!(recorder.next_record(&listed, &record, later), listed);
+}
+
 proptest! {
+    /// Hosts come and go one at a time, and each holder passes the origin on to the holders that are added.
+    #[test]
+    fn an_origin_is_lost_as_hosts_come_and_go(
+        attempt in "[0-9a-f]{16}",
+        changes in proptest::collection::vec((0_u8..16, any::<bool>()), 0..24),
+    ) {
+        let mut hosts: BTreeSet<IpAddr> = (0..4).map(host).collect();
+        let mut known = OriginHosts::new(hosts.iter().copied());
+        let mut keepers: BTreeSet<IpAddr> = known.holders(&attempt).into_iter().collect();
+        for (number, comes) in changes {
+            if comes {
+                hosts.insert(host(number));
+            } else if hosts.len() > 1 {
+                hosts.remove(&host(number));
+            }
+            let next = OriginHosts::new(hosts.iter().copied());
+            // An agent whose host has just been removed still passes on what it keeps.
+            keepers.extend(next.added_holders(&attempt, &known));
+            keepers.retain(|keeper| hosts.contains(keeper));
+            known = next;
+            for holder in known.holders(&attempt) {
+                prop_assert!(keepers.contains(&holder), "{holder} does not know the origin");
+            }
+        }
+    }
+
+    #[test]
+    fn the_choice_of_holders_depends_on_the_order_of_hosts(attempt in "[0-9a-f]{16}") {
+        let hosts = OriginHosts::new((0..12).map(host));
+        prop_assert_eq!(&OriginHosts::new((0..12).rev().chain(0..4).map(host)), &hosts);
+        let candidates = hosts.candidates(&attempt);
+        prop_assert_eq!(candidates.len(), 9);
+        prop_assert_eq!(&candidates[..3], &hosts.holders(&attempt)[..]);
+    }
+
     #[test]
     fn one_host_more_or_less_moves_one_copy_of_an_origin(attempt in "[0-9a-f]{16}", lost in 0u8..12) {
-        let all = origin_holders(&attempt, (0..12).map(host));
-        let left = origin_holders(&attempt, (0..12).filter(|n| *n != lost).map(host));
+        let all = OriginHosts::new((0..12).map(host)).holders(&attempt);
+        let left = OriginHosts::new((0..12).filter(|n| *n != lost).map(host)).holders(&attempt);
         prop_assert_eq!(all.len(), 3);
         let kept = all.iter().filter(|holder| left.contains(holder)).count();
         prop_assert!(kept >= 2);
--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -6,7 +6,7 @@
 
 use kumquatkeel_core::serving::{
     Acceptance, Backlog, EngineReport, EngineSpec, ListReader, ListRole, LoadCommand, OrderQueue,
-    OriginTable, Planner, Target, TargetId,
+    OriginHosts, OriginTable, Planner, Target, TargetId, VersionSet,
 };
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_types::Timestamp;
@@ -19,17 +19,17 @@
 use super::verdicts::sync_verdicts;
 use crate::config_relay::{ConfigFollower, ConfigHub, FollowerSettings, serve_followers};
 use crate::feed::{EVENT_CAPACITY, follow_list};
-use crate::gossip::{
-    AgentHeartbeat, BacklogQuery, BacklogReply, Datagram, GossipSocket, OriginQuery, OriginRecord,
-    Stamp,
-};
+use crate::gossip::{AgentHeartbeat, BacklogQuery, BacklogReply, Datagram, GossipSocket, Stamp};
 use crate::list_feed::ListFeed;
 use crate::locality::Locality;
 use crate::metrics::Instruments;
 use crate::objects::KnownObjects;
-use crate::platform::{EngineClient, ObjectFeed, OrderReply, PlatformError, VerdictStore};
+use crate::platform::{
+    EngineClient, ObjectFeed, OrderReply, PlatformError, VerdictStore, VersionStore,
+};
 use crate::signals::{ProcessSignal, Signals};
 use crate::start::{StartError, bind_internal, start_metrics};
+use crate::version_record::record_versions;
 
 /// Interval between two reads of the engine's state.
 const ENGINE_POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -83,12 +83,18 @@
     pub(super) peers: Peers,
     /// Origins of streams that entries have asked this agent to keep.
     pub(super) origins: OriginTable,
+    /// The hosts of the agents that keep origins, as this agent last knew them.
+    pub(super) origin_hosts: OriginHosts,
     /// What is known of targets that name a limit.
     pub(super) permits: PermitState,
     /// What is known of requests that crash targets.
     pub(super) quarantine: QuarantineState,
     /// Where verdicts are kept; `None` if they end with the processes.
     pub(super) verdict_store: Option<Arc<dyn VerdictStore>>,
+    /// Where the software versions of services are recorded; `None` if they are not.
+    pub(super) version_store: Option<Arc<dyn VersionStore>>,
+    /// The software versions that this agent records; `None` while others do.
+    pub(super) listed_versions: watch::Sender<Option<VersionSet>>,
     pub(super) orders: OrderQueue,
     pub(super) planner: Planner,
     pub(super) planning: bool,
@@ -141,9 +147,12 @@
             list_checked: Timestamp::ZERO,
             peers: Peers::default(),
             origins: OriginTable::default(),
+            origin_hosts: OriginHosts::default(),
             permits: PermitState::default(),
             quarantine: QuarantineState::default(),
             verdict_store: None,
+            version_store: None,
+            listed_versions: watch::Sender::new(None),
             orders: OrderQueue::default(),
             planner: Planner::default(),
             planning: false,
@@ -169,6 +178,13 @@
         self
     }
 
+    /// Records the software versions of services in a store, where entries that start find them.
+    #[must_use]
+    pub fn keep_versions(mut self, store: Arc<dyn VersionStore>) -> Self {
+        self.version_store = Some(store);
+        self
+    }
+
     /// Returns the bound address for datagrams.
     pub const fn gossip(&self) -> SocketAddr {
         self.settings.gossip
@@ -200,6 +216,10 @@
             let known = self.quarantine.known.subscribe();
             tokio::spawn(sync_verdicts(store, known, found));
         }
+        if let Some(store) = self.version_store.take() {
+            let listed = self.listed_versions.subscribe();
+            tokio::spawn(record_versions(store, listed, self.clock));
+        }
         let mut poll = interval(ENGINE_POLL_INTERVAL);
         poll.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut last = self.clock.now();
@@ -218,6 +238,7 @@
                     }
                     self.objects
                         .publish_agent_hosts(&self.settings.locality, &hosts);
+                    self.move_origins();
                 }
                 Some(verdicts) = stored_verdicts.recv() => self.merge_verdicts(verdicts),
                 signal = signals.next() => match signal {
@@ -318,15 +339,6 @@
         self.gossip.send(from, &Datagram::Count(reply));
     }
 
-    fn answer_origin_query(&mut self, from: SocketAddr, query: OriginQuery) {
-        let origin = self.origins.get(&query.attempt, self.clock.now());
-        if let Some(origin) = origin.cloned() {
-            let attempt = query.attempt;
-            let record = OriginRecord { attempt, origin };
-            self.gossip.send(from, &Datagram::Origin(record));
-        }
-    }
-
     /// Returns whether `id` names the current incarnation of the target beside this agent.
     fn is_target(&self, id: &TargetId) -> bool {
         self.target().is_some_and(|target| target.id == *id)
--- a/crates/serving/src/agent/list_relay.rs
+++ b/crates/serving/src/agent/list_relay.rs
@@ -1,9 +1,11 @@
-//! Reads the list of targets for the entries of the region, if this agent is one of its relays.
+//! Reads the list of targets for the entries of the region, if this agent is one of its relays, and records the
+//! software versions in it.
 
 use kumquatkeel_core::serving::{ListRole, list_notice_interval, list_relays};
 
 use super::daemon::Agent;
 use crate::gossip::Datagram;
+use crate::objects::publish;
 
 impl Agent {
     /// Checks from time to time whether this agent is a relay; a relay then states to the entries of its
@@ -22,6 +24,8 @@
         } else {
             ListRole::Planner
         });
+        let listed = is_relay.then(|| self.objects.listed_versions(now));
+        publish(&self.listed_versions, listed.flatten());
         if let Some(notice) = self.list.notice().filter(|_| is_relay) {
             let notice = Datagram::List(notice);
             for entry in self.peers.local_entries() {
--- a/crates/serving/src/agent/mod.rs
+++ b/crates/serving/src/agent/mod.rs
@@ -7,6 +7,7 @@
 mod daemon;
 mod leaving;
 mod list_relay;
+mod origins;
 mod peers;
 mod permits;
 mod planning;
--- a/crates/serving/src/entry/daemon.rs
+++ b/crates/serving/src/entry/daemon.rs
@@ -24,9 +24,10 @@
 use crate::gossip::{Datagram, EntryHeartbeat, MAX_DEMANDS};
 use crate::locality::Locality;
 use crate::net::{ServeOptions, serve_connection, serve_listener};
-use crate::platform::{Dialect, ObjectFeed};
+use crate::platform::{Dialect, ObjectFeed, VersionStore};
 use crate::signals::{ProcessSignal, Signals};
 use crate::start::{StartError, bind_gossip, start_metrics};
+use crate::version_record::record_versions;
 
 /// Interval between two checks of which heartbeats to the agents are due.
 const HEARTBEAT_POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -120,6 +121,14 @@
         self.frontend.local_addr()
     }
 
+    /// Finds the software versions that may have begun a stream in the record of a store, and keeps that record
+    /// where no agent does. Without it, streams of unknown origin are refused.
+    #[must_use]
+    pub fn keep_versions(self, store: Arc<dyn VersionStore>) -> Self {
+        self.shared.versions.set_store(store);
+        self
+    }
+
     /// Serves callers until a stop signal, then drains and returns.
     pub async fn run(self, feed: Arc<dyn ObjectFeed>, mut signals: Signals) {
         let Self { shared, frontend } = self;
@@ -141,6 +150,10 @@
         tokio::spawn(receive_datagrams(shared.clone()));
         tokio::spawn(heartbeat_loop(shared.clone()));
         tokio::spawn(sweep_loop(shared.clone()));
+        if let Some(store) = shared.versions.store() {
+            let listed = shared.listed_versions();
+            tokio::spawn(record_versions(store.clone(), listed, shared.clock));
+        }
         let acceptor = Acceptor::start(shared.clone(), frontend);
         while signals.next().await == ProcessSignal::Reload {
             log::info!("reload signal ignored; the entry has nothing to reload");
@@ -291,6 +304,7 @@
         for target in &ended_limits {
             shared.record_limit_change(target);
         }
+        shared.publish_versions();
         shared.probe_silent_agents();
         shared.update_stalled();
     }
--- a/crates/serving/src/entry/mod.rs
+++ b/crates/serving/src/entry/mod.rs
@@ -17,5 +17,6 @@
 mod response;
 mod selection;
 mod state;
+mod version_lookup;
 
 pub use daemon::{Entry, EntrySettings};
--- a/crates/serving/src/entry/origin.rs
+++ b/crates/serving/src/entry/origin.rs
@@ -11,8 +11,6 @@
 
 /// Longest wait for the answer to one query for an origin: a round trip to another region.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(120);
-/// Number of queries for an origin, as datagrams may be lost.
-const QUERIES: u32 = 2;
 
 impl Exchange {
     /// Limits a stream that its caller resumes to the version that began it, and to the service if
@@ -28,11 +26,11 @@
             Some(attempt) => self.find_origin(attempt).await,
             None => None,
         };
-        let now = self.shared.now();
-        let state = self.shared.lock();
-        let versions = state.objects.table.recent_versions(&self.service, now);
-        drop(state);
-        self.scope = StreamScope::of_resumed(origin.as_ref(), &versions);
+        let versions = match &origin {
+            Some(_) => None,
+            None => self.possible_versions().await,
+        };
+        self.scope = StreamScope::of_resumed(origin.as_ref(), versions.as_deref());
         log::info!(
             request:% = self.request.attempt, first_attempt = resumed.first_attempt.as_deref(),
             origin = origin.as_ref().map(|o| &*o.version), versions:serde = versions;
@@ -47,6 +45,19 @@
         }
     }
 
+    /// Returns all software versions that may have begun a stream of the service; `None` if they can't be found
+    /// out. This entry may have started too late to know them from the list of targets.
+    async fn possible_versions(&self) -> Option<Vec<Arc<str>>> {
+        let shared = &self.shared;
+        let recorded = shared.versions.versions(&self.service, self.arrival).await;
+        let mut versions = recorded?;
+        let now = shared.now();
+        versions.extend((shared.lock().objects.table).recent_versions(&self.service, now));
+        versions.sort_unstable();
+        versions.dedup();
+        Some(versions)
+    }
+
     /// Returns the origin of the stream that an attempt began; asks the agents that keep it if this
     /// entry does not know it.
     async fn find_origin(&self, attempt: &Arc<str>) -> Option<StreamOrigin> {
@@ -56,8 +67,9 @@
             shared.lock().origins.get(attempt, now).cloned()
         };
         let mut origins_version = shared.origins_version.subscribe();
-        let holders = shared.origin_holders(attempt);
-        for _ in 0..QUERIES {
+        let hosts = shared.origin_hosts();
+        // The second query also reaches agents that were holders before hosts came or went.
+        for asked in [hosts.holders(attempt), hosts.candidates(attempt)] {
             if let Some(origin) = known() {
                 return Some(origin);
             }
@@ -65,8 +77,8 @@
                 attempt: attempt.clone(),
             };
             let query = Datagram::FindOrigin(query);
-            for holder in &holders {
-                shared.gossip.send(*holder, &query);
+            for host in asked {
+                shared.gossip.send(shared.agent_at(host), &query);
             }
             let end = self.deadline.min(Instant::now() + QUERY_TIMEOUT);
             while let Ok(Ok(())) = timeout_at(end, origins_version.changed()).await {
@@ -98,10 +110,10 @@
         let now = self.shared.now();
         let (attempt, origin) = (record.attempt.clone(), record.origin.clone());
         self.shared.lock().origins.record(attempt, origin, now);
-        let holders = self.shared.origin_holders(&record.attempt);
+        let holders = self.shared.origin_hosts().holders(&record.attempt);
         let record = Datagram::Began(record);
-        for holder in holders {
-            self.shared.gossip.send(holder, &record);
+        for host in holders {
+            (self.shared.gossip).send(self.shared.agent_at(host), &record);
         }
     }
 }
--- a/crates/serving/src/entry/state.rs
+++ b/crates/serving/src/entry/state.rs
@@ -9,8 +9,8 @@
 use kumquatkeel_core::serving::{
     Acceptance, AdapterKey, Backlog, BandRates, Candidate, DemandMeter, DrainPlan, ENGINE_SILENCE,
     EngineReport, EngineSpec, EngineState, FailureMeter, Incarnation, LimitTable, ListReader,
-    ListRole, OriginTable, PermitHolder, PrefillEstimator, ResidentModel, RetryQuota, RouteTable,
-    ServingConfig, StreamScope, Target, TargetId, Urgency, origin_holders, statement_ttl,
+    ListRole, OriginHosts, OriginTable, PermitHolder, PrefillEstimator, ResidentModel, RetryQuota,
+    RouteTable, ServingConfig, StreamScope, Target, TargetId, Urgency, VersionSet, statement_ttl,
 };
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_types::Timestamp;
@@ -19,6 +19,7 @@
 
 use super::daemon::EntrySettings;
 use super::quarantine::QuarantineState;
+use super::version_lookup::VersionLookup;
 use crate::feed::FeedEvent;
 use crate::gossip::{
     AgentHeartbeat, BacklogQuery, BacklogReply, BacklogUpdate, Datagram, GossipSocket,
@@ -27,7 +28,7 @@
 use crate::list_feed::ListFeed;
 use crate::metrics::Instruments;
 use crate::net::{Pool, PoolLimits};
-use crate::objects::KnownObjects;
+use crate::objects::{KnownObjects, publish};
 use crate::platform::Dialect;
 
 /// Path cost within a data centre: the round trip.
@@ -38,6 +39,9 @@
 /// Path cost to another region: the round trip, and the price of the bytes expressed as time.
 const REMOTE_PATH_COST: Duration = Duration::from_millis(130);
 
+/// Time without a heartbeat of any agent after which this entry does what agents would do for all entries.
+const AGENT_SILENCE: Duration = Duration::from_secs(3);
+
 /// The configuration in force, with its routes indexed.
 #[derive(Debug)]
 pub(super) struct ActiveConfig {
@@ -66,6 +70,10 @@
     pub(super) gossip: GossipSocket,
     /// How the list of targets is read.
     pub(super) list: ListFeed,
+    /// The record of software versions.
+    pub(super) versions: VersionLookup,
+    /// The software versions that this entry records; `None` while agents do.
+    listed_versions: watch::Sender<Option<VersionSet>>,
     state: Mutex<State>,
 }
 
@@ -118,6 +126,8 @@
     /// What is known of requests that crash targets.
     pub(super) quarantine: QuarantineState,
     agents: HashMap<SocketAddr, AgentPeer>,
+    /// When the last heartbeat of any agent came, or this entry started.
+    agent_heard: Timestamp,
     /// When each agent was last sent a heartbeat.
     last_heartbeats: HashMap<SocketAddr, Timestamp>,
     /// The number of entries, as agents report it; at least 1.
@@ -142,6 +152,8 @@
             gossip,
             clock,
             list: ListFeed::new(reader, clock),
+            versions: VersionLookup::default(),
+            listed_versions: watch::Sender::new(None),
             draining: watch::Sender::new(None),
             state_version: watch::Sender::new(0),
             backlog_version: watch::Sender::new(0),
@@ -169,6 +181,7 @@
                 next_permit: 0,
                 quarantine: QuarantineState::default(),
                 agents: HashMap::new(),
+                agent_heard: clock.now(),
                 last_heartbeats: HashMap::new(),
                 entries: 1,
                 stamp: Stamp::start(),
@@ -283,6 +296,7 @@
     pub(super) fn handle_agent_heartbeat(&self, from: SocketAddr, heartbeat: AgentHeartbeat) {
         let now = self.now();
         let mut state = self.lock();
+        state.agent_heard = now;
         let known = state.agents.get(&from);
         if known.is_some_and(|a| !heartbeat.stamp.is_newer_than(a.stamp)) {
             return;
@@ -344,15 +358,29 @@
         self.origins_version.send_modify(|version| *version += 1);
     }
 
-    /// Returns the agents that keep the origin of the stream that an attempt began.
-    pub(super) fn origin_holders(&self, attempt: &str) -> Vec<SocketAddr> {
+    /// Returns the hosts of the agents that keep origins of streams.
+    pub(super) fn origin_hosts(&self) -> OriginHosts {
+        self.lock().objects.origin_hosts()
+    }
+
+    /// Returns the address of the agent on a host.
+    pub(super) fn agent_at(&self, host: IpAddr) -> SocketAddr {
+        SocketAddr::new(host, self.settings.gossip.port())
+    }
+
+    /// Publishes the software versions that are listed, if there is no agent to do so.
+    pub(super) fn publish_versions(&self) {
+        let now = self.now();
         let state = self.lock();
-        let engines = state.objects.table.all();
-        let engines = engines.filter(|t| state.engine_spec(&t.service).is_some());
-        let holders = origin_holders(attempt, engines.map(|t| t.address.ip()));
-        let port = self.settings.gossip.port();
-        let agents = holders.into_iter().map(|host| SocketAddr::new(host, port));
-        agents.collect()
+        let has_agents = now.since(state.agent_heard) < AGENT_SILENCE;
+        let listed = (!has_agents).then(|| state.objects.listed_versions(now));
+        drop(state);
+        publish(&self.listed_versions, listed.flatten());
+    }
+
+    /// Returns the software versions that this entry records, as they change.
+    pub(super) fn listed_versions(&self) -> watch::Receiver<Option<VersionSet>> {
+        self.listed_versions.subscribe()
     }
 
     /// Sends a target's agent the backlog that this entry has there.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod platform;
 pub mod signals;
 pub mod start;
+mod version_record;
--- a/crates/serving/src/objects.rs
+++ b/crates/serving/src/objects.rs
@@ -4,7 +4,9 @@
 use std::net::IpAddr;
 use std::sync::Arc;
 
-use kumquatkeel_core::serving::{ServingConfig, TableChange, Target, TargetTable};
+use kumquatkeel_core::serving::{
+    OriginHosts, ServingConfig, TableChange, Target, TargetTable, VersionSet,
+};
 use kumquatkeel_types::Timestamp;
 use tokio::sync::watch;
 
@@ -74,26 +76,38 @@
 
     /// Publishes the hosts of the agents in the process's region.
     pub fn publish_agent_hosts(&self, locality: &Locality, hosts: &watch::Sender<Vec<IpAddr>>) {
-        let found = self.agent_hosts(locality);
-        hosts.send_if_modified(|hosts| {
-            let changed = *hosts != found;
-            *hosts = found;
-            changed
-        });
+        publish(hosts, self.agent_hosts(locality));
     }
 
-    /// Returns the hosts of the agents in the process's region. Agents run beside engines; before
-    /// the first configuration names the services with engines, beside targets that hold models.
-    pub(crate) fn agent_hosts(&self, locality: &Locality) -> Vec<IpAddr> {
-        let is_engine = |target: &Target| match &self.config {
+    /// Returns the hosts of all agents, which keep the origins of streams.
+    pub fn origin_hosts(&self) -> OriginHosts {
+        let engines = self.table.all().filter(|t| self.is_engine(t));
+        OriginHosts::new(engines.map(|t| t.address.ip()))
+    }
+
+    /// Returns the software versions that targets of services with streams have, or had until recently; `None`
+    /// before the first configuration.
+    pub fn listed_versions(&self, now: Timestamp) -> Option<VersionSet> {
+        let services = self.config.as_ref()?.stream_services();
+        Some(self.table.version_set(services, now))
+    }
+
+    /// Returns whether a target is an engine, beside which an agent runs. Before the first configuration names
+    /// the services with engines, those that hold models are taken for engines.
+    fn is_engine(&self, target: &Target) -> bool {
+        match &self.config {
             Some(config) => config.engine(&target.service).is_some(),
             None => !target.models.is_empty(),
-        };
+        }
+    }
+
+    /// Returns the hosts of the agents in the process's region.
+    pub(crate) fn agent_hosts(&self, locality: &Locality) -> Vec<IpAddr> {
         let near = self
             .table
             .all()
             .filter(|t| !locality.is_remote(&t.data_centre));
-        let engines = near.filter(|t| is_engine(t));
+        let engines = near.filter(|t| self.is_engine(t));
         let mut hosts: Vec<IpAddr> = engines.map(|t| t.address.ip()).collect();
         hosts.sort_unstable();
         hosts.dedup();
@@ -154,3 +168,12 @@
         }
     }
 }
+
+/// Publishes a value if it has changed.
+pub(crate) fn publish<T: PartialEq>(sender: &watch::Sender<T>, value: T) {
+    sender.send_if_modified(|published| {
+        let changed = *published != value;
+        *published = value;
+        changed
+    });
+}
--- a/crates/serving/src/platform.rs
+++ b/crates/serving/src/platform.rs
@@ -11,6 +11,7 @@
 use kumquatkeel_core::quarantine::Verdict;
 use kumquatkeel_core::serving::{
     CallerRequest, EngineOrder, EngineReport, ServingConfig, Target, TargetId, TargetNotice,
+    VersionSet,
 };
 use kumquatkeel_core::store::StorePosition;
 
@@ -140,6 +141,38 @@
     async fn write_verdict(&self, verdict: &Verdict) -> Result<(), PlatformError>;
 }
 
+/// The record of software versions, as the platform's store holds it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VersionRecord {
+    /// The versions that targets have had lately.
+    pub versions: VersionSet,
+    /// The revision of the record's last change.
+    pub revision: u64,
+}
+
+/// The platform's store as the place where the software versions of services outlast all processes.
+#[async_trait]
+pub trait VersionStore: Send + Sync {
+    /// Reads the record with all acknowledged changes; `None` if none has been written yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the store can't be read or the record can't be decoded.
+    async fn read_versions(&self) -> Result<Option<VersionRecord>, PlatformError>;
+
+    /// Replaces the record if its revision is still `revision`, `None` standing for no record; returns
+    /// whether it was.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the record may not have been written.
+    async fn write_versions(
+        &self,
+        versions: &VersionSet,
+        revision: Option<u64>,
+    ) -> Result<bool, PlatformError>;
+}
+
 /// What the entry adds to a caller's request when it forwards it to a target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ForwardOptions {
--- a/crates/serving/tests/agent.rs
+++ b/crates/serving/tests/agent.rs
@@ -12,14 +12,14 @@
 use async_trait::async_trait;
 use kumquatkeel_core::serving::{
     Backlog, Band, ClientLimits, EngineOrder, EngineReport, EngineSpec, Incarnation, ModelDemand,
-    ModelSpec, RequestRate, ResidentModel, ServiceSpec, ServingConfig, StatedLimit, Target,
-    TargetId, TargetNotice, TargetState,
+    ModelSpec, RequestRate, ResidentModel, ServiceSpec, ServingConfig, StatedLimit, StreamOrigin,
+    Target, TargetId, TargetNotice, TargetState,
 };
 use kumquatkeel_core::store::StorePosition;
 use kumquatkeel_serving::agent::{Agent, AgentSettings};
 use kumquatkeel_serving::gossip::{
     AgentHeartbeat, BacklogQuery, BacklogUpdate, Datagram, EntryHeartbeat, GossipSocket,
-    LimitRecord, Stamp,
+    LimitRecord, OriginRecord, Stamp,
 };
 use kumquatkeel_serving::locality::Locality;
 use kumquatkeel_serving::platform::{
@@ -515,3 +515,34 @@
     let loads = engine.loads.lock().unwrap().clone();
     assert_eq!(names(&loads), ["rare"]);
 }
+
+/// Entries ask the agents that are holders by the present list, which may not be those that were told.
+#[tokio::test]
+async fn an_agent_that_becomes_a_holder_does_not_know_earlier_streams() {
+    let engine = Arc::new(Engine::default());
+    engine.restart(BORN);
+    let objects = Arc::new(Objects {
+        targets: Mutex::new(vec![listed("one", engine_address(), BORN, &[])]),
+    });
+    let agent = start_agent(&engine, &objects).await;
+    let entry = GossipSocket::bind(([127, 0, 0, 1], 0).into());
+    let entry = entry.await.unwrap();
+    sleep(Duration::from_millis(400)).await;
+    let added = SocketAddr::from(([127, 0, 0, 7], agent.port()));
+    let added = GossipSocket::bind(added).await.unwrap();
+    let record = OriginRecord {
+        attempt: "a1".into(),
+        origin: StreamOrigin {
+            service: SERVICE.into(),
+            version: "v1".into(),
+        },
+    };
+    entry.send(agent, &Datagram::Began(record.clone()));
+    sleep(Duration::from_millis(100)).await;
+    let neighbour = listed("two", ([127, 0, 0, 7], 9).into(), 1, &[]);
+    objects.targets.lock().unwrap().push(neighbour);
+    let told = async { while added.receive().await.1 != Datagram::Began(record.clone()) {} };
+    timeout(Duration::from_secs(5), told)
+        .await
+        .expect("the holder is told");
+}
