fix(serving): a late request in a planned stop is taken only if its deadline is before the exit

Bookings that came late were answered 502, or cut off without an answer where their body was slow.

Admission during a stop went by an estimate of the request's length, 25 ms a token or twice the objective, which a target's pace belies. The deadline for answers during a stop did not cover the body of a call.

A stream takes 6.15 s where the estimate was 3.6 s.

An invariant by construction: later than 2.5 s after the signal a request is passed on only if its own deadline, by which every exchange and relay ends, is before the time by which all answers are given; else it is refused as not run. Bodies of calls are read until that time.

--- a/crates/core/src/serving/drain.rs
+++ b/crates/core/src/serving/drain.rs
@@ -2,8 +2,9 @@
 //!
 //! Callers keep using open connections until the process exits, and the load balancer takes
 //! seconds to notice that the process is not ready. Until then every request is served. After that
-//! only requests that are expected to finish before the exit are admitted, since a refused caller
-//! can still go elsewhere.
+//! only requests whose deadline is before the exit are admitted, since a refused caller can still go
+//! elsewhere, and one that is cut off may not repeat its request. How long a target takes is not known
+//! before it has answered.
 
 use std::time::Duration;
 
@@ -64,9 +65,8 @@
         self.grace.saturating_sub(ANSWER_MARGIN)
     }
 
-    /// Returns whether a request that arrives at `elapsed` after the stop request and is expected
-    /// to take `expected` is admitted.
-    pub fn admits(self, elapsed: Duration, expected: Duration) -> bool {
-        elapsed < ADMIT_ALL || elapsed + expected + ANSWER_MARGIN + EXIT_MARGIN < self.grace
+    /// Returns whether a request is admitted at `elapsed` after the stop request whose deadline is `left` away.
+    pub fn admits(self, elapsed: Duration, left: Duration) -> bool {
+        elapsed < ADMIT_ALL || elapsed + left < self.answer_deadline()
     }
 }
--- a/crates/serving/src/entry/exchange.rs
+++ b/crates/serving/src/entry/exchange.rs
@@ -4,9 +4,11 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::header::HOST;
 use http::uri::PathAndQuery;
-use http::{HeaderValue, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Response, StatusCode};
+use hyper::body::Incoming;
 use kumquatkeel_core::quarantine::{RequestDigest, Suspect};
 use kumquatkeel_core::response::Framing;
 use kumquatkeel_core::serving::{
@@ -303,11 +305,14 @@
             Response::new(Relay::body(exchange, from_target))
         } else {
             let head = (from_target.framing, &from_target.headers);
-            let Some(body) = read_full_body(from_target.body, head, self.deadline).await else {
-                let reason = "response body broke off, was too large or late";
-                let failure = AttemptFailure::new(AttemptEnd::Lost, reason);
-                self.record_broken_run(&from_target.guard.target().clone());
-                return self.recover(&failure, None);
+            let body = match self.read_body(from_target.body, head).await {
+                Ok(body) => body,
+                Err(failure) => {
+                    if failure.broken {
+                        self.record_broken_run(&from_target.guard.target().clone());
+                    }
+                    return self.recover(&failure, None);
+                }
             };
             self.record_complete_run(from_target.guard.target(), from_target.framing);
             from_target.pooled.release();
@@ -330,6 +335,23 @@
         Some(response)
     }
 
+    /// Reads the body of a target's response, for as long as the caller can still get an answer.
+    async fn read_body(
+        &self,
+        body: Incoming,
+        head: (Framing, &HeaderMap),
+    ) -> Result<Bytes, AttemptFailure> {
+        tokio::select! {
+            body = read_full_body(body, head, self.deadline) => {
+                let reason = "response body broke off, was too large or late";
+                body.ok_or_else(|| AttemptFailure::broken(reason))
+            }
+            () = self.shared.wait_for_drain_deadline() => {
+                Err(AttemptFailure::new(AttemptEnd::Lost, "drain deadline reached"))
+            }
+        }
+    }
+
     /// Decides what follows a failed attempt; `None` means that another attempt follows.
     ///
     /// `passed` is the target's own failure, in the form that the caller would get it.
--- a/crates/serving/src/entry/selection.rs
+++ b/crates/serving/src/entry/selection.rs
@@ -51,8 +51,6 @@
 /// Divisor of the output tokens in the estimate of a request's KV memory, as callers state only an
 /// upper limit.
 const OUTPUT_DIVISOR: u64 = 2;
-/// Expected time per output token on a busy engine.
-const OUTPUT_TOKEN_TIME: Duration = Duration::from_millis(25);
 /// Share of the time left until the objective for which a request may wait for a permit where no other
 /// target can take it.
 const PERMIT_WAIT_SHARE: f64 = 0.5;
@@ -71,19 +69,13 @@
 }
 
 impl Exchange {
-    /// Returns whether the request is expected to end before a draining entry exits.
+    /// Returns whether the request ends, by its deadline at the latest, before a draining entry exits.
     pub(super) fn is_admitted_while_draining(&self) -> bool {
         let Some(since) = *self.shared.draining.borrow() else {
             return true;
         };
-        let expected = match self.route.kind {
-            CallKind::Stream => {
-                let output = self.request.usage.output.min(u64::from(u32::MAX)) as u32;
-                self.route.objective + OUTPUT_TOKEN_TIME * output
-            }
-            CallKind::Idempotent | CallKind::NonIdempotent => self.route.objective * 2,
-        };
-        DrainPlan::new(self.shared.settings.grace).admits(since.elapsed(), expected)
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        DrainPlan::new(self.shared.settings.grace).admits(since.elapsed(), left)
     }
 
     /// Waits for a state change until `until`, then for a random delay of up to
