fix(serving): a request that is sent to a target again gets a new connection

A request that its only target had refused was sent there again over the connection of the refusal. A late copy of the refusal names the same attempt and was taken for the second answer.

In the record each such booking was refused by the server before, and ran between that and the final 503; no answer names another attempt.

An invariant by construction: no connection carries two sends of one attempt. The log line "dispatch" states whether it is a resend.

--- a/crates/serving/src/entry/attempt.rs
+++ b/crates/serving/src/entry/attempt.rs
@@ -46,6 +46,9 @@
     pub(super) deadline: Instant,
     /// Whether the request must not run twice; pooled connections then have a stricter idle limit.
     pub(super) at_most_once: bool,
+    /// Whether the target has been sent the request before. A late copy of its earlier answer names the same
+    /// attempt, so that the connection must be one that has not carried it.
+    pub(super) resend: bool,
     /// The predicted time to the first byte.
     pub(super) predicted: Duration,
     /// How long the request may wait for a permit if the target names a limit.
@@ -154,7 +157,11 @@
         request
     };
     let sent = Instant::now();
-    let mut idle = pool.take(plan.at_most_once);
+    let mut idle = if plan.resend {
+        None
+    } else {
+        pool.take(plan.at_most_once)
+    };
     let (pooled, response) = loop {
         let mut pooled = if let Some(pooled) = idle.take() {
             pooled
--- a/crates/serving/src/entry/selection.rs
+++ b/crates/serving/src/entry/selection.rs
@@ -284,12 +284,13 @@
             left
         };
         let resume = self.request.resume.as_ref();
+        let resend = self.tried.contains(&target.id);
         log::info!(
             request:% = self.request.attempt, route:% = self.route.name, target_id:% = target.id,
             version:% = target.version, last_event = resume.map(|r| &*r.last_event),
             first_attempt = resume.and_then(|r| r.first_attempt.as_deref()),
             config = self.config_version, report_age_ms = age.map(millis),
-            predicted_ms = millis(predicted), band:serde, waited = self.waited,
+            predicted_ms = millis(predicted), band:serde, waited = self.waited, resend,
             left_ms = millis(left);
             "dispatch"
         );
@@ -309,6 +310,7 @@
             },
             deadline: now + wait,
             at_most_once: !repeatable,
+            resend,
             predicted,
             patience: Duration::ZERO,
             guard: InFlightGuard::new(shared, target.id.clone(), prefill, band, adapter),
