fix(serving): resumes within an answer have the bound of other resends

Callers lost retries: one stream that broke off while the other targets were full was sent there 36 times within its answer, until the service's retry budget was used up, and later streams were not resumed. Found by a test on the way.

The resume was bounded by the route's attempts, which count runs, and a rejection is no run.

The same decision as for all other resends, by construction: one send more than the route's attempts.

--- a/crates/serving/src/entry/exchange.rs
+++ b/crates/serving/src/entry/exchange.rs
@@ -225,10 +225,10 @@
         last_event: Option<u64>,
         reason: &str,
     ) -> Option<TargetResponse> {
+        let mut end = AttemptEnd::Lost;
         loop {
             let (now, entries) = (self.shared.now(), self.shared.lock().entries());
-            let left = self.route.attempts.saturating_sub(self.runs);
-            let allowed = left > 0 && self.may_run_again() && {
+            let allowed = self.resends_left(end) > 0 && {
                 let mut state = self.shared.lock();
                 state
                     .quota(&self.service, &self.shared.settings)
@@ -255,7 +255,7 @@
                 Ok(response) if response.success => return Some(response),
                 Ok(_) => return None,
                 Err(failure) if failure.end == AttemptEnd::Lost => return None,
-                Err(_) => {}
+                Err(failure) => end = failure.end,
             }
         }
     }
