fix(serving): only a response in the stream's form continues it, with ids

Success and stamp alone decided that a response continues a stream. A 204, an empty answer and a text did; lines without an id were passed on as events.

A continuation has the status and media type of the stream's head. An invariant by construction: each event that continues a stream has an id that grows; anything else ends the run before its bytes are passed on.

The check of an id that repeats in core's tests names the fault as a variant now and is as strict.

--- a/crates/core/tests/response.rs
+++ b/crates/core/tests/response.rs
@@ -2,7 +2,8 @@
 //! whether a body is whole.
 
 use kumquatkeel_core::response::{
-    EventIds, EventScanner, EventStreamCheck, Framing, MAX_EVENT_BYTES, Truncation, check_body,
+    EventIdFault, EventIds, EventScanner, EventStreamCheck, Framing, MAX_EVENT_BYTES, Truncation,
+    check_body,
 };
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -30,10 +31,46 @@
     let fault = ids
         .check(b"id: 3\ndata: a\n\nid: 1\ndata: b\n\n")
         .unwrap_err();
-    assert_eq!((fault.last, fault.id), (3, 1));
+    assert_eq!(fault, EventIdFault::Repeated { last: 3, id: 1 });
     assert_eq!(ids.last(), Some(2));
 }
 
+#[rstest]
+#[case::event("id: 3\ndata: a\n\n", true)]
+#[case::line_ends("id: 3\r\ndata: a\r\n\r\n", true)]
+#[case::returns("id: 3\rdata: a\r\r", true)]
+#[case::id_last("data: a\nid: 3\n\n", true)]
+#[case::field_before_the_id("x-weight-versions: 2\nid: 3\ndata: a\n\n", true)]
+#[case::comment(": kept alive\n\nid: 3\ndata: a\n\n", true)]
+#[case::no_event("", true)]
+#[case::error("event: error\ndata: failed\n\n", false)]
+#[case::second_event("id: 3\ndata: a\n\ndata: b\n\n", false)]
+#[case::first_event("data: a\n\nid: 3\ndata: b\n\n", false)]
+#[case::text("failed\n\n", false)]
+#[case::head(
+    "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n",
+    false
+)]
+#[case::id_in_words("id: three\ndata: a\n\n", false)]
+fn what_is_no_event_of_the_stream_does_not_continue_it(
+    #[case] text: &str,
+    #[case] continues: bool,
+) {
+    let mut ids = EventIds::after(Some(2));
+    assert!(
+        ids.check(text.as_bytes()).is_ok(),
+        "nothing is required of a first run"
+    );
+    let mut ids = EventIds::after(Some(2));
+    ids.require();
+    let checked = ids.check(text.as_bytes());
+    assert_eq!(checked.is_ok(), continues);
+    if !continues {
+        assert_eq!(checked, Err(EventIdFault::Missing));
+        assert_eq!(ids.last(), Some(2));
+    }
+}
+
 const EVENTS: &str = "text/event-stream; charset=utf-8";
 const JSON: &str = "application/json";
 
--- a/crates/serving/src/entry/attempt.rs
+++ b/crates/serving/src/entry/attempt.rs
@@ -74,6 +74,27 @@
     pub(super) success: bool,
 }
 
+/// What the head of a response says of a stream's form; the head of its first run holds for all of them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct StreamForm {
+    status: StatusCode,
+    /// The media type in lower case, without parameters; empty if not stated.
+    media_type: String,
+}
+
+impl TargetResponse {
+    /// Returns what the head says of the stream's form.
+    pub(super) fn stream_form(&self) -> StreamForm {
+        let content_type = self.headers.get(CONTENT_TYPE);
+        let content_type = content_type.and_then(|t| t.to_str().ok());
+        let media_type = content_type.unwrap_or_default().split(';').next();
+        StreamForm {
+            status: self.status,
+            media_type: media_type.unwrap_or_default().trim().to_ascii_lowercase(),
+        }
+    }
+}
+
 /// An attempt without a response to pass on.
 #[derive(Debug, Clone)]
 pub(super) struct AttemptFailure {
--- a/crates/serving/src/entry/exchange.rs
+++ b/crates/serving/src/entry/exchange.rs
@@ -19,7 +19,8 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::attempt::{
-    AttemptFailure, AttemptPlan, OutgoingRequest, TargetResponse, read_full_body, run_attempt,
+    AttemptFailure, AttemptPlan, OutgoingRequest, StreamForm, TargetResponse, read_full_body,
+    run_attempt,
 };
 use super::quarantine::RunEnd;
 use super::relay::Relay;
@@ -219,9 +220,11 @@
     }
 
     /// Resumes a stream at another target after the last event that the caller has; `None` if the
-    /// retry quota, the deadline or the targets don't allow it.
+    /// retry quota, the deadline or the targets don't allow it, or the target's response is no
+    /// continuation in the stream's `form`.
     pub(super) async fn resume(
         &mut self,
+        form: &StreamForm,
         last_event: Option<u64>,
         reason: &str,
     ) -> Option<TargetResponse> {
@@ -252,8 +255,17 @@
                 }
             };
             match result {
-                Ok(response) if response.success => return Some(response),
-                Ok(_) => return None,
+                Ok(response) if response.success && response.stream_form() == *form => {
+                    return Some(response);
+                }
+                Ok(response) => {
+                    log::info!(
+                        request:% = self.request.attempt, target_id:% = response.guard.target(),
+                        expected:? = form, found:? = response.stream_form();
+                        "the response does not continue the stream"
+                    );
+                    return None;
+                }
                 Err(failure) if failure.end == AttemptEnd::Lost => return None,
                 Err(failure) => end = failure.end,
             }
--- a/crates/serving/src/entry/relay.rs
+++ b/crates/serving/src/entry/relay.rs
@@ -11,7 +11,7 @@
 use kumquatkeel_core::response::{EventIds, EventStreamCheck, Framing};
 use tokio::time::{Instant, timeout_at};
 
-use super::attempt::TargetResponse;
+use super::attempt::{StreamForm, TargetResponse};
 use super::exchange::Exchange;
 use super::in_flight::InFlightGuard;
 use super::response::ResponseBody;
@@ -34,6 +34,8 @@
     exchange: Exchange,
     body: Incoming,
     check: EventStreamCheck,
+    /// The form that the caller was told in the head.
+    form: StreamForm,
     /// The software version of the current target.
     version: Arc<str>,
     pooled: Option<PooledConnection>,
@@ -56,6 +58,7 @@
         let last_event = resume.and_then(|resume| resume.last_event.parse().ok());
         let relay = Self {
             exchange,
+            form: response.stream_form(),
             body: response.body,
             check: EventStreamCheck::new(response.framing),
             version: response.version,
@@ -196,7 +199,8 @@
         }
         // Closing the old connection first makes its target stop the run.
         self.pooled = None;
-        let Some(response) = self.exchange.resume(self.ids.last(), reason).await else {
+        let last_event = self.ids.last();
+        let Some(response) = self.exchange.resume(&self.form, last_event, reason).await else {
             return false;
         };
         self.body = response.body;
@@ -208,6 +212,7 @@
         self.predicted = response.predicted;
         self.started = false;
         self.partial.clear();
+        self.ids.require();
         true
     }
 }
