fix(core): an urgent change of the list is not put off by later ones

Callers could have had requests sent to a target for longer than the bound after it had left, where targets leave in quick succession (DRAIN).

The reader of the list kept the last urgent change that a relay had stated and its time; the next one replaced both while the first was still unknown.

Each stated change keeps its own time until a consistent read; by construction a later one can't move it.

--- a/crates/core/src/serving/list_reader.rs
+++ b/crates/core/src/serving/list_reader.rs
@@ -27,6 +27,8 @@
 const BACKOFF: Duration = Duration::from_millis(3_200);
 /// Share of the time within which a change must be known for which a confirmation of a relay counts.
 const CONFIRMATION_SHARE: f64 = 0.5;
+/// Most urgent changes that are kept until they are known.
+const MAX_URGENT: usize = 64;
 /// Share of that time for which cheap calls may go on without an urgent change that a relay has stated.
 const URGENT_SHARE: f64 = 0.25;
 
@@ -89,16 +91,16 @@
 /// reader.record_notice(ListNotice { urgent: (0, 7), age_ms: 100 }, Timestamp::ZERO);
 /// assert!(!reader.next_call(known, Timestamp::ZERO).consistent);
 /// ```
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ListReader {
     role: ListRole,
     /// The time within which an urgent change must be known.
     bound: Duration,
-    /// When the store last confirmed `urgent` to a relay; `None` before the first notice.
+    /// When the store last confirmed the last urgent change to a relay; `None` before the first notice.
     confirmed: Option<Timestamp>,
-    urgent: StorePosition,
-    /// When `urgent` was first stated.
-    stated: Timestamp,
+    /// The urgent changes that relays have stated, in order, each with the time at which it was first stated.
+    /// The time of one does not depend on those after it, which may come before it is known.
+    urgent: Vec<(StorePosition, Timestamp)>,
 }
 
 impl ListReader {
@@ -108,11 +110,7 @@
             role,
             bound,
             confirmed: None,
-            urgent: StorePosition {
-                era: 0,
-                revision: 0,
-            },
-            stated: Timestamp::ZERO,
+            urgent: Vec::new(),
         }
     }
 
@@ -126,9 +124,12 @@
         let age = u64::from(notice.age_ms) * 1_000;
         let confirmed = Timestamp::from_micros(now.as_micros().saturating_sub(age));
         self.confirmed = self.confirmed.max(Some(confirmed));
-        if notice.urgent() > self.urgent {
-            self.urgent = notice.urgent();
-            self.stated = now;
+        let is_full = self.urgent.len() >= MAX_URGENT;
+        match self.urgent.last_mut() {
+            Some((last, _)) if notice.urgent() <= *last => {}
+            // It then counts as stated with the one before it, which is early enough.
+            Some((last, _)) if is_full => *last = notice.urgent(),
+            _ => self.urgent.push((notice.urgent(), now)),
         }
     }
 
@@ -137,9 +138,8 @@
     /// A later urgent change that was stated before does not exist, as in a notice of a faulty process; it
     /// would have the list read again and again.
     pub fn record_read(&mut self, known: StorePosition, sent: Timestamp) {
-        if self.stated <= sent {
-            self.urgent = self.urgent.min(known);
-        }
+        self.urgent
+            .retain(|(position, stated)| *position > known && *stated > sent);
     }
 
     /// Decides on the next call of a process that knows the list up to `known`.
@@ -191,6 +191,7 @@
     /// knows it.
     pub fn urgent_at(&self, known: StorePosition) -> Option<Timestamp> {
         let grace = self.bound.mul_f64(URGENT_SHARE);
-        (known < self.urgent).then(|| self.stated.after(grace))
+        let unknown = self.urgent.iter().find(|(position, _)| known < *position);
+        unknown.map(|(_, stated)| stated.after(grace))
     }
 }
--- a/crates/core/tests/serving_list_reader.rs
+++ b/crates/core/tests/serving_list_reader.rs
@@ -178,6 +178,45 @@
     }
 }
 
+/// Targets leave in quick succession, so that each urgent change is stated before the one before it is known.
+#[test]
+fn an_urgent_change_is_put_off_by_later_ones() {
+    let lost = [1, 5, 11];
+    let load = Load {
+        urgent: vec![2_501, 3_251, 3_301, 3_991, 4_281, 5_001],
+        change_ms: 1_321,
+        lag_ms: 3_000,
+        relay_ends: 5_001,
+        lost: (0..14).map(|notice| lost.contains(&notice)).collect(),
+        false_notice: None,
+    };
+    let deployment = Duration::from_secs(3);
+    let (_, late) = load.play(deployment.mul_f64(BOUND_SHARE));
+    for late in late {
+        assert!(late < millis(deployment), "known after {late} ms");
+    }
+}
+
+/// Without a reader that knows them, the changes that are stated are not kept without bound, and the first counts.
+#[test]
+fn stated_changes_accumulate() {
+    let bound = Duration::from_secs(2);
+    let mut reader = ListReader::new(ListRole::User, bound);
+    for revision in 10..10_000 {
+        let notice = ListNotice {
+            urgent: (0, revision),
+            age_ms: 0,
+        };
+        reader.record_notice(notice, at(revision));
+    }
+    let due = |known| reader.urgent_at(position(known));
+    let grace = bound / 4;
+    assert_eq!(due(9), Some(at(10).after(grace)));
+    assert!(due(5_000).is_some_and(|at_5000| at_5000 <= at(5_001).after(grace)));
+    assert_eq!(due(9_999), None);
+    assert!(std::mem::size_of_val(&reader) < 4_096);
+}
+
 proptest! {
     /// However old cheap answers are, and whatever becomes of relays and notices.
     #[test]
@@ -235,7 +274,7 @@
     let mut reader = ListReader::new(ListRole::User, Duration::from_secs(2));
     let notice = |urgent, age_ms| ListNotice { urgent, age_ms };
     reader.record_notice(notice((1, 9), 0), at(1_000));
-    let after = reader;
+    let after = reader.clone();
     reader.record_notice(notice((0, 70), 5_000), at(1_100));
     reader.record_notice(notice((1, 8), 400), at(1_200));
     assert_eq!(reader, after);
