--- a/crates/core/src/serving/list_reader.rs
+++ b/crates/core/src/serving/list_reader.rs
@@ -25,10 +25,10 @@
 const RELAY_BACKOFF: Duration = Duration::from_millis(800);
 /// The same for all other processes, of which there are many.
 const BACKOFF: Duration = Duration::from_millis(3_200);
-/// Share of the time within which a change must be known for which a confirmation of a relay counts.
-const CONFIRMATION_SHARE: f64 = 0.5;
 /// Most urgent changes that are kept until they are known.
 const MAX_URGENT: usize = 64;
+/// Share of the time within which a change must be known for which a confirmation of a relay counts.
+const CONFIRMATION_SHARE: f64 = 0.5;
 /// Share of that time for which cheap calls may go on without an urgent change that a relay has stated.
 const URGENT_SHARE: f64 = 0.25;
 
--- a/crates/core/src/serving/version_set.rs
+++ b/crates/core/src/serving/version_set.rs
@@ -11,8 +11,8 @@
 use kumquatkeel_types::Timestamp;
 use serde::{Deserialize, Serialize};
 
-/// How long a version stays in the record after it was last listed, which is longer than any caller waits
-/// for its stream.
+/// How long a version stays in the record after a keeper of the record last knew a target of it, which is
+/// longer than any caller waits for its stream.
 const RECORD_TTL: Duration = Duration::from_mins(2);
 
 /// The software versions of each service.
@@ -46,8 +46,8 @@
 
 /// Decides what the record of versions in the store should hold.
 ///
-/// Several processes keep the same record. A version is added by the first that sees it, and removed only by
-/// one that has seen it unlisted for two minutes.
+/// Several processes keep the same record. The first that knows a target of a version adds it, and only one
+/// that has known none for two minutes removes it.
 ///
 /// # Examples
 ///
