review: case 10, entries of another writer take sound servers out of use

Cause: an entry with fields missing counts as a server, and the latest start at an address hides the others. Change: a script that shows it; no code is changed. Case 9 says what a rolling restart of the agents alone does.

--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -523,9 +523,9 @@
         self.nodes.push(node);
     }
 
-    /// Sends SIGKILL to all of the project's processes at once.
-    pub fn kill_nodes(&mut self, role: Option<&str>) {
-        let chosen = self.nodes.iter_mut().filter(|n| role.is_none_or(|r| n.role == r));
+    /// Sends SIGKILL to all of the project's processes at once, or to the one with this name.
+    pub fn kill_nodes(&mut self, name: Option<&str>) {
+        let chosen = self.nodes.iter_mut().filter(|n| name.is_none_or(|name| n.name == name));
         let mut killed = Vec::new();
         for node in chosen {
             if let Some(mut child) = node.child.take() {
@@ -603,9 +603,9 @@
         self.servers.retain(|s| s.id != id);
         self.servers.push(Server { id: id.to_owned(), child });
         self.record.line(format!("server {id} ({version}): started"));
-        // It listens before it registers.
+        // It listens before it registers. A request may have crashed it already.
         let end = Instant::now() + Duration::from_secs(3);
-        while TcpStream::connect((self.ip(host).as_str(), SERVER_PORT)).is_err() {
+        while TcpStream::connect((self.ip(host).as_str(), SERVER_PORT)).is_err() && !self.has_ended(id) {
             if Instant::now() > end {
                 cannot_run("a server did not start");
             }
--- a/review/stand-ins-2/lost_origins.rs
+++ b/review/stand-ins-2/lost_origins.rs
@@ -19,6 +19,8 @@
     ("i-b2", 14, "v2"),
 ];
 const STREAMS: usize = 24;
+/// The entry that is killed in the comparison with a rolling restart of the agents.
+const KILLED: u8 = 2;
 
 fn main() {
     let case = common::case_folder();
@@ -51,9 +53,20 @@
             .collect();
         threads
     };
-    let first = begin("aa", STREAMS, &clients);
+    // With ROLL_AGENTS=1 the agents are stopped and started in turn instead, and then one entry is killed.
+    let rolls = std::env::var("ROLL_AGENTS").as_deref() == Ok("1");
+    let count = if rolls { 2 * STREAMS } else { STREAMS };
+    let first = begin("aa", count, &clients);
     pause(1_500);
-    if has_trouble() {
+    if rolls {
+        for (_, host, _) in ENGINES {
+            site.roll_node(&format!("agent-{host}"));
+            pause(1_000);
+        }
+        site.kill_nodes(Some(&format!("entry-{KILLED}")));
+        pause(500);
+        site.restart_nodes();
+    } else if has_trouble() {
         site.kill_nodes(None);
         pause(1_000);
         site.restart_nodes();
@@ -62,8 +75,12 @@
         *clients.break_at.lock().unwrap() = Some(unix_ms());
         pause(1_000);
     }
-    let in_touch = unix_ms() + CONTACT_MS;
-    pause(CONTACT_MS + 300);
+    // Only the entry that was killed, which the clients' next attempts don't reach, is out of touch then.
+    let in_touch = if rolls { 0 } else { unix_ms() + CONTACT_MS };
+    if rolls {
+        clients.leave_out(&format!("{}:8149", site.ip(KILLED)));
+    }
+    pause(if rolls { 500 } else { CONTACT_MS + 300 });
     record.line("the machines are in touch again");
     let new = begin("bb", STREAMS, &clients);
     let join = |threads: Vec<thread::JoinHandle<Stream>>| -> Vec<Stream> {
--- a/review/stand-ins-2/streams.rs
+++ b/review/stand-ins-2/streams.rs
@@ -76,6 +76,7 @@
 pub struct Clients {
     pub record: Record,
     entries: Vec<String>,
+    left_out: Arc<Mutex<Option<String>>>,
     next: Arc<AtomicUsize>,
     /// Clients that see this time break their channel off, in Unix milliseconds.
     pub break_at: Arc<Mutex<Option<u64>>>,
@@ -88,6 +89,7 @@
         Self {
             record: site.record.clone(),
             entries: hosts.iter().map(|h| format!("{}:{FRONTEND_PORT}", site.ip(*h))).collect(),
+            left_out: Arc::default(),
             next: Arc::default(),
             break_at: Arc::default(),
             rest_ms: 0,
@@ -96,8 +98,19 @@
 
     /// Returns the next entry; retries reach other entries.
     pub fn entry(&self) -> String {
-        let next = self.next.fetch_add(1, Ordering::Relaxed);
-        self.entries[next % self.entries.len()].clone()
+        let left_out = self.left_out.lock().unwrap().clone();
+        loop {
+            let next = self.next.fetch_add(1, Ordering::Relaxed);
+            let entry = &self.entries[next % self.entries.len()];
+            if left_out.as_ref() != Some(entry) {
+                return entry.clone();
+            }
+        }
+    }
+
+    /// Sends nothing to this entry any more, as the platform does with one that isn't ready.
+    pub fn leave_out(&self, entry: &str) {
+        *self.left_out.lock().unwrap() = Some(entry.to_owned());
     }
 
     /// Sends a stream, and takes it up again until it is whole or the client's time has passed.
