--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -560,18 +560,6 @@
         record.line(format!("{name}: started again"));
     }
 
-    /// Returns the process ids of the project's processes with this role.
-    pub fn node_pids(&self, role: &str) -> Vec<(String, u32)> {
-        let nodes = self.nodes.iter().filter(|n| n.role == role);
-        nodes.filter_map(|n| Some((n.name.clone(), n.child.as_ref()?.id()))).collect()
-    }
-
-    /// Returns how many of the project's processes have ended by themselves.
-    pub fn ended_nodes(&mut self) -> usize {
-        let children = self.nodes.iter_mut().filter_map(|n| n.child.as_mut());
-        children.filter_map(|c| c.try_wait().ok().flatten()).count()
-    }
-
     /// Waits until an entry is ready and serves a request.
     pub fn wait_ready(&self, hosts: &[u8]) {
         let end = Instant::now() + Duration::from_secs(20);
@@ -815,7 +803,7 @@
 /// A part of a prompt on which servers crash.
 pub const CRASHING_PART: &str = "dead0001";
 
-/// The arguments of a server's process after its name, address, version, start and record.
+/// What a server does, by the arguments of its process.
 #[derive(Debug, Clone)]
 pub struct ServerOptions {
     /// The time that a plain request takes.
@@ -834,22 +822,25 @@
 /// The time of a load from the weight store.
 const STORE_LOAD: Duration = Duration::from_millis(5_800);
 
+/// What an engine holds and does.
 #[derive(Default)]
 struct Engine {
     models: Vec<String>,
+    /// The number of orders accepted.
     seq: u64,
+    /// The order under way: its end, whether it loads, and the model.
     order: Option<(Instant, bool, String)>,
 }
 
 impl Engine {
+    /// Ends the order under way if it is due.
     fn advance(&mut self) {
-        if let Some((at, load, model)) = self.order.clone().filter(|(at, ..)| Instant::now() >= *at) {
-            let _ = at;
+        let due = self.order.take_if(|(at, ..)| Instant::now() >= *at);
+        if let Some((_, load, model)) = due {
             self.models.retain(|m| *m != model);
             if load {
                 self.models.push(model);
             }
-            self.order = None;
         }
     }
 }
--- a/review/stand-ins-2/streams.rs
+++ b/review/stand-ins-2/streams.rs
@@ -14,13 +14,18 @@
 
 /// The configuration: one service of engines with these models, one plain service.
 pub fn config(version: u64, models: &[&str]) -> String {
+    config_with(version, models, BUDGET_MS)
+}
+
+/// The same with this `deadline_ms` of the route of streams.
+pub fn config_with(version: u64, models: &[&str], deadline_ms: u64) -> String {
     let model = |name: &&str| {
         format!("{{\"name\":\"{name}\",\"weights_mb\":65100.0,\"load_s\":5.8,\"adapters\":0,\"adapter_size_mb\":12.0,\"warm_s\":0.57,\"disk_s\":0.6}}")
     };
     let models: Vec<String> = models.iter().map(model).collect();
     format!(
         "{{\"version\":{version},\"routes\":[\
-        {{\"name\":\"r-stream\",\"hostname\":\"ficu95.example\",\"path_prefix\":\"/stream/\",\"route_kind\":\"streaming\",\"deadline_ms\":12000,\"goal_ms\":5000,\"priority\":1,\"service\":\"assist\",\"attempts\":2,\"affinity\":true,\"resumable\":true,\"gap_goal_ms\":200}},\
+        {{\"name\":\"r-stream\",\"hostname\":\"ficu95.example\",\"path_prefix\":\"/stream/\",\"route_kind\":\"streaming\",\"deadline_ms\":{deadline_ms},\"goal_ms\":5000,\"priority\":1,\"service\":\"assist\",\"attempts\":2,\"affinity\":true,\"resumable\":true,\"gap_goal_ms\":200}},\
         {{\"name\":\"r-book\",\"hostname\":\"ficu95.example\",\"path_prefix\":\"/book/\",\"route_kind\":\"non_idempotent\",\"deadline_ms\":2000,\"goal_ms\":400,\"priority\":2,\"service\":\"desk\",\"attempts\":1}},\
         {{\"name\":\"r-browse\",\"hostname\":\"ficu95.example\",\"path_prefix\":\"/browse/\",\"route_kind\":\"idempotent\",\"deadline_ms\":2000,\"goal_ms\":400,\"priority\":2,\"service\":\"desk\",\"attempts\":2}}],\
         \"services\":[{{\"name\":\"assist\",\"health_path\":\"/healthz\",\"max_conns\":370,\"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":64,\"kv_capacity\":166342,\"kv_token_bytes\":327680,\"link_mbps\":370000.0,\"host_mb\":140000.0,\"disk_mb\":410000.0,\"models\":[{}],\"weights_mb\":200000.0,\"adapter_slots\":8,\"loads_per_s\":1.1}}}},\
