review: case 10, streams older than a minute can't go on after a kill

Cause: the origin of a stream is dropped a minute after its first event, also while the stream runs.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,8 +3,8 @@
 # disruption.
 case=$(cd "$(dirname "$0")" && pwd)
 cd "$case/../.." || exit 2
-[ -x target/deploy/kumquatkeel-node ] && [ -x target/review-2/odd_entries ] || {
+[ -x target/deploy/kumquatkeel-node ] && [ -x target/review-2/long_streams ] || {
     echo "build the deploy file and run review/build-2.sh first"
     exit 2
 }
-exec target/review-2/odd_entries "$case"
+exec target/review-2/long_streams "$case"
