--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -75,9 +75,14 @@
     STARTED.lock().unwrap_or_else(|e| e.into_inner()).retain(|id| *id != child.id());
 }
 
+/// Sends a signal to a process by its id; the shell, which runs the script anyway, has it built in.
+fn signal(name: &str, id: u32) {
+    let _ = Command::new("bash").args(["-c", &format!("kill -{name} {id}")]).status();
+}
+
 fn end_started() {
     for id in STARTED.lock().unwrap_or_else(|e| e.into_inner()).drain(..) {
-        let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+        signal("KILL", id);
     }
 }
 
@@ -553,7 +558,7 @@
         };
         if let Some(mut child) = node.child.take() {
             record.line(format!("{name}: SIGTERM"));
-            let _ = Command::new("kill").args(["-TERM", &child.id().to_string()]).status();
+            signal("TERM", child.id());
             reap(&mut child);
         }
         node.launch(&repository, &folder);
