fix(quarantine): sound parts convicted with the culprit are released by trials

Cause: the part that all prompts share was at the same three crashes as the culprit, and no request with it had completed since the entries' start, so both were convicted; the quarantine then kept out every request that could have refuted it.

Evidence: `quarantine verdict` names both parts in the same millisecond, 0.2 s after the third crash; all later refusals are `quarantined` and name the first part alone; no entry objected.

Change: a request with some of the quarantined parts and not all is sent as a trial. When it completes, its parts are released by a verdict that all processes take over, and no single crash convicts them again. Each verdict has three trials over all processes, claimed by conditional writes to its object in the store before the request is sent; one that was not sent serves for the next request. By construction a verdict on several parts holds only while no request that tells them apart completes, whatever was known before it, and it costs three crashes at most.

--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -6,14 +6,16 @@
 //! at each, and has never completed. [`QuarantineTable`] holds the resulting verdicts, which all processes
 //! exchange until each knows the newest.
 
+mod check;
 mod evidence;
 mod request_digest;
 mod suspect;
 mod table;
 mod verdict;
 
+pub use check::{QuarantineCheck, Trial, TrialClaim};
 pub use evidence::{CONVICTING_CRASHES, CrashEvidence, OBJECTION_TIME};
 pub use request_digest::RequestDigest;
 pub use suspect::Suspect;
 pub use table::{QUARANTINE_TTL, QuarantineTable};
-pub use verdict::Verdict;
+pub use verdict::{Ruling, Verdict};
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use kumquatkeel_core::quarantine::{
-    CONVICTING_CRASHES, CrashEvidence, OBJECTION_TIME, QUARANTINE_TTL, QuarantineTable,
-    RequestDigest, Suspect, Verdict,
+    CONVICTING_CRASHES, CrashEvidence, OBJECTION_TIME, QUARANTINE_TTL, QuarantineCheck,
+    QuarantineTable, RequestDigest, Ruling, Suspect, Trial, TrialClaim, Verdict,
 };
 use kumquatkeel_types::Timestamp;
 use proptest::prelude::*;
@@ -207,13 +207,13 @@
     let mut table = QuarantineTable::default();
     table.convict(part("bad"), at(0));
     let end = Timestamp::ZERO.after(QUARANTINE_TTL);
-    assert!(table.find(&[part("bad")], at(1)).is_some());
+    assert_ne!(table.check(&[part("bad")], at(1)), QuarantineCheck::Clear);
     assert_eq!(table.expire(end).len(), 1);
-    assert!(table.find(&[part("bad")], end).is_none());
+    assert_eq!(table.check(&[part("bad")], end), QuarantineCheck::Clear);
     let mut evidence = CrashEvidence::default();
     evidence.record_crash("t", [part("bad"), part("shared")], end);
     let later = end.after(Duration::from_secs(1));
-    let blamed = evidence.culprits(|part| table.was_convicted(part), later);
+    let blamed = evidence.culprits(|part| table.is_on_probation(part), later);
     assert_eq!(blamed, [part("bad")]);
 }
 
@@ -230,11 +230,117 @@
     }
     for index in 0..10 {
         let name = part(&format!("bad{index}"));
-        assert!(table.find(&[name], at(3_000)).is_some(), "bad{index}");
+        let check = table.check(&[name], at(3_000));
+        assert_ne!(check, QuarantineCheck::Clear, "bad{index}");
     }
 }
 
+/// The trials that a request with these suspects needs; empty if it needs none or is rejected.
+fn trials(table: &QuarantineTable, suspects: &[Suspect], now: u64) -> Vec<Trial> {
+    match table.check(suspects, at(now)) {
+        QuarantineCheck::Trial(trials) => trials,
+        QuarantineCheck::Clear | QuarantineCheck::Rejected(_) => Vec::new(),
+    }
+}
+
+/// Sound parts that were convicted with the culprit would reject their requests for the whole quarantine.
+#[test]
+fn a_request_without_one_of_the_quarantined_parts_is_sent_as_a_trial() {
+    let mut table = QuarantineTable::default();
+    for name in ["shared", "bad"] {
+        table.convict(part(name), at(0));
+    }
+    let (sound, bad) = ([part("shared"), part("own")], [part("shared"), part("bad")]);
+    assert!(trials(&table, &bad, 1).is_empty());
+    let claimed = trials(&table, &sound, 1);
+    assert_eq!(claimed.len(), 1);
+    table.begin_claim(&claimed[0], at(1));
+    assert!(trials(&table, &sound, 2).is_empty(), "one claim at a time");
+    table.end_claim(&claimed[0], TrialClaim::Granted, at(3));
+    assert!(table.are_granted(&sound, &claimed));
+    assert!(!table.are_granted(&bad, &claimed));
+    table.release(part("shared"), at(2_000));
+    assert_eq!(table.check(&sound, at(2_000)), QuarantineCheck::Clear);
+    assert_ne!(table.check(&bad, at(2_000)), QuarantineCheck::Clear);
+    assert!(!table.is_on_probation(&part("shared")));
+    assert!(table.is_on_probation(&part("bad")));
+}
+
+/// A culprit's trials crash targets.
+#[test]
+fn a_verdict_has_three_trials_at_most() {
+    let mut table = QuarantineTable::default();
+    for name in ["shared", "bad"] {
+        table.convict(part(name), at(0));
+    }
+    let mut granted = 0;
+    for now in (0..QUARANTINE_TTL.as_millis() as u64).step_by(100) {
+        for trial in trials(&table, &[part("bad")], now) {
+            table.end_claim(&trial, TrialClaim::Granted, at(now));
+            granted += 1;
+        }
+    }
+    assert_eq!(granted, 3);
+}
+
+/// A target that can't be reached must not use up the trials.
+#[test]
+fn a_trial_that_was_not_made_is_kept_for_another_request() {
+    let mut table = QuarantineTable::default();
+    for name in ["shared", "bad"] {
+        table.convict(part(name), at(0));
+    }
+    let sound = [part("shared")];
+    let claimed = trials(&table, &sound, 0);
+    table.end_claim(&claimed[0], TrialClaim::Granted, at(0));
+    assert!(trials(&table, &sound, 1).is_empty());
+    table.return_unused(&claimed[0]);
+    let again = trials(&table, &sound, 2);
+    assert!(table.take_unused(&again[0]));
+    assert!(!table.take_unused(&again[0]));
+    assert!(trials(&table, &sound, 3).is_empty());
+}
+
+#[rstest]
+#[case::the_only_verdict(&["bad"], &[part("bad")])]
+#[case::of_a_request(&["bad", "shared"], &[request("r"), part("shared")])]
+fn a_request_that_tells_nothing_apart_is_no_trial(
+    #[case] convicted: &[&str],
+    #[case] suspects: &[Suspect],
+) {
+    let mut table = QuarantineTable::default();
+    table.convict(request("r"), at(0));
+    for name in convicted {
+        table.convict(part(name), at(0));
+    }
+    let check = table.check(suspects, at(1));
+    assert!(matches!(check, QuarantineCheck::Rejected(_)), "{check:?}");
+}
+
+#[test]
+fn a_claim_that_another_process_won_is_not_made_again() {
+    let mut table = QuarantineTable::default();
+    for name in ["shared", "bad"] {
+        table.convict(part(name), at(0));
+    }
+    let claimed = trials(&table, &[part("shared")], 0);
+    table.end_claim(&claimed[0], TrialClaim::Used(1), at(1));
+    assert!(!table.are_granted(&[part("shared")], &[]));
+    assert!(trials(&table, &[part("shared")], 14_000).is_empty());
+    assert_eq!(trials(&table, &[part("shared")], 15_000)[0].number, 1);
+}
+
 proptest! {
+    #[test]
+    fn a_revised_verdict_has_the_next_epoch_of_its_ruling(epoch in 0..1_000_u32) {
+        for ruling in [Ruling::Quarantined, Ruling::Expired, Ruling::Sound] {
+            let verdict = Verdict { suspect: part("p"), epoch };
+            let revised = verdict.revise(ruling);
+            prop_assert_eq!(revised.ruling(), ruling);
+            prop_assert!(revised.epoch > epoch && revised.epoch <= epoch + 4);
+        }
+    }
+
     /// Two processes that hold on to different verdicts would send what the other rejects.
     #[test]
     fn tables_that_exchange_all_verdicts_agree(
@@ -325,9 +431,22 @@
         ]
     }
 
+    /// Returns whether a request is rejected; a trial that it needs is granted.
+    fn is_rejected(&mut self, suspects: &[Suspect], now: u64) -> bool {
+        let trials = match self.table.check(suspects, at(now)) {
+            QuarantineCheck::Clear => return false,
+            QuarantineCheck::Rejected(_) => return true,
+            QuarantineCheck::Trial(trials) => trials,
+        };
+        for trial in &trials {
+            self.table.end_claim(trial, TrialClaim::Granted, at(now));
+        }
+        false
+    }
+
     /// Sends a request to a random target, unless it is rejected.
     fn send(&mut self, run: Run, now: u64) {
-        let rejected = self.table.find(&run.suspects, at(now)).is_some();
+        let rejected = self.is_rejected(&run.suspects, now);
         let bad = run.bad;
         if !bad && !run.resent {
             *self.sound_rejected.entry(rejected).or_default() += 1;
@@ -381,6 +500,9 @@
             for run in running {
                 if self.rng.random_bool(0.2) {
                     let entry = self.rng.random_range(0..self.entries.len());
+                    for suspect in &run.suspects {
+                        self.table.release(suspect.clone(), at(now));
+                    }
                     // Entries remember of suspected requests alone that they have completed.
                     let known = (run.suspects.into_iter())
                         .filter(|s| !s.is_request() || suspects.contains(s));
@@ -398,7 +520,7 @@
             }
         }
         let table = &self.table;
-        let culprits = self.agent.culprits(|p| table.was_convicted(p), at(now));
+        let culprits = self.agent.culprits(|p| table.is_on_probation(p), at(now));
         for culprit in culprits {
             self.table.convict(culprit, at(now));
         }
--- a/crates/serving/src/agent/quarantine.rs
+++ b/crates/serving/src/agent/quarantine.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use kumquatkeel_core::quarantine::{CrashEvidence, QuarantineTable, Suspect, Verdict};
+use kumquatkeel_core::quarantine::{CrashEvidence, QuarantineTable, Ruling, Suspect, Verdict};
 use kumquatkeel_types::Timestamp;
 use tokio::sync::watch;
 
@@ -82,7 +82,12 @@
     /// Takes over verdicts that others have reached.
     pub(super) fn merge_verdicts(&mut self, verdicts: Vec<Verdict>) {
         let now = self.clock.now();
-        let newer = self.quarantine.verdicts.merge(verdicts, now);
+        let state = &mut self.quarantine;
+        let newer = state.verdicts.merge(verdicts, now);
+        // The crashes that this agent knows would convict the suspect again.
+        let sound = newer.iter().filter(|v| v.ruling() == Ruling::Sound);
+        let sound = sound.map(|verdict| verdict.suspect.clone());
+        state.evidence.record_sound(sound, now);
         self.announce(&newer);
     }
 
@@ -94,7 +99,7 @@
             evidence, verdicts, ..
         } = &mut self.quarantine;
         let culprits = if judges {
-            evidence.culprits(|suspect| verdicts.was_convicted(suspect), now)
+            evidence.culprits(|suspect| verdicts.is_on_probation(suspect), now)
         } else {
             Vec::new()
         };
--- a/crates/serving/src/entry/daemon.rs
+++ b/crates/serving/src/entry/daemon.rs
@@ -26,7 +26,7 @@
 use crate::gossip::{Datagram, EntryHeartbeat, MAX_DEMANDS};
 use crate::locality::Locality;
 use crate::net::{ServeOptions, serve_connection, serve_listener};
-use crate::platform::{Dialect, ObjectFeed, VersionStore};
+use crate::platform::{Dialect, ObjectFeed, VerdictStore, VersionStore};
 use crate::signals::{ProcessSignal, Signals};
 use crate::start::{StartError, bind_gossip, start_metrics};
 use crate::version_record::record_versions;
@@ -135,6 +135,15 @@
         self
     }
 
+    /// Has requests that tell suspects apart sent as trials, which are claimed in a store. Without it, every
+    /// request with a quarantined part is rejected until the quarantine ends.
+    #[must_use]
+    pub fn keep_verdicts(self, store: Arc<dyn VerdictStore>) -> Self {
+        // A store that was set before stays.
+        let _ = self.shared.verdict_store.set(store);
+        self
+    }
+
     /// Serves callers until a stop signal, then drains and returns.
     pub async fn run(self, feed: Arc<dyn ObjectFeed>, mut signals: Signals) {
         let Self { shared, frontend } = self;
--- a/crates/serving/src/entry/exchange.rs
+++ b/crates/serving/src/entry/exchange.rs
@@ -9,7 +9,7 @@
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use hyper::body::Incoming;
-use kumquatkeel_core::quarantine::{RequestDigest, Suspect};
+use kumquatkeel_core::quarantine::{QuarantineCheck, RequestDigest, Suspect, Trial};
 use kumquatkeel_core::response::Framing;
 use kumquatkeel_core::serving::{
     Account, AttemptEnd, CallKind, CallerRequest, Identity, Recovery, RefusalReason, Route,
@@ -91,6 +91,8 @@
     pub(super) charge: Option<Charge>,
     /// Drawn once for all decisions on whether the request may leave its data centre.
     pub(super) leave_draw: f64,
+    /// The trials that were granted to the request and not made.
+    trials: Vec<Trial>,
     /// What a crash under the request may be blamed on; empty until it is asked for.
     suspects: OnceLock<Arc<[Suspect]>>,
     /// The outcome for logs and metrics; `None` until it is decided.
@@ -131,6 +133,7 @@
             waited: false,
             charge: None,
             leave_draw: rand::random(),
+            trials: Vec::new(),
             suspects: OnceLock::new(),
             outcome: None,
         }
@@ -277,6 +280,7 @@
                     self.wait_for_model(&mut state_version, until).await;
                 }
                 Step::Send(mut plan) => {
+                    self.claim_trials().await;
                     match self.check_before_send(&mut plan) {
                         SendCheck::Send => {}
                         SendCheck::Decide => continue,
@@ -362,7 +366,7 @@
         }
         let left = self.deadline.saturating_duration_since(Instant::now());
         let now = self.shared.now();
-        let quarantined = self.quarantine_left(&self.shared.lock(), now).is_some();
+        let quarantined = self.check_quarantine(&self.shared.lock(), now) != QuarantineCheck::Clear;
         let draining = self.runs == 0 && !self.is_admitted_while_draining();
         if left.is_zero() || quarantined || draining || self.account != account {
             return SendCheck::Decide;
@@ -376,6 +380,8 @@
         self.tried.push(target.clone());
         self.sends += 1;
         self.set_charge_used(true);
+        // A caller that leaves from here on has used its trials.
+        let trials = std::mem::take(&mut self.trials);
         let result = tokio::select! {
             result = run_attempt(&self.shared, &self.outgoing, plan) => result,
             () = self.shared.wait_until_stalled(&target, Instant::now()) => {
@@ -393,6 +399,7 @@
         };
         if result.as_ref().is_err_and(|failure| not_run(failure.end)) {
             self.set_charge_used(self.runs > 0);
+            self.trials = trials;
         }
         match &result {
             Ok(_) => self.runs += 1,
@@ -542,11 +549,30 @@
         may_run_again(self.broken_runs, suspected)
     }
 
-    /// Returns for how much longer the request is in quarantine, or a part of its prompt; `None` if
-    /// neither is.
-    pub(super) fn quarantine_left(&self, state: &State, now: Timestamp) -> Option<Duration> {
-        let found = state.quarantine.find(self.known_suspects(state), now);
-        found.map(|(_, left)| left)
+    /// Decides whether verdicts on the request and on parts of its prompt let it be sent. A trial ends with its
+    /// first run.
+    pub(super) fn check_quarantine(&self, state: &State, now: Timestamp) -> QuarantineCheck {
+        let suspects = self.known_suspects(state);
+        match state.quarantine.check(suspects, now) {
+            QuarantineCheck::Clear => QuarantineCheck::Clear,
+            _ if self.runs == 0 && state.quarantine.are_granted(suspects, &self.trials) => {
+                QuarantineCheck::Clear
+            }
+            QuarantineCheck::Trial(_) if self.runs > 0 => QuarantineCheck::Rejected(Duration::ZERO),
+            check => check,
+        }
+    }
+
+    /// Claims the trials that the request needs, if any, right before it is sent. Without them the request is
+    /// decided on again.
+    async fn claim_trials(&mut self) {
+        let check = self.check_quarantine(&self.shared.lock(), self.shared.now());
+        if let QuarantineCheck::Trial(trials) = check
+            && self.shared.claim_trials(&trials).await
+        {
+            log::info!(request:% = self.request.attempt; "request sent as a trial");
+            self.trials = trials;
+        }
     }
 
     /// Returns the suspects without the request itself where no request is known to be one, which
@@ -680,6 +706,7 @@
             outgoing: self.outgoing.clone(),
             scope: self.scope.clone(),
             tried: self.tried.clone(),
+            trials: std::mem::take(&mut self.trials),
             suspects: self.suspects.clone(),
             // The request has run, so that nothing is given back.
             charge: self.charge.take(),
@@ -691,6 +718,9 @@
 
 impl Drop for Exchange {
     fn drop(&mut self) {
+        if !self.trials.is_empty() {
+            self.shared.lock().quarantine.return_trials(&self.trials);
+        }
         let outcome = self.outcome.unwrap_or("caller_left");
         if outcome == "relayed" {
             return;
--- a/crates/serving/src/entry/quarantine.rs
+++ b/crates/serving/src/entry/quarantine.rs
@@ -10,7 +10,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kumquatkeel_core::quarantine::{CrashEvidence, QuarantineTable, Suspect};
+use kumquatkeel_core::quarantine::{
+    CrashEvidence, QuarantineCheck, QuarantineTable, Suspect, Trial, TrialClaim, Verdict,
+};
 use kumquatkeel_core::serving::{TargetId, crash_holders};
 use kumquatkeel_types::Timestamp;
 use tokio::net::TcpStream;
@@ -34,6 +36,8 @@
 const WATCH_TTL: Duration = Duration::from_mins(5);
 /// Most requests that are watched; no others are added then.
 const MAX_WATCHED: usize = 8_192;
+/// Longest wait for the store to grant a trial.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(500);
 /// Most suspects in one report.
 const MAX_REPORTED: usize = 128;
 
@@ -71,13 +75,32 @@
 }
 
 impl QuarantineState {
-    /// Returns a suspect that is in quarantine, and for how much longer.
-    pub(super) fn find<'a>(
-        &self,
-        suspects: &'a [Suspect],
-        now: Timestamp,
-    ) -> Option<(&'a Suspect, Duration)> {
-        self.verdicts.find(suspects, now)
+    /// Decides whether a request with these suspects may be sent.
+    pub(super) fn check(&self, suspects: &[Suspect], now: Timestamp) -> QuarantineCheck {
+        self.verdicts.check(suspects, now)
+    }
+
+    /// Returns whether these trials cover all of the suspects that are in quarantine.
+    pub(super) fn are_granted(&self, suspects: &[Suspect], trials: &[Trial]) -> bool {
+        self.verdicts.are_granted(suspects, trials)
+    }
+
+    /// Takes the granted trials that no request has used yet; returns those that are to be claimed.
+    fn begin_claims(&mut self, trials: &[Trial], now: Timestamp) -> Vec<Trial> {
+        let verdicts = &mut self.verdicts;
+        let claims = trials.iter().filter(|trial| !verdicts.take_unused(trial));
+        let claims: Vec<Trial> = claims.cloned().collect();
+        for trial in &claims {
+            verdicts.begin_claim(trial, now);
+        }
+        claims
+    }
+
+    /// Keeps trials that were granted to a request that has not run.
+    pub(super) fn return_trials(&mut self, trials: &[Trial]) {
+        for trial in trials {
+            self.verdicts.return_unused(trial);
+        }
     }
 
     /// Returns whether a request may be a suspect, so that requests need their digests.
@@ -104,14 +127,18 @@
         }
     }
 
-    /// Records that a request with these suspects has completed.
-    fn record_sound(&mut self, suspects: &[Suspect], now: Timestamp) {
+    /// Records that a request with these suspects has completed; returns the verdicts that this ends.
+    fn record_sound(&mut self, suspects: &[Suspect], now: Timestamp) -> Vec<Verdict> {
         let is_known = |suspect: &&Suspect| {
-            let concerned = self.is_watched(suspect) || self.verdicts.was_convicted(suspect);
+            let concerned = self.is_watched(suspect) || self.verdicts.contains(suspect);
             !suspect.is_request() || concerned
         };
         let known: Vec<Suspect> = suspects.iter().filter(is_known).cloned().collect();
+        let released = (known.iter())
+            .filter_map(|suspect| self.verdicts.release(suspect.clone(), now))
+            .collect();
         self.evidence.record_sound(known, now);
+        released
     }
 
     /// Records a crash; returns how many suspects are suspected of it.
@@ -184,7 +211,57 @@
     fn record_sound(&self, suspects: &[Suspect]) {
         let now = self.now();
         let mut state = self.lock();
-        state.quarantine.record_sound(suspects, now);
+        let released = state.quarantine.record_sound(suspects, now);
+        if released.is_empty() {
+            return;
+        }
+        state.quarantine.last_notice = Timestamp::ZERO;
+        drop(state);
+        for verdict in released {
+            log::warn!(suspect:% = verdict.suspect, quarantined = false; "suspect released: a request with it completed");
+        }
+        self.send_verdicts();
+    }
+
+    /// Claims trials in the store; returns whether all are granted.
+    pub(super) async fn claim_trials(&self, trials: &[Trial]) -> bool {
+        let now = self.now();
+        let claims = self.lock().quarantine.begin_claims(trials, now);
+        for (index, trial) in claims.iter().enumerate() {
+            let claim = self.claim_trial(trial).await;
+            let now = self.now();
+            let mut state = self.lock();
+            if let Some(claim) = claim {
+                state.quarantine.verdicts.end_claim(trial, claim, now);
+            }
+            if claim != Some(TrialClaim::Granted) {
+                let granted = trials.iter().filter(|t| !claims[index..].contains(t));
+                let granted: Vec<Trial> = granted.cloned().collect();
+                state.quarantine.return_trials(&granted);
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Claims a trial in the store; `None` if it can't be.
+    async fn claim_trial(&self, trial: &Trial) -> Option<TrialClaim> {
+        let store = self.verdict_store.get()?;
+        let claim = match timeout(CLAIM_TIMEOUT, store.claim_trial(trial)).await {
+            Ok(Ok(claim)) => claim,
+            Ok(Err(error)) => {
+                log::info!(dependency = "store", error:%; "trial not claimed");
+                return None;
+            }
+            Err(_) => {
+                log::info!(dependency = "store"; "trial not claimed in time");
+                return None;
+            }
+        };
+        let granted = claim == TrialClaim::Granted;
+        self.instruments.record_trial(granted);
+        log::info!(suspect:% = trial.suspect, number = trial.number, claim:?; "trial claimed");
+        Some(claim)
     }
 
     fn record_crash(&self, target: &TargetId, suspects: &[Suspect]) {
--- a/crates/serving/src/entry/selection.rs
+++ b/crates/serving/src/entry/selection.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use kumquatkeel_core::quarantine::QuarantineCheck;
 use kumquatkeel_core::serving::{
     AdmissionRank, AdmissionRequest, Band, CallKind, Candidate, Competitor, DispatchDecision,
     DispatchInput, DrainPlan, RefusalReason, Target, TargetId, choose_engine, choose_target,
@@ -146,7 +147,7 @@
         let shared = self.shared.clone();
         let mut state = shared.lock();
         let now = shared.now();
-        if let Some(left) = self.quarantine_left(&state, now) {
+        if let QuarantineCheck::Rejected(left) = self.check_quarantine(&state, now) {
             return Step::Refuse(RefusalReason::Quarantined, left);
         }
         let targets = state.eligible_targets(&self.service, &self.tried, &self.scope, now);
--- a/crates/serving/src/entry/state.rs
+++ b/crates/serving/src/entry/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::{IpAddr, SocketAddr};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use kumquatkeel_core::retry::{AttemptResult, Ejector};
@@ -33,7 +33,7 @@
 use crate::metrics::Instruments;
 use crate::net::{Pool, PoolLimits};
 use crate::objects::{KnownObjects, publish};
-use crate::platform::Dialect;
+use crate::platform::{Dialect, VerdictStore};
 
 /// Path cost within a data centre: the round trip.
 const LOCAL_PATH_COST: Duration = Duration::from_millis(1);
@@ -88,6 +88,8 @@
     pub(super) list: ListFeed,
     /// The record of software versions.
     pub(super) versions: VersionLookup,
+    /// Where trials of quarantined suspects are claimed.
+    pub(super) verdict_store: OnceLock<Arc<dyn VerdictStore>>,
     /// The software versions that this entry records; `None` while agents do.
     listed_versions: watch::Sender<Option<VersionSet>>,
     /// How far requests may go; locked after `state` where both are.
@@ -179,6 +181,7 @@
             clock,
             list: ListFeed::new(reader, clock),
             versions: VersionLookup::default(),
+            verdict_store: OnceLock::new(),
             listed_versions: watch::Sender::new(None),
             draining: watch::Sender::new(None),
             state_version: watch::Sender::new(0),
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -37,6 +37,7 @@
     orders: Counter<u64>,
     stream_ends: Counter<u64>,
     verdicts: Counter<u64>,
+    trials: Counter<u64>,
     limit_changes: Counter<u64>,
     leaving: Counter<u64>,
     pauses: Counter<u64>,
@@ -79,6 +80,7 @@
             orders: meter.u64_counter("orders").build(),
             stream_ends: meter.u64_counter("stream_ends").build(),
             verdicts: meter.u64_counter("quarantine_verdicts").build(),
+            trials: meter.u64_counter("quarantine_trials").build(),
             permits: meter.u64_counter("target_permits").build(),
             admissions: meter.u64_counter("engine_admissions").build(),
             admission_wait: histogram("engine_admission_wait"),
@@ -138,6 +140,12 @@
         self.verdicts.add(1, &attributes);
     }
 
+    /// Counts a claim to send a request with a quarantined part.
+    pub fn record_trial(&self, granted: bool) {
+        let attributes = [KeyValue::new("granted", granted)];
+        self.trials.add(1, &attributes);
+    }
+
     /// Counts a change of the limit that a target names.
     pub fn record_limit_change(&self) {
         self.limit_changes.add(1, &[]);
--- a/crates/serving/src/platform.rs
+++ b/crates/serving/src/platform.rs
@@ -8,7 +8,7 @@
 use async_trait::async_trait;
 use derive_more::{Display, Error};
 use http::{HeaderMap, StatusCode};
-use kumquatkeel_core::quarantine::Verdict;
+use kumquatkeel_core::quarantine::{Trial, TrialClaim, Verdict};
 use kumquatkeel_core::serving::{
     CallerRequest, EngineOrder, EngineReport, ServingConfig, Target, TargetId, TargetNotice,
     VersionSet,
@@ -139,6 +139,13 @@
     ///
     /// Returns an error when the verdict may not have been written.
     async fn write_verdict(&self, verdict: &Verdict) -> Result<(), PlatformError>;
+
+    /// Claims a trial, under the condition that no other process has claimed its number.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the trial may not have been claimed; it must not be made then.
+    async fn claim_trial(&self, trial: &Trial) -> Result<TrialClaim, PlatformError>;
 }
 
 /// The record of software versions, as the platform's store holds it.
