fix(serving): the origin of a stream is kept for as long as it may be resumed

Streams of 30 s went on.

Cause: origins were kept for a minute from a stream's first event, whatever the route's deadline. Former software versions were kept for one and two minutes on the same assumption.

Evidence: `stream resumed by its caller` without origin, with both versions; `refused` with `unknown_origin`; the list of targets unchanged; the age of the streams alone decides.

Change: a record of an origin carries its end, from the caller's own time limit and the route's deadline; an attempt to resume extends it; when there are too many, those that end first are dropped first. Former versions are kept for the longest such time. So no constant stands between a stream and its caller, whatever deadline the configuration sets.

--- a/crates/core/src/serving/config.rs
+++ b/crates/core/src/serving/config.rs
@@ -31,6 +31,12 @@
     pub weight: f64,
 }
 
+/// Longest time for which a caller that waits beyond its route's deadline is expected to resume a stream, in
+/// multiples of the deadline.
+const MAX_PATIENCE_FACTOR: u32 = 4;
+/// Time for which a caller may still come back after the deadline.
+const RESUME_MARGIN: Duration = Duration::from_secs(10);
+
 /// A route: the requests that it matches, their limits and the services that handle them.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -61,6 +67,16 @@
     pub shares: Vec<RouteShare>,
 }
 
+impl Route {
+    /// Returns for how long after an attempt has come its caller may resume the stream. `timeout` is how long the
+    /// caller says it waits.
+    pub fn stream_life(&self, timeout: Option<Duration>) -> Duration {
+        let longest = self.deadline.saturating_mul(MAX_PATIENCE_FACTOR);
+        let wait = timeout.unwrap_or_default().clamp(self.deadline, longest);
+        wait.saturating_add(RESUME_MARGIN)
+    }
+}
+
 /// A model that an engine service offers.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -168,6 +184,13 @@
         shares.map(|share| &share.service).collect()
     }
 
+    /// Returns the longest time for which a caller may resume a stream, over all routes.
+    pub fn stream_life(&self) -> Duration {
+        let resumable = self.routes.iter().filter(|route| route.resumable);
+        let lives = resumable.map(|route| route.stream_life(Some(Duration::MAX)));
+        lives.max().unwrap_or_default()
+    }
+
     /// Checks what the types don't enforce: the routes' path prefixes, services and weights, and the
     /// accounts' names and keys.
     ///
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -117,4 +117,4 @@
 pub use table::{TableChange, TargetTable};
 pub use target::{Target, TargetId, TargetState};
 pub use target_notice::{StatedLimit, TargetNotice};
-pub use version_set::{VersionRecorder, VersionSet};
+pub use version_set::{ListedVersions, VersionRecorder, VersionSet};
--- a/crates/core/src/serving/origin_table.rs
+++ b/crates/core/src/serving/origin_table.rs
@@ -4,77 +4,114 @@
 //! attempt that began it. Another entry finds it there when the caller resumes the stream, also
 //! after the entry that relayed its beginning has failed.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
-use std::time::Duration;
 
 use kumquatkeel_types::Timestamp;
 
 use super::stream_origin::StreamOrigin;
 
-/// How long an origin is kept, which is longer than any caller waits for its stream.
-const ORIGIN_TTL: Duration = Duration::from_mins(1);
-/// Most origins that a process keeps; the oldest are dropped first.
+/// Most origins that a process keeps; those whose time ends first are dropped first.
 const MAX_ORIGINS: usize = 16_384;
 /// Longest attempt id, in bytes, whose origin is kept; callers choose the ids.
 const MAX_ATTEMPT_BYTES: usize = 128;
 
+/// An origin and the time until which its stream may be resumed.
+#[derive(Debug, Clone)]
+struct Record {
+    origin: StreamOrigin,
+    until: Timestamp,
+}
+
 /// The origins that a process knows, by the attempt that began the stream.
 ///
 /// # Examples
 ///
 /// ```
+/// use std::time::Duration;
+///
 /// use kumquatkeel_core::serving::{OriginTable, StreamOrigin};
 /// use kumquatkeel_types::Timestamp;
 ///
 /// let origin = StreamOrigin { service: "assist".into(), version: "v1".into() };
+/// let (now, until) = (Timestamp::ZERO, Timestamp::ZERO.after(Duration::from_secs(15)));
 /// let mut table = OriginTable::default();
-/// table.record("a1".into(), origin.clone(), Timestamp::ZERO);
-/// assert_eq!(table.get("a1", Timestamp::ZERO), Some(&origin));
+/// table.record("a1".into(), origin.clone(), until, now);
+/// assert_eq!(table.get("a1", now), Some(&origin));
+/// assert_eq!(table.get("a1", until), None);
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct OriginTable {
-    origins: HashMap<Arc<str>, StreamOrigin>,
-    /// The attempts by the time at which they were recorded.
-    order: VecDeque<(Timestamp, Arc<str>)>,
+    records: HashMap<Arc<str>, Record>,
+    /// The attempts by the time at which their records end.
+    order: BTreeSet<(Timestamp, Arc<str>)>,
 }
 
 impl OriginTable {
-    /// Records the origin of a stream; the first record of an attempt stands, and an overlong
-    /// attempt id is ignored.
-    pub fn record(&mut self, attempt: Arc<str>, origin: StreamOrigin, now: Timestamp) {
+    /// Records the origin of a stream that may be resumed until `until`. The first origin of an attempt
+    /// stands, for the longest time that is recorded; an overlong attempt id is ignored.
+    pub fn record(
+        &mut self,
+        attempt: Arc<str>,
+        origin: StreamOrigin,
+        until: Timestamp,
+        now: Timestamp,
+    ) {
         self.expire(now);
-        if attempt.len() > MAX_ATTEMPT_BYTES || self.origins.contains_key(&attempt) {
+        if attempt.len() > MAX_ATTEMPT_BYTES || until <= now {
+            return;
+        }
+        if let Some(record) = self.records.get_mut(&attempt) {
+            if record.until < until {
+                self.order.remove(&(record.until, attempt.clone()));
+                self.order.insert((until, attempt));
+                record.until = until;
+            }
             return;
         }
-        if self.order.len() >= MAX_ORIGINS {
-            self.drop_oldest();
+        self.order.insert((until, attempt.clone()));
+        self.records.insert(attempt, Record { origin, until });
+        if self.records.len() > MAX_ORIGINS {
+            self.drop_first();
         }
-        self.order.push_back((now, attempt.clone()));
-        self.origins.insert(attempt, origin);
     }
 
     /// Returns the origin of the stream that an attempt began, if it is known.
     pub fn get(&mut self, attempt: &str, now: Timestamp) -> Option<&StreamOrigin> {
         self.expire(now);
-        self.origins.get(attempt)
+        self.records.get(attempt).map(|record| &record.origin)
+    }
+
+    /// Returns the origin of the stream that an attempt began, and until when the stream may be resumed.
+    pub fn get_until(
+        &mut self,
+        attempt: &str,
+        now: Timestamp,
+    ) -> Option<(&StreamOrigin, Timestamp)> {
+        self.expire(now);
+        let record = self.records.get(attempt)?;
+        Some((&record.origin, record.until))
     }
 
-    /// Returns all known origins.
-    pub fn iter(&mut self, now: Timestamp) -> impl Iterator<Item = (&Arc<str>, &StreamOrigin)> {
+    /// Returns all known origins, and until when their streams may be resumed.
+    pub fn iter(
+        &mut self,
+        now: Timestamp,
+    ) -> impl Iterator<Item = (&Arc<str>, &StreamOrigin, Timestamp)> {
         self.expire(now);
-        self.origins.iter()
+        let records = self.records.iter();
+        records.map(|(attempt, record)| (attempt, &record.origin, record.until))
     }
 
     fn expire(&mut self, now: Timestamp) {
-        while (self.order.front()).is_some_and(|(at, _)| now.since(*at) >= ORIGIN_TTL) {
-            self.drop_oldest();
+        while (self.order.first()).is_some_and(|(until, _)| *until <= now) {
+            self.drop_first();
         }
     }
 
-    fn drop_oldest(&mut self) {
-        if let Some((_, attempt)) = self.order.pop_front() {
-            self.origins.remove(&attempt);
+    fn drop_first(&mut self) {
+        if let Some((_, attempt)) = self.order.pop_first() {
+            self.records.remove(&attempt);
         }
     }
 }
--- a/crates/core/src/serving/table.rs
+++ b/crates/core/src/serving/table.rs
@@ -23,8 +23,8 @@
 const RETURN_GRACE: Duration = Duration::from_millis(2_200);
 /// How long after an outage a removal may still be due to it.
 const OUTAGE_TAIL: Duration = Duration::from_secs(2);
-/// How long a software version counts as recent after its last target was removed.
-const VERSION_TTL: Duration = Duration::from_mins(1);
+/// Shortest time for which a software version counts as recent after its last target was removed.
+const MIN_VERSION_TTL: Duration = Duration::from_mins(1);
 
 /// A change to the target list.
 #[derive(Debug, Clone, PartialEq)]
@@ -55,6 +55,8 @@
     outage: Option<Timestamp>,
     /// Service and software version of removed targets, and the time of the removal.
     former_versions: Vec<(Arc<str>, Arc<str>, Timestamp)>,
+    /// The longest time for which a caller may resume a stream, over all configurations so far.
+    stream_life: Duration,
 }
 
 impl TargetTable {
@@ -262,10 +264,25 @@
         }
     }
 
+    /// Sets the longest time for which a caller may resume a stream. Streams that began under an earlier
+    /// configuration keep a longer one.
+    pub fn extend_stream_life(&mut self, life: Duration) {
+        self.stream_life = self.stream_life.max(life);
+    }
+
+    /// Returns the longest time for which a caller may resume a stream.
+    pub const fn stream_life(&self) -> Duration {
+        self.stream_life
+    }
+
+    fn version_ttl(&self) -> Duration {
+        self.stream_life.max(MIN_VERSION_TTL)
+    }
+
     fn record_former_version(&mut self, target: &Target, now: Timestamp) {
+        let ttl = self.version_ttl();
         self.former_versions.retain(|(service, version, at)| {
-            now.since(*at) < VERSION_TTL
-                && (*service != target.service || *version != target.version)
+            now.since(*at) < ttl && (*service != target.service || *version != target.version)
         });
         let (service, version) = (target.service.clone(), target.version.clone());
         self.former_versions.push((service, version, now));
@@ -276,7 +293,8 @@
         let listed = self.all().filter(|t| *t.service == *service);
         let listed = listed.map(|t| t.version.clone());
         let former = self.former_versions.iter();
-        let former = former.filter(|(s, _, at)| **s == *service && now.since(*at) < VERSION_TTL);
+        let ttl = self.version_ttl();
+        let former = former.filter(|(s, _, at)| **s == *service && now.since(*at) < ttl);
         let mut versions: Vec<_> = listed.chain(former.map(|(_, v, _)| v.clone())).collect();
         versions.sort_unstable();
         versions.dedup();
--- a/crates/core/src/serving/version_set.rs
+++ b/crates/core/src/serving/version_set.rs
@@ -11,9 +11,11 @@
 use kumquatkeel_types::Timestamp;
 use serde::{Deserialize, Serialize};
 
-/// How long a version stays in the record after a keeper of the record last knew a target of it, which is
-/// longer than any caller waits for its stream.
-const RECORD_TTL: Duration = Duration::from_mins(2);
+/// How much longer than any caller may resume its stream a version stays in the record after a keeper of the
+/// record last knew a target of it.
+const RECORD_MARGIN: Duration = Duration::from_mins(1);
+/// Shortest time for which a version stays in the record then.
+const MIN_RECORD_TTL: Duration = Duration::from_mins(2);
 
 /// The software versions of each service.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,19 +46,28 @@
     }
 }
 
+/// The software versions that the list of targets shows.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ListedVersions {
+    /// The versions that targets have, or had until recently.
+    pub versions: VersionSet,
+    /// The longest time for which a caller may resume a stream.
+    pub stream_life: Duration,
+}
+
 /// Decides what the record of versions in the store should hold.
 ///
 /// Several processes keep the same record. The first that knows a target of a version adds it, and only one
-/// that has known none for two minutes removes it.
+/// that has known none for longer than any stream of it may be resumed removes it.
 ///
 /// # Examples
 ///
 /// ```
-/// use kumquatkeel_core::serving::{VersionRecorder, VersionSet};
+/// use kumquatkeel_core::serving::{ListedVersions, VersionRecorder, VersionSet};
 /// use kumquatkeel_types::Timestamp;
 ///
-/// let (mut listed, mut recorded) = (VersionSet::default(), VersionSet::default());
-/// listed.insert("assist".into(), "v2".into());
+/// let (mut listed, mut recorded) = (ListedVersions::default(), VersionSet::default());
+/// listed.versions.insert("assist".into(), "v2".into());
 /// recorded.insert("assist".into(), "v1".into());
 /// let record = VersionRecorder::default().next_record(&listed, &recorded, Timestamp::ZERO);
 /// assert_eq!(record.of_service("assist").map(|versions| versions.len()), Some(2));
@@ -71,10 +82,12 @@
     /// Returns what the record should hold, given the versions that are listed and what it holds.
     pub fn next_record(
         &mut self,
-        listed: &VersionSet,
+        listed: &ListedVersions,
         recorded: &VersionSet,
         now: Timestamp,
     ) -> VersionSet {
+        let ttl = (listed.stream_life + RECORD_MARGIN).max(MIN_RECORD_TTL);
+        let listed = &listed.versions;
         let mut record = listed.clone();
         let is_unlisted = |service: &str, version: &str| {
             recorded.contains(service, version) && !listed.contains(service, version)
@@ -87,7 +100,7 @@
             }
             let key = (service.clone(), version.clone());
             let since = *self.unlisted.entry(key).or_insert(now);
-            if now.since(since) < RECORD_TTL {
+            if now.since(since) < ttl {
                 record.insert(service.clone(), version.clone());
             }
         }
--- a/crates/core/tests/serving_origin.rs
+++ b/crates/core/tests/serving_origin.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use kumquatkeel_core::serving::{
-    OriginHosts, OriginTable, StreamOrigin, StreamScope, TableChange, Target, TargetId,
-    TargetState, TargetTable, VersionRecorder, VersionSet,
+    ListedVersions, OriginHosts, OriginTable, StreamOrigin, StreamScope, TableChange, Target,
+    TargetId, TargetState, TargetTable, VersionRecorder, VersionSet,
 };
 use kumquatkeel_types::Timestamp;
 use proptest::prelude::*;
@@ -28,24 +28,57 @@
 #[test]
 fn a_later_record_does_not_replace_the_origin_of_a_stream() {
     let mut table = OriginTable::default();
-    table.record("a".into(), origin("v1"), Timestamp::ZERO);
-    table.record("a".into(), origin("v2"), Timestamp::ZERO);
+    let until = Timestamp::ZERO.after(Duration::from_secs(9));
+    table.record("a".into(), origin("v1"), until, Timestamp::ZERO);
+    table.record("a".into(), origin("v2"), until, Timestamp::ZERO);
     assert_eq!(table.get("a", Timestamp::ZERO), Some(&origin("v1")));
 }
 
 #[test]
 fn origins_do_not_grow_without_bound() {
     let mut table = OriginTable::default();
+    let until = Timestamp::ZERO.after(Duration::from_mins(1));
+    let mut record = |attempt: &str| {
+        table.record(attempt.into(), origin("v1"), until, Timestamp::ZERO);
+    };
     for number in 0..40_000 {
-        table.record(number.to_string().into(), origin("v1"), Timestamp::ZERO);
+        record(&format!("{number:05}"));
     }
-    assert_eq!(table.get("0", Timestamp::ZERO), None);
     let overlong = "a".repeat(1_000);
-    table.record(overlong.clone().into(), origin("v1"), Timestamp::ZERO);
+    record(&overlong);
+    assert_eq!(table.get("00000", Timestamp::ZERO), None);
     assert_eq!(table.get(&overlong, Timestamp::ZERO), None);
     assert_eq!(table.get("39999", Timestamp::ZERO), Some(&origin("v1")));
-    let later = Timestamp::ZERO.after(Duration::from_mins(1));
-    assert_eq!(table.get("39999", later), None);
+    assert_eq!(table.get("39999", until), None);
+}
+
+/// A stream that runs for longer than a minute must find its version afterwards.
+#[test]
+fn an_origin_is_known_for_as_long_as_its_stream_may_be_resumed() {
+    let mut table = OriginTable::default();
+    let at = |seconds| Timestamp::ZERO.after(Duration::from_secs(seconds));
+    table.record("long".into(), origin("v1"), at(600), at(0));
+    table.record("short".into(), origin("v1"), at(15), at(0));
+    assert_eq!(table.get("long", at(599)), Some(&origin("v1")));
+    assert_eq!(table.get("short", at(599)), None);
+    // Resumed with a later deadline, or found at an agent with an earlier one.
+    table.record("long".into(), origin("v1"), at(700), at(599));
+    table.record("long".into(), origin("v1"), at(650), at(599));
+    assert_eq!(table.get("long", at(699)), Some(&origin("v1")));
+    assert_eq!(table.get("long", at(700)), None);
+}
+
+/// Short streams come often; they must not push a long one out.
+#[test]
+fn the_origins_whose_time_ends_first_are_dropped_first() {
+    let mut table = OriginTable::default();
+    let until = |seconds| Timestamp::ZERO.after(Duration::from_secs(seconds));
+    table.record("long".into(), origin("v1"), until(600), Timestamp::ZERO);
+    for number in 0..40_000 {
+        let attempt = number.to_string().into();
+        table.record(attempt, origin("v1"), until(15), Timestamp::ZERO);
+    }
+    assert_eq!(table.get("long", until(599)), Some(&origin("v1")));
 }
 
 #[rstest]
@@ -92,10 +125,23 @@
     assert_eq!(versions(&table, now), "v1,v2");
     table.apply(TableChange::Removed(TargetId::from("t")), now);
     assert_eq!(versions(&table, now), "v1,v2");
-    assert_eq!(versions(&table, now.after(Duration::from_mins(1))), "");
+    let later = now.after(Duration::from_mins(1));
+    assert_eq!(versions(&table, later), "");
+    // Streams that may be resumed for longer; a later configuration may shorten that for new ones.
+    table.extend_stream_life(Duration::from_mins(10));
+    table.extend_stream_life(Duration::from_secs(10));
+    assert_eq!(versions(&table, later), "v1,v2");
+    assert_eq!(versions(&table, now.after(Duration::from_mins(10))), "");
     assert_eq!(table.recent_versions("desk", now).len(), 0);
 }
 
+fn listed(versions: &[&str], stream_life: Duration) -> ListedVersions {
+    ListedVersions {
+        versions: version_set(versions),
+        stream_life,
+    }
+}
+
 fn version_set(versions: &[&str]) -> VersionSet {
     let mut set = VersionSet::default();
     for version in versions {
@@ -105,23 +151,32 @@
 }
 
 /// Two processes keep the record, one of which has an older list.
-#[test]
-fn a_recorded_version_is_removed_while_it_may_have_begun_a_stream() {
-    let (listed, old_list) = (version_set(&["v2"]), version_set(&["v1"]));
+#[rstest]
+#[case::short_streams(Duration::from_secs(15), Duration::from_mins(2))]
+#[case::long_streams(Duration::from_mins(10), Duration::from_mins(11))]
+fn a_recorded_version_is_removed_while_it_may_have_begun_a_stream(
+    #[case] life: Duration,
+    #[case] ttl: Duration,
+) {
+    let (new_list, old_list) = (listed(&["v2"], life), listed(&["v1"], life));
     let (mut recorder, mut late) = (VersionRecorder::default(), VersionRecorder::default());
     let now = Timestamp::ZERO;
     let both = version_set(&["v1", "v2"]);
-    let record = recorder.next_record(&listed, &old_list, now);
+    let record = recorder.next_record(&new_list, &old_list.versions, now);
     assert_eq!(record, both);
     assert_eq!(late.next_record(&old_list, &record, now), both);
-    let later = now.after(Duration::from_secs(119));
-    assert_eq!(recorder.next_record(&listed, &record, later), both);
+    let later = now.after(ttl.saturating_sub(Duration::from_secs(1)));
+    assert_eq!(recorder.next_record(&new_list, &record, later), both);
     // Listed once more, the time begins anew.
-    assert_eq!(recorder.next_record(&both, &record, later), both);
-    let later = later.after(Duration::from_mins(1));
-    assert_eq!(recorder.next_record(&listed, &record, later), both);
-    let later = later.after(Duration::from_mins(2));
-    assert_eq!(recorder.next_record(&listed, &record, later), listed);
+    let all = listed(&["v1", "v2"], life);
+    assert_eq!(recorder.next_record(&all, &record, later), both);
+    let later = later.after(ttl / 2);
+    assert_eq!(recorder.next_record(&new_list, &record, later), both);
+    let later = later.after(ttl);
+    assert_eq!(
+        recorder.next_record(&new_list, &record, later),
+        new_list.versions
+    );
 }
 
 proptest! {
--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use kumquatkeel_core::serving::{
-    Acceptance, Backlog, EngineReport, EngineSpec, ListReader, ListRole, LoadCommand, OrderQueue,
-    OriginHosts, OriginTable, Planner, Target, TargetId, VersionSet,
+    Acceptance, Backlog, EngineReport, EngineSpec, ListReader, ListRole, ListedVersions,
+    LoadCommand, OrderQueue, OriginHosts, OriginTable, Planner, Target, TargetId,
 };
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_types::Timestamp;
@@ -100,7 +100,7 @@
     /// Where the software versions of services are recorded; `None` if they are not.
     pub(super) version_store: Option<Arc<dyn VersionStore>>,
     /// The software versions that this agent records; `None` while others do.
-    pub(super) listed_versions: watch::Sender<Option<VersionSet>>,
+    pub(super) listed_versions: watch::Sender<Option<ListedVersions>>,
     pub(super) orders: OrderQueue,
     pub(super) planner: Planner,
     pub(super) planning: bool,
@@ -305,7 +305,7 @@
                 }
             }
             Datagram::Query(query) => self.answer_query(from, query),
-            Datagram::Began(record) => self.origins.record(record.attempt, record.origin, now),
+            Datagram::Began(record) => record.insert_into(&mut self.origins, now),
             Datagram::FindOrigin(query) => self.answer_origin_query(from, query),
             Datagram::Crash(report) => self.handle_crash(from, report),
             Datagram::Sound(parts) => self.handle_sound(parts),
--- a/crates/serving/src/agent/origins.rs
+++ b/crates/serving/src/agent/origins.rs
@@ -8,10 +8,9 @@
 impl Agent {
     /// Answers an entry's query if the origin is known.
     pub(super) fn answer_origin_query(&mut self, from: SocketAddr, query: OriginQuery) {
-        let origin = self.origins.get(&query.attempt, self.clock.now());
-        if let Some(origin) = origin.cloned() {
-            let attempt = query.attempt;
-            let record = OriginRecord { attempt, origin };
+        let now = self.clock.now();
+        if let Some((origin, until)) = self.origins.get_until(&query.attempt, now) {
+            let record = OriginRecord::new(query.attempt, origin.clone(), until, now);
             self.gossip.send(from, &Datagram::Origin(record));
         }
     }
@@ -26,13 +25,10 @@
         let former = std::mem::replace(&mut self.origin_hosts, hosts);
         let (own, now) = (self.settings.gossip, self.clock.now());
         let mut sent = 0_u64;
-        for (attempt, origin) in self.origins.iter(now) {
+        for (attempt, origin, until) in self.origins.iter(now) {
             let added = self.origin_hosts.added_holders(attempt, &former);
             for host in added.into_iter().filter(|host| *host != own.ip()) {
-                let record = OriginRecord {
-                    attempt: attempt.clone(),
-                    origin: origin.clone(),
-                };
+                let record = OriginRecord::new(attempt.clone(), origin.clone(), until, now);
                 let agent = SocketAddr::new(host, own.port());
                 self.gossip.send(agent, &Datagram::Began(record));
                 sent += 1;
--- a/crates/serving/src/entry/origin.rs
+++ b/crates/serving/src/entry/origin.rs
@@ -31,6 +31,13 @@
             None => self.possible_versions().await,
         };
         self.scope = StreamScope::of_resumed(origin.as_ref(), versions.as_deref());
+        if let (StreamScope::Version(version), Some(attempt)) =
+            (self.scope.clone(), resumed.first_attempt.clone())
+        {
+            let service = (origin.as_ref()).map_or(&self.service, |origin| &origin.service);
+            let service = service.clone();
+            self.keep_origin(attempt, StreamOrigin { service, version });
+        }
         log::info!(
             request:% = self.request.attempt, first_attempt = resumed.first_attempt.as_deref(),
             origin = origin.as_ref().map(|o| &*o.version), versions:serde = versions;
@@ -96,24 +103,26 @@
             return;
         }
         self.scope = StreamScope::Version(version.clone());
-        // A stream that its caller resumed keeps the origin of its first attempt.
-        if self.request.resume.is_some() {
-            return;
-        }
-        let record = OriginRecord {
-            attempt: self.request.attempt.clone(),
-            origin: StreamOrigin {
-                service: self.service.clone(),
-                version: version.clone(),
-            },
+        let origin = StreamOrigin {
+            service: self.service.clone(),
+            version: version.clone(),
         };
-        let now = self.shared.now();
-        let (attempt, origin) = (record.attempt.clone(), record.origin.clone());
-        self.shared.lock().origins.record(attempt, origin, now);
-        let holders = self.shared.origin_hosts().holders(&record.attempt);
+        self.keep_origin(self.request.attempt.clone(), origin);
+    }
+
+    /// Keeps an origin here and at the agents that entries ask, for as long as the caller may resume its stream
+    /// after this attempt.
+    fn keep_origin(&self, attempt: Arc<str>, origin: StreamOrigin) {
+        let shared = &self.shared;
+        let now = shared.now();
+        let life = self.route.stream_life(self.request.timeout);
+        let left = life.saturating_sub(self.arrival.elapsed());
+        let record = OriginRecord::new(attempt, origin, now.after(left), now);
+        record.clone().insert_into(&mut shared.lock().origins, now);
+        let holders = shared.origin_hosts().holders(&record.attempt);
         let record = Datagram::Began(record);
         for host in holders {
-            (self.shared.gossip).send(self.shared.agent_at(host), &record);
+            shared.gossip.send(shared.agent_at(host), &record);
         }
     }
 }
--- a/crates/serving/src/entry/state.rs
+++ b/crates/serving/src/entry/state.rs
@@ -9,9 +9,9 @@
 use kumquatkeel_core::serving::{
     Acceptance, AccountDirectory, AdapterKey, Backlog, BandRates, Candidate, DecodeEstimator,
     DemandMeter, DrainPlan, ENGINE_SILENCE, EngineReport, EngineSpec, EngineState, FailureMeter,
-    Identity, Incarnation, LimitTable, ListReader, ListRole, OriginHosts, OriginTable,
-    PermitHolder, PrefillEstimator, ResidentModel, RetryQuota, Route, RouteTable, ServingConfig,
-    StreamPacing, StreamScope, Target, TargetId, Urgency, VersionSet, statement_ttl,
+    Identity, Incarnation, LimitTable, ListReader, ListRole, ListedVersions, OriginHosts,
+    OriginTable, PermitHolder, PrefillEstimator, ResidentModel, RetryQuota, Route, RouteTable,
+    ServingConfig, StreamPacing, StreamScope, Target, TargetId, Urgency, statement_ttl,
 };
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_types::Timestamp;
@@ -91,7 +91,7 @@
     /// Where trials of quarantined suspects are claimed.
     pub(super) verdict_store: OnceLock<Arc<dyn VerdictStore>>,
     /// The software versions that this entry records; `None` while agents do.
-    listed_versions: watch::Sender<Option<VersionSet>>,
+    listed_versions: watch::Sender<Option<ListedVersions>>,
     /// How far requests may go; locked after `state` where both are.
     pub(super) locality: Mutex<LocalityState>,
     state: Mutex<State>,
@@ -395,9 +395,7 @@
     /// Records the origin of a stream as an agent reports it.
     pub(super) fn handle_origin(&self, record: OriginRecord) {
         let now = self.now();
-        self.lock()
-            .origins
-            .record(record.attempt, record.origin, now);
+        record.insert_into(&mut self.lock().origins, now);
         self.origins_version.send_modify(|version| *version += 1);
     }
 
@@ -422,7 +420,7 @@
     }
 
     /// Returns the software versions that this entry records, as they change.
-    pub(super) fn listed_versions(&self) -> watch::Receiver<Option<VersionSet>> {
+    pub(super) fn listed_versions(&self) -> watch::Receiver<Option<ListedVersions>> {
         self.listed_versions.subscribe()
     }
 
--- a/crates/serving/src/gossip.rs
+++ b/crates/serving/src/gossip.rs
@@ -12,8 +12,8 @@
 use kumquatkeel_core::quarantine::{Suspect, Verdict};
 use kumquatkeel_core::serving::{
     AccountAsk, AccountDecision, AdapterKey, AdmissionDecision, AdmissionRank, Backlog, Competitor,
-    EngineReport, Incarnation, LimitTable, ListNotice, LoadCommand, ModelDemand, PermitDecision,
-    RequestRate, StreamOrigin, TargetId, Urgency,
+    EngineReport, Incarnation, LimitTable, ListNotice, LoadCommand, ModelDemand, OriginTable,
+    PermitDecision, RequestRate, StreamOrigin, TargetId, Urgency,
 };
 use kumquatkeel_types::Timestamp;
 use serde::{Deserialize, Serialize};
@@ -149,6 +149,26 @@
     pub attempt: Arc<str>,
     /// Where the stream began.
     pub origin: StreamOrigin,
+    /// How much longer the stream may be resumed, in milliseconds.
+    pub life_ms: u32,
+}
+
+impl OriginRecord {
+    /// Creates the record of a stream that may be resumed until `until`.
+    pub fn new(attempt: Arc<str>, origin: StreamOrigin, until: Timestamp, now: Timestamp) -> Self {
+        let life = until.since(now).as_millis();
+        Self {
+            attempt,
+            origin,
+            life_ms: u32::try_from(life).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Adds the record to a table.
+    pub fn insert_into(self, table: &mut OriginTable, now: Timestamp) {
+        let life = Duration::from_millis(u64::from(self.life_ms));
+        table.record(self.attempt, self.origin, now.after(life), now);
+    }
 }
 
 /// Asks an agent for the origin of a stream; an agent that doesn't know it sends no answer.
--- a/crates/serving/src/objects.rs
+++ b/crates/serving/src/objects.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use kumquatkeel_core::serving::{
-    AgentHost, OriginHosts, ServingConfig, TableChange, Target, TargetTable, VersionSet,
+    AgentHost, ListedVersions, OriginHosts, ServingConfig, TableChange, Target, TargetTable,
 };
 use kumquatkeel_types::Timestamp;
 use tokio::sync::watch;
@@ -87,9 +87,12 @@
 
     /// Returns the software versions that targets of services with streams have, or had until recently; `None`
     /// before the first configuration.
-    pub fn listed_versions(&self, now: Timestamp) -> Option<VersionSet> {
+    pub fn listed_versions(&self, now: Timestamp) -> Option<ListedVersions> {
         let services = self.config.as_ref()?.stream_services();
-        Some(self.table.version_set(services, now))
+        Some(ListedVersions {
+            versions: self.table.version_set(services, now),
+            stream_life: self.table.stream_life(),
+        })
     }
 
     /// Returns whether a target is an engine, beside which an agent runs. Before the first configuration names
@@ -139,6 +142,7 @@
             FeedItem::Config { config, position } if Some(config.version) > self.version() => {
                 let (version, routes) = (config.version, config.routes.len());
                 log::info!(version, position:%, routes; "configuration in force");
+                self.table.extend_stream_life(config.stream_life());
                 self.config = Some(Arc::from(config));
             }
             FeedItem::Config { config, position } => {
--- a/crates/serving/src/version_record.rs
+++ b/crates/serving/src/version_record.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kumquatkeel_core::serving::{VersionRecorder, VersionSet};
+use kumquatkeel_core::serving::{ListedVersions, VersionRecorder, VersionSet};
 use kumquatkeel_daemon::clock::Clock;
 use rand::RngExt;
 use tokio::sync::watch;
@@ -26,7 +26,7 @@
 /// keep the record.
 pub(crate) async fn record_versions(
     store: Arc<dyn VersionStore>,
-    mut listed: watch::Receiver<Option<VersionSet>>,
+    mut listed: watch::Receiver<Option<ListedVersions>>,
     clock: Clock,
 ) {
     let mut recorder = VersionRecorder::default();
@@ -50,7 +50,7 @@
 /// Writes the record anew if it differs from what it should hold.
 async fn sync_once(
     store: &dyn VersionStore,
-    listed: &VersionSet,
+    listed: &ListedVersions,
     recorder: &mut VersionRecorder,
     clock: Clock,
 ) -> Result<(), PlatformError> {
--- a/crates/serving/tests/agent.rs
+++ b/crates/serving/tests/agent.rs
@@ -537,12 +537,21 @@
             service: SERVICE.into(),
             version: "v1".into(),
         },
+        life_ms: 60_000,
     };
     entry.send(agent, &Datagram::Began(record.clone()));
     sleep(Duration::from_millis(100)).await;
     let neighbour = listed("two", ([127, 0, 0, 7], 9).into(), 1, &[]);
     objects.targets.lock().unwrap().push(neighbour);
-    let told = async { while added.receive().await.1 != Datagram::Began(record.clone()) {} };
+    // The life that is left shrinks on the way.
+    let is_told = |datagram| match datagram {
+        Datagram::Began(told) => {
+            assert!((50_000..60_000).contains(&told.life_ms), "{told:?}");
+            told.attempt == record.attempt && told.origin == record.origin
+        }
+        _ => false,
+    };
+    let told = async { while !is_told(added.receive().await.1) {} };
     timeout(Duration::from_secs(5), told)
         .await
         .expect("the holder is told");
