fix(serving): origins of streams outlast all processes while several versions serve

Cause: which version began a stream was known to its entry and three agents only. With several versions, a stream of unknown origin is refused.

Evidence: `stream resumed by its caller` with empty `origin` and both versions from the record; `refused` with `unknown_origin`.

Change: while several versions of a service are listed or recorded, two relays of each region write the origins of its streams to objects of their own in the store, the first within 250 ms, many in one write. An entry that finds no origin at the agents reads them, and so knows all. So what decides where a stream may go on lies outside the processes, whichever of them end, and how often.

Tests: stored_origins, serving_origin_journal; stream_versions expected streams of the version that still serves to be refused after a restart of all processes and now expects each to go on, which failed before.

--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -27,6 +27,7 @@
 mod list_reader;
 mod locality;
 mod orders;
+mod origin_journal;
 mod origin_table;
 mod pacing;
 mod permit_holder;
@@ -97,6 +98,7 @@
     Place, PlaceTimes, Reach, ShareChange, ShareKey, can_serve,
 };
 pub use orders::{EngineOrder, OrderQueue};
+pub use origin_journal::{JournalStep, OriginJournal, OriginSlice, StoredSlice};
 pub use origin_table::OriginTable;
 pub use pacing::StreamPacing;
 pub use permit_holder::PermitHolder;
--- a/crates/core/src/serving/version_set.rs
+++ b/crates/core/src/serving/version_set.rs
@@ -35,6 +35,22 @@
         self.services.get(service)
     }
 
+    /// Returns the services that have several versions.
+    pub fn mixed_services(&self) -> impl Iterator<Item = &Arc<str>> {
+        let mixed = self
+            .services
+            .iter()
+            .filter(|(_, versions)| versions.len() > 1);
+        mixed.map(|(service, _)| service)
+    }
+
+    /// Adds the versions of another set.
+    pub fn merge(&mut self, other: Self) {
+        for (service, versions) in other.services {
+            self.services.entry(service).or_default().extend(versions);
+        }
+    }
+
     fn contains(&self, service: &str, version: &str) -> bool {
         self.of_service(service)
             .is_some_and(|versions| versions.contains(version))
--- a/crates/serving/src/agent/daemon.rs
+++ b/crates/serving/src/agent/daemon.rs
@@ -6,7 +6,7 @@
 
 use kumquatkeel_core::serving::{
     Acceptance, Backlog, EngineReport, EngineSpec, ListReader, ListRole, ListedVersions,
-    LoadCommand, OrderQueue, OriginHosts, OriginTable, Planner, Target, TargetId,
+    LoadCommand, OrderQueue, OriginHosts, OriginTable, Planner, Target, TargetId, VersionSet,
 };
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_types::Timestamp;
@@ -26,8 +26,9 @@
 use crate::locality::Locality;
 use crate::metrics::Instruments;
 use crate::objects::KnownObjects;
+use crate::origin_record::OriginKeeper;
 use crate::platform::{
-    EngineClient, ObjectFeed, OrderReply, PlatformError, VerdictStore, VersionStore,
+    EngineClient, ObjectFeed, OrderReply, OriginStore, PlatformError, VerdictStore, VersionStore,
 };
 use crate::signals::{ProcessSignal, Signals};
 use crate::start::{StartError, bind_internal, start_metrics};
@@ -99,6 +100,12 @@
     pub(super) verdict_store: Option<Arc<dyn VerdictStore>>,
     /// Where the software versions of services are recorded; `None` if they are not.
     pub(super) version_store: Option<Arc<dyn VersionStore>>,
+    /// Where the origins of streams are kept beyond the processes; `None` if they end with them.
+    pub(super) origin_store: Option<Arc<dyn OriginStore>>,
+    /// Keeps origins in that store while this agent has the duty.
+    pub(super) origin_keeper: Option<OriginKeeper>,
+    /// The software versions in the record, as this agent last knew it.
+    pub(super) recorded_versions: watch::Sender<VersionSet>,
     /// The software versions that this agent records; `None` while others do.
     pub(super) listed_versions: watch::Sender<Option<ListedVersions>>,
     pub(super) orders: OrderQueue,
@@ -162,6 +169,9 @@
             quarantine: QuarantineState::default(),
             verdict_store: None,
             version_store: None,
+            origin_store: None,
+            origin_keeper: None,
+            recorded_versions: watch::Sender::default(),
             listed_versions: watch::Sender::new(None),
             orders: OrderQueue::default(),
             planner: Planner::default(),
@@ -195,6 +205,14 @@
         self
     }
 
+    /// Keeps the origins of streams in a store while targets of several software versions serve, where entries find
+    /// them once no process knows them.
+    #[must_use]
+    pub fn keep_origins(mut self, store: Arc<dyn OriginStore>) -> Self {
+        self.origin_store = Some(store);
+        self
+    }
+
     /// Returns the bound address for datagrams.
     pub const fn gossip(&self) -> SocketAddr {
         self.settings.gossip
@@ -228,7 +246,12 @@
         }
         if let Some(store) = self.version_store.take() {
             let listed = self.listed_versions.subscribe();
-            tokio::spawn(record_versions(store, listed, self.clock));
+            let recorded = self.recorded_versions.clone();
+            tokio::spawn(record_versions(store, listed, recorded, self.clock));
+        }
+        if let Some(store) = self.origin_store.take() {
+            let prefix = format!("{:016x}", self.stamp.incarnation);
+            self.origin_keeper = Some(OriginKeeper::start(store, prefix, self.clock));
         }
         let mut poll = interval(ENGINE_POLL_INTERVAL);
         poll.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -252,6 +275,7 @@
                     self.objects
                         .publish_agent_hosts(&self.settings.locality, &hosts);
                     self.move_origins();
+                    self.update_origin_duty();
                     self.update_accounts();
                 }
                 Some(verdicts) = stored_verdicts.recv() => self.merge_verdicts(verdicts),
@@ -305,7 +329,7 @@
                 }
             }
             Datagram::Query(query) => self.answer_query(from, query),
-            Datagram::Began(record) => record.insert_into(&mut self.origins, now),
+            Datagram::Began(record) => self.record_origin(record),
             Datagram::FindOrigin(query) => self.answer_origin_query(from, query),
             Datagram::Crash(report) => self.handle_crash(from, report),
             Datagram::Sound(parts) => self.handle_sound(parts),
--- a/crates/serving/src/agent/list_relay.rs
+++ b/crates/serving/src/agent/list_relay.rs
@@ -26,6 +26,7 @@
         });
         let listed = is_relay.then(|| self.objects.listed_versions(now));
         publish(&self.listed_versions, listed.flatten());
+        self.update_origin_duty();
         if let Some(notice) = self.list.notice().filter(|_| is_relay) {
             let notice = Datagram::List(notice);
             for entry in self.peers.local_entries() {
--- a/crates/serving/src/agent/origins.rs
+++ b/crates/serving/src/agent/origins.rs
@@ -1,11 +1,48 @@
 //! Keeps the origins of streams for the entries.
 
 use std::net::SocketAddr;
+use std::time::Duration;
+
+use kumquatkeel_core::serving::list_relays;
 
 use super::daemon::Agent;
 use crate::gossip::{Datagram, OriginQuery, OriginRecord};
+use crate::origin_record::OriginDuty;
+
+/// Shortest interval between two writes of origins to the store by the first relay of a region, and by the others,
+/// which only matter if the first one fails at the same time as all that know the origins.
+const WRITE_INTERVAL: Duration = Duration::from_millis(250);
+const STANDBY_WRITE_INTERVAL: Duration = Duration::from_secs(1);
 
 impl Agent {
+    /// Keeps an origin for the entries that ask.
+    pub(super) fn record_origin(&mut self, record: OriginRecord) {
+        if let Some(keeper) = &self.origin_keeper {
+            keeper.record(record.clone());
+        }
+        record.insert_into(&mut self.origins, self.clock.now());
+    }
+
+    /// Decides whether this agent keeps origins in the store: the relays of the list do, for services that targets
+    /// of several software versions serve.
+    pub(super) fn update_origin_duty(&self) {
+        let Some(keeper) = &self.origin_keeper else {
+            return;
+        };
+        let hosts = self.objects.agent_hosts(&self.settings.locality);
+        let own = self.settings.gossip.ip();
+        let rank = list_relays(hosts).iter().position(|host| *host == own);
+        let listed = self.objects.listed_versions(self.clock.now());
+        let duty = rank.zip(listed).map(|(rank, listed)| {
+            let interval = match rank {
+                0 => WRITE_INTERVAL,
+                _ => STANDBY_WRITE_INTERVAL,
+            };
+            OriginDuty::new(listed.versions, &self.recorded_versions.borrow(), interval)
+        });
+        keeper.set_duty(duty);
+    }
+
     /// Answers an entry's query if the origin is known.
     pub(super) fn answer_origin_query(&mut self, from: SocketAddr, query: OriginQuery) {
         let now = self.clock.now();
--- a/crates/serving/src/entry/daemon.rs
+++ b/crates/serving/src/entry/daemon.rs
@@ -26,7 +26,8 @@
 use crate::gossip::{Datagram, EntryHeartbeat, MAX_DEMANDS};
 use crate::locality::Locality;
 use crate::net::{ServeOptions, serve_connection, serve_listener};
-use crate::platform::{Dialect, ObjectFeed, VerdictStore, VersionStore};
+use crate::origin_record::OriginKeeper;
+use crate::platform::{Dialect, ObjectFeed, OriginStore, VerdictStore, VersionStore};
 use crate::signals::{ProcessSignal, Signals};
 use crate::start::{StartError, bind_gossip, start_metrics};
 use crate::version_record::record_versions;
@@ -135,6 +136,13 @@
         self
     }
 
+    /// Finds the origins of streams that no process knows in a store, and keeps them there where no agent does.
+    #[must_use]
+    pub fn keep_origins(self, store: Arc<dyn OriginStore>) -> Self {
+        self.shared.origin_lookup.set_store(store);
+        self
+    }
+
     /// Has requests that tell suspects apart sent as trials, which are claimed in a store. Without it, every
     /// request with a quarantined part is rejected until the quarantine ends.
     #[must_use]
@@ -167,7 +175,19 @@
         tokio::spawn(sweep_loop(shared.clone()));
         if let Some(store) = shared.versions.store() {
             let listed = shared.listed_versions();
-            tokio::spawn(record_versions(store.clone(), listed, shared.clock));
+            let recorded = shared.recorded_versions.clone();
+            tokio::spawn(record_versions(
+                store.clone(),
+                listed,
+                recorded,
+                shared.clock,
+            ));
+        }
+        if let Some(store) = shared.origin_lookup.store() {
+            let prefix = format!("{:016x}", shared.lock().stamp.incarnation);
+            let keeper = OriginKeeper::start(store.clone(), prefix, shared.clock);
+            // Nothing else sets it.
+            let _ = shared.origin_keeper.set(keeper);
         }
         let acceptor = Acceptor::start(shared.clone(), frontend);
         while signals.next().await == ProcessSignal::Reload {
--- a/crates/serving/src/entry/mod.rs
+++ b/crates/serving/src/entry/mod.rs
@@ -15,6 +15,7 @@
 mod locality;
 mod notice;
 mod origin;
+mod origin_lookup;
 mod permit;
 mod quarantine;
 mod relay;
--- a/crates/serving/src/entry/origin.rs
+++ b/crates/serving/src/entry/origin.rs
@@ -1,9 +1,11 @@
 //! The origin of a stream: recorded when it begins, and looked up when its caller resumes it.
 
+use std::collections::BTreeSet;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use kumquatkeel_core::serving::{CallKind, StreamOrigin, StreamScope};
+use kumquatkeel_core::serving::{CallKind, StoredSlice, StreamOrigin, StreamScope, list_relays};
 use tokio::time::{Instant, timeout_at};
 
 use super::exchange::Exchange;
@@ -30,6 +32,13 @@
             Some(_) => None,
             None => self.possible_versions().await,
         };
+        let origin = match (&resumed.first_attempt, versions.as_deref()) {
+            // It matters which of the versions began the stream, or they can't be found out.
+            (Some(attempt), None | Some([_, _, ..])) if origin.is_none() => {
+                self.find_stored_origin(attempt).await
+            }
+            _ => origin,
+        };
         self.scope = StreamScope::of_resumed(origin.as_ref(), versions.as_deref());
         if let (StreamScope::Version(version), Some(attempt)) =
             (self.scope.clone(), resumed.first_attempt.clone())
@@ -97,6 +106,24 @@
         None
     }
 
+    /// Looks for the origin in the platform's store, where it is once no process knows it.
+    async fn find_stored_origin(&self, attempt: &Arc<str>) -> Option<StreamOrigin> {
+        let shared = &self.shared;
+        let found = |stored: Vec<StoredSlice>| {
+            let now = shared.now();
+            let mut state = shared.lock();
+            for slice in stored.iter().map(|stored| &stored.slice) {
+                let until = now.after(slice.life());
+                for (attempt, origin) in slice.origins() {
+                    (state.origins).record(attempt.clone(), origin, until, now);
+                }
+            }
+        };
+        shared.origin_lookup.refresh(self.arrival, found).await;
+        let now = shared.now();
+        shared.lock().origins.get(attempt, now).cloned()
+    }
+
     /// Records the version of a stream that may be resumed, before its first event is passed on.
     pub(super) fn record_origin(&mut self, version: &Arc<str>) {
         if !self.is_resumable() || self.scope != StreamScope::Any {
@@ -119,9 +146,17 @@
         let left = life.saturating_sub(self.arrival.elapsed());
         let record = OriginRecord::new(attempt, origin, now.after(left), now);
         record.clone().insert_into(&mut shared.lock().origins, now);
-        let holders = shared.origin_hosts().holders(&record.attempt);
+        if let Some(keeper) = shared.origin_keeper.get() {
+            keeper.record(record.clone());
+        }
+        let hosts: BTreeSet<IpAddr> = {
+            let objects = &shared.lock().objects;
+            let relays = list_relays(objects.agent_hosts(&shared.settings.locality));
+            let holders = objects.origin_hosts().holders(&record.attempt);
+            holders.into_iter().chain(relays).collect()
+        };
         let record = Datagram::Began(record);
-        for host in holders {
+        for host in hosts {
             shared.gossip.send(shared.agent_at(host), &record);
         }
     }
--- a/crates/serving/src/entry/state.rs
+++ b/crates/serving/src/entry/state.rs
@@ -11,7 +11,7 @@
     DemandMeter, DrainPlan, ENGINE_SILENCE, EngineReport, EngineSpec, EngineState, FailureMeter,
     Identity, Incarnation, LimitTable, ListReader, ListRole, ListedVersions, OriginHosts,
     OriginTable, PermitHolder, PrefillEstimator, ResidentModel, RetryQuota, Route, RouteTable,
-    ServingConfig, StreamPacing, StreamScope, Target, TargetId, Urgency, statement_ttl,
+    ServingConfig, StreamPacing, StreamScope, Target, TargetId, Urgency, VersionSet, statement_ttl,
 };
 use kumquatkeel_daemon::clock::Clock;
 use kumquatkeel_types::Timestamp;
@@ -22,6 +22,7 @@
 use super::account::AccountState;
 use super::daemon::EntrySettings;
 use super::locality::LocalityState;
+use super::origin_lookup::OriginLookup;
 use super::quarantine::QuarantineState;
 use super::version_lookup::VersionLookup;
 use crate::feed::FeedEvent;
@@ -33,6 +34,7 @@
 use crate::metrics::Instruments;
 use crate::net::{Pool, PoolLimits};
 use crate::objects::{KnownObjects, publish};
+use crate::origin_record::{OriginDuty, OriginKeeper};
 use crate::platform::{Dialect, VerdictStore};
 
 /// Path cost within a data centre: the round trip.
@@ -45,6 +47,8 @@
 
 /// Time without a heartbeat of any agent after which this entry does what agents would do for all entries.
 const AGENT_SILENCE: Duration = Duration::from_secs(3);
+/// Shortest interval between two writes of origins to the store by one entry of a site without agents.
+const ORIGIN_WRITE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The configuration in force, with its routes indexed.
 #[derive(Debug)]
@@ -92,6 +96,12 @@
     pub(super) verdict_store: OnceLock<Arc<dyn VerdictStore>>,
     /// The software versions that this entry records; `None` while agents do.
     listed_versions: watch::Sender<Option<ListedVersions>>,
+    /// The software versions in the record, as this entry last wrote it.
+    pub(super) recorded_versions: watch::Sender<VersionSet>,
+    /// Reads origins that no process knows from the platform's store.
+    pub(super) origin_lookup: OriginLookup,
+    /// Keeps origins in that store where no agent does; unset without a store.
+    pub(super) origin_keeper: OnceLock<OriginKeeper>,
     /// How far requests may go; locked after `state` where both are.
     pub(super) locality: Mutex<LocalityState>,
     state: Mutex<State>,
@@ -183,6 +193,9 @@
             versions: VersionLookup::default(),
             verdict_store: OnceLock::new(),
             listed_versions: watch::Sender::new(None),
+            recorded_versions: watch::Sender::default(),
+            origin_lookup: OriginLookup::default(),
+            origin_keeper: OnceLock::new(),
             draining: watch::Sender::new(None),
             state_version: watch::Sender::new(0),
             backlog_version: watch::Sender::new(0),
@@ -416,7 +429,15 @@
         let has_agents = now.since(state.agent_heard) < AGENT_SILENCE;
         let listed = (!has_agents).then(|| state.objects.listed_versions(now));
         drop(state);
-        publish(&self.listed_versions, listed.flatten());
+        let listed = listed.flatten();
+        if let Some(keeper) = self.origin_keeper.get() {
+            let recorded = self.recorded_versions.borrow();
+            let duty = listed.as_ref().map(|listed| {
+                OriginDuty::new(listed.versions.clone(), &recorded, ORIGIN_WRITE_INTERVAL)
+            });
+            keeper.set_duty(duty);
+        }
+        publish(&self.listed_versions, listed);
     }
 
     /// Returns the software versions that this entry records, as they change.
--- a/crates/serving/src/gossip.rs
+++ b/crates/serving/src/gossip.rs
@@ -164,10 +164,15 @@
         }
     }
 
+    /// Returns how much longer the stream may be resumed.
+    pub fn life(&self) -> Duration {
+        Duration::from_millis(u64::from(self.life_ms))
+    }
+
     /// Adds the record to a table.
     pub fn insert_into(self, table: &mut OriginTable, now: Timestamp) {
-        let life = Duration::from_millis(u64::from(self.life_ms));
-        table.record(self.attempt, self.origin, now.after(life), now);
+        let until = now.after(self.life());
+        table.record(self.attempt, self.origin, until, now);
     }
 }
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod metrics;
 pub mod net;
 pub mod objects;
+mod origin_record;
 pub mod platform;
 pub mod signals;
 pub mod start;
--- a/crates/serving/src/platform.rs
+++ b/crates/serving/src/platform.rs
@@ -10,8 +10,8 @@
 use http::{HeaderMap, StatusCode};
 use kumquatkeel_core::quarantine::{Trial, TrialClaim, Verdict};
 use kumquatkeel_core::serving::{
-    CallerRequest, EngineOrder, EngineReport, ServingConfig, Target, TargetId, TargetNotice,
-    VersionSet,
+    CallerRequest, EngineOrder, EngineReport, OriginSlice, ServingConfig, StoredSlice, Target,
+    TargetId, TargetNotice, VersionSet,
 };
 use kumquatkeel_core::store::StorePosition;
 
@@ -180,6 +180,37 @@
     ) -> Result<bool, PlatformError>;
 }
 
+/// The platform's store as the place where the origins of streams outlast all processes.
+#[async_trait]
+pub trait OriginStore: Send + Sync {
+    /// Reads all objects with origins, with all acknowledged changes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the store can't be read.
+    async fn read_origins(&self) -> Result<Vec<StoredSlice>, PlatformError>;
+
+    /// Writes an object that no other process writes, whatever its revision is by now; returns the revision of
+    /// the change, if the store states it. `revision` is that of the last change, `None` standing for no object.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the object may not have been written.
+    async fn write_origins(
+        &self,
+        name: &str,
+        slice: &OriginSlice,
+        revision: Option<u64>,
+    ) -> Result<Option<u64>, PlatformError>;
+
+    /// Removes an object, if it exists.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the object may still exist.
+    async fn remove_origins(&self, name: &str) -> Result<(), PlatformError>;
+}
+
 /// What the entry adds to a caller's request when it forwards it to a target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ForwardOptions {
--- a/crates/serving/src/version_record.rs
+++ b/crates/serving/src/version_record.rs
@@ -23,21 +23,29 @@
 const WRITE_ATTEMPTS: usize = 3;
 
 /// Records the versions that are `listed`, for as long as their sender exists; `None` while other processes
-/// keep the record.
+/// keep the record. What the record holds is published.
 pub(crate) async fn record_versions(
     store: Arc<dyn VersionStore>,
     mut listed: watch::Receiver<Option<ListedVersions>>,
+    published: watch::Sender<VersionSet>,
     clock: Clock,
 ) {
     let mut recorder = VersionRecorder::default();
     loop {
         let versions = listed.borrow_and_update().clone();
-        if let Some(versions) = versions
-            && let Err(error) = sync_once(&*store, &versions, &mut recorder, clock).await
-        {
-            log::info!(dependency = "store", error:%; "software versions not recorded");
-            sleep(RETRY_PAUSE).await;
-            continue;
+        if let Some(versions) = versions {
+            match sync_once(&*store, &versions, &mut recorder, clock).await {
+                Ok(Some(record)) => {
+                    published.send_replace(record);
+                }
+                // The next comparison finds out what the others have written.
+                Ok(None) => {}
+                Err(error) => {
+                    log::info!(dependency = "store", error:%; "software versions not recorded");
+                    sleep(RETRY_PAUSE).await;
+                    continue;
+                }
+            }
         }
         if let Ok(Err(_)) = timeout(SYNC_INTERVAL, listed.changed()).await {
             return;
@@ -47,13 +55,14 @@
     }
 }
 
-/// Writes the record anew if it differs from what it should hold.
+/// Writes the record anew if it differs from what it should hold; returns it, or `None` if others have written it
+/// meanwhile.
 async fn sync_once(
     store: &dyn VersionStore,
     listed: &ListedVersions,
     recorder: &mut VersionRecorder,
     clock: Clock,
-) -> Result<(), PlatformError> {
+) -> Result<Option<VersionSet>, PlatformError> {
     for _ in 0..WRITE_ATTEMPTS {
         let (stored, revision) = match store.read_versions().await? {
             Some(VersionRecord { versions, revision }) => (versions, Some(revision)),
@@ -61,13 +70,12 @@
         };
         let record = recorder.next_record(listed, &stored, clock.now());
         if record == stored && revision.is_some() {
-            return Ok(());
+            return Ok(Some(record));
         }
         if store.write_versions(&record, revision).await? {
             log::info!(versions:serde = record, former:serde = stored; "software versions recorded");
-            return Ok(());
+            return Ok(Some(record));
         }
     }
-    // The next comparison finds out what the others have written.
-    Ok(())
+    Ok(None)
 }
