fix: memory for targets' answers is bounded over all of them

Cause: each answer was limited (4 MiB, 256 KiB an event), their number was not; of informational heads the HTTP library reads any number.

Change: what is buffered comes out of one pool, of which one answer may take a quarter of what is left, so that no number or size of answers uses it up. Bodies of rejections are not kept. More than 16 informational heads end the connection.

--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -1,5 +1,6 @@
 //! The HTTP client of a model engine.
 
+use std::error::Error;
 use std::net::SocketAddr;
 use std::pin::Pin;
 
@@ -10,6 +11,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyDataStream, BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use kumquatkeel_core::response::{EventStreamCheck, Framing};
 use kumquatkeel_daemon::http::PeerClient;
 use kumquatkeel_types::engine::{
     EngineCancel, EngineChunk, EngineCompletion, EngineLoad, EngineOrder, EngineOrderReply,
@@ -62,7 +64,14 @@
         })?;
         let body = Limited::new(body, self.answer_bytes);
         let client = self.clone();
-        let events = BodyDataStream::new(body).eventsource();
+        // The decoder of events keeps an unfinished one, however long it gets.
+        let mut check = EventStreamCheck::new(Framing::Connection);
+        let data = BodyDataStream::new(body).map(move |data| {
+            let data = data?;
+            let checked = check.push(&data).map(|_| data);
+            checked.map_err(|e| -> Box<dyn Error + Send + Sync> { e.into() })
+        });
+        let events = data.eventsource();
         let chunks = events.map(move |event| {
             let event = event.map_err(|e| client.error(step, &e))?;
             if event.data == STREAM_END {
--- a/crates/agent/src/plain.rs
+++ b/crates/agent/src/plain.rs
@@ -1,12 +1,15 @@
 //! The HTTP client of a plain service.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use http::header::{CONNECTION, CONTENT_TYPE};
 use http::{HeaderName, Request};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use kumquatkeel_core::response::{check_body, is_final_status};
 use kumquatkeel_core::scheduler::PlainAnswer;
+use kumquatkeel_daemon::buffer::{BufferLease, BufferPool};
 use kumquatkeel_daemon::http::{PeerClient, framing_of};
 use kumquatkeel_types::message::{NotRunReason, PlainWork};
 
@@ -17,21 +20,27 @@
 /// The content type of answers that have none.
 const DEFAULT_TYPE: &str = "application/octet-stream";
 
+/// Memory for the answers that are being read, in multiples of the largest one.
+const BUFFERED_ANSWERS: usize = 8;
+
 /// A client of one plain service.
 #[derive(Debug, Clone)]
 pub(crate) struct PlainClient {
     http: PeerClient,
     address: SocketAddr,
     answer_bytes: usize,
+    buffers: Arc<BufferPool>,
 }
 
 impl PlainClient {
     /// Creates a client of the service at `address` that accepts answers of up to `answer_bytes`.
-    pub(crate) const fn new(http: PeerClient, address: SocketAddr, answer_bytes: usize) -> Self {
+    pub(crate) fn new(http: PeerClient, address: SocketAddr, answer_bytes: usize) -> Self {
+        let pool = BufferPool::new(answer_bytes.saturating_mul(BUFFERED_ANSWERS));
         Self {
             http,
             address,
             answer_bytes,
+            buffers: Arc::new(pool),
         }
     }
 
@@ -60,11 +69,12 @@
             .and_then(|t| t.to_str().ok())
             .unwrap_or(DEFAULT_TYPE)
             .to_owned();
+        let mut lease = self.buffers.lease();
         let body = Limited::new(response.into_body(), self.answer_bytes);
-        let body = body.collect().await;
-        let body = body.map_err(|e| self.error(step, None, &e))?.to_bytes();
+        let body = read_body(body, &mut lease).await;
+        let body = body.map_err(|e| self.error(step, None, &e))?;
         check_body(framing, &content_type, &body).map_err(|e| self.error(step, None, &e))?;
-        let body = String::from_utf8(body.into());
+        let body = String::from_utf8(body);
         Ok(PlainAnswer {
             status,
             content_type,
@@ -87,6 +97,23 @@
     }
 }
 
+/// Reads a body into memory of `lease`.
+async fn read_body(
+    mut body: Limited<Incoming>,
+    lease: &mut BufferLease,
+) -> Result<Vec<u8>, String> {
+    let mut received = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| e.to_string())?;
+        if let Ok(data) = frame.into_data() {
+            let resized = lease.resize(received.len() + data.len());
+            resized.map_err(|e| e.to_string())?;
+            received.extend_from_slice(&data);
+        }
+    }
+    Ok(received)
+}
+
 /// Returns the idempotency key to send, prefixed with the caller's name.
 ///
 /// The target does not know callers, so two callers with the same key would share an answer.
--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -79,12 +79,15 @@
     (engine, server)
 }
 
-fn settings(kind: &str, target: SocketAddr) -> AgentSettings {
+/// Concurrent attempts at a target, unless a test says otherwise.
+const SLOTS: u32 = 4;
+
+fn settings(kind: &str, target: SocketAddr, slots: u32) -> AgentSettings {
     let accelerators = u16::from(kind == "engine");
     let raw: RawAgentSettings = serde_json::from_value(json!({
         "name": "t1", "data_centre": "dc", "listen": ANY_PORT, "peer_key": KEY, "kind": kind,
         "target": target, "accelerators": accelerators, "accelerator_mb": 100 * accelerators,
-        "slots": 4,
+        "slots": slots,
         "limits": {
             "order_delay_ms": ORDER_DELAY.as_millis() as u64, "order_lease_ms": ORDER_LEASE.as_millis() as u64,
             "poll_ms": 20, "stall_ms": 2_000,
@@ -105,11 +108,15 @@
 
 impl TestAgent {
     pub(crate) async fn engine(target: SocketAddr, store: Option<Arc<dyn ObjectStore>>) -> Self {
-        Self::start(settings("engine", target), store).await
+        Self::start(settings("engine", target, SLOTS), store).await
     }
 
     pub(crate) async fn plain(target: SocketAddr) -> Self {
-        Self::start(settings("plain", target), None).await
+        Self::plain_with_slots(target, SLOTS).await
+    }
+
+    pub(crate) async fn plain_with_slots(target: SocketAddr, slots: u32) -> Self {
+        Self::start(settings("plain", target, slots), None).await
     }
 
     async fn start(settings: AgentSettings, store: Option<Arc<dyn ObjectStore>>) -> Self {
--- a/crates/agent/tests/completion.rs
+++ b/crates/agent/tests/completion.rs
@@ -6,10 +6,16 @@
 mod common;
 
 use common::{TestAgent, engine_options, running, start_engine};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
 use futures::StreamExt;
 use kumquatkeel_standin::engine::{EngineCall, EngineFault, Prompt, RunEnd};
 use kumquatkeel_types::message::{AttemptEvent, NotRunReason, OrderResult};
 use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 
 fn tokens(events: &[AttemptEvent]) -> Vec<String> {
     let text = |event: &AttemptEvent| match event {
@@ -168,3 +174,67 @@
     );
     assert_eq!(reason(&refused), Some(NotRunReason::Draining));
 }
+
+/// Passes requests on to an engine, but answers completions by an event without an end; returns the address and
+/// how much was sent of the event.
+async fn start_endless_events(engine: SocketAddr) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (address, sent) = (
+        listener.local_addr().unwrap(),
+        Arc::new(AtomicUsize::new(0)),
+    );
+    let counter = sent.clone();
+    tokio::spawn(async move {
+        while let Ok((client, _)) = listener.accept().await {
+            tokio::spawn(pass_on(client, engine, counter.clone()));
+        }
+    });
+    (address, sent)
+}
+
+async fn pass_on(
+    mut client: TcpStream,
+    engine: SocketAddr,
+    sent: Arc<AtomicUsize>,
+) -> std::io::Result<()> {
+    let mut engine = TcpStream::connect(engine).await?;
+    let (mut request, mut answer) = ([0; 16 * 1024], [0; 16 * 1024]);
+    loop {
+        tokio::select! {
+            size = client.read(&mut request) => match size? {
+                0 => return Ok(()),
+                size if request[..size].starts_with(b"POST /v1/completions") => break,
+                size => engine.write_all(&request[..size]).await?,
+            },
+            size = engine.read(&mut answer) => match size? {
+                0 => return Ok(()),
+                size => client.write_all(&answer[..size]).await?,
+            },
+        }
+    }
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: ";
+    client.write_all(head.as_bytes()).await?;
+    loop {
+        client.write_all(&request).await?;
+        sent.fetch_add(request.len(), Ordering::Relaxed);
+        tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+    }
+}
+
+/// The decoder of events would keep all of it.
+#[tokio::test]
+async fn an_event_without_end_is_kept_without_end() {
+    /// The largest event, and what the sockets hold.
+    const MOST: usize = 256 * 1024 + 1024 * 1024;
+    let (_engine, server) = start_engine(engine_options());
+    let (address, sent) = start_endless_events(server.address()).await;
+    let fixture = TestAgent::engine(address, None).await;
+    fixture.load_until_ready("small").await;
+    let events = fixture.run(&fixture.completion("small", 12)).await;
+    assert!(
+        matches!(events.last(), Some(AttemptEvent::Failed { .. })),
+        "{events:?}"
+    );
+    let sent = sent.load(Ordering::Relaxed);
+    assert!(sent < MOST, "{sent} bytes were read");
+}
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -1,6 +1,8 @@
 //! HTTP client for requests between daemons, and JSON-RPC clients for their peers.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,11 +11,13 @@
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
+use hyper::ext::on_informational;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use jsonrpsee::http_client::HttpClient;
 use kumquatkeel_core::response::Framing;
+use tokio::sync::Notify;
 
 use crate::peer::PeerKey;
 
@@ -38,6 +42,11 @@
     pub reason: String,
 }
 
+/// Largest head of a response.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Most informational heads before the last one; the HTTP library reads any number of them.
+const MAX_INFORMATIONAL: usize = 16;
+
 /// HTTP client with a connection pool, shared by the components of a daemon.
 #[derive(Debug, Clone)]
 pub struct PeerClient {
@@ -56,6 +65,7 @@
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_max_idle_per_host(IDLE_CONNECTIONS)
             .retry_canceled_requests(false)
+            .http1_max_buf_size(MAX_HEAD_BYTES)
             .build(connector);
         Self { client }
     }
@@ -72,17 +82,30 @@
         &self,
         step: &'static str,
         peer: SocketAddr,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, HttpError> {
-        self.client
-            .request(request)
-            .await
-            .map_err(|error| HttpError {
+        let too_many = Arc::new(Notify::new());
+        let (count, notify) = (AtomicUsize::new(0), too_many.clone());
+        on_informational(&mut request, move |_| {
+            if count.fetch_add(1, Ordering::Relaxed) >= MAX_INFORMATIONAL {
+                notify.notify_one();
+            }
+        });
+        tokio::select! {
+            // Dropping the call closes its connection.
+            () = too_many.notified() => Err(HttpError {
+                step,
+                peer,
+                unsent: false,
+                reason: "too many informational responses".to_owned(),
+            }),
+            result = self.client.request(request) => result.map_err(|error| HttpError {
                 step,
                 peer,
                 unsent: error.is_connect(),
                 reason: root_cause(&error),
-            })
+            }),
+        }
     }
 }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! Code shared by the entry and the agent daemon: settings, logging, metrics, HTTP, RPC between
 //! processes, and the distribution of the configuration.
 
+pub mod buffer;
 pub mod clock;
 pub mod config;
 pub mod http;
--- a/crates/serving/src/entry/attempt.rs
+++ b/crates/serving/src/entry/attempt.rs
@@ -3,14 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::header::CONTENT_TYPE;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use kumquatkeel_core::response::{Framing, check_body};
 use kumquatkeel_core::retry::AttemptResult;
 use kumquatkeel_core::serving::{AdmissionRequest, AttemptEnd, Target};
+use kumquatkeel_daemon::buffer::BufferLease;
 use kumquatkeel_daemon::http::framing_of;
 use tokio::time::{Instant, timeout_at};
 
@@ -23,6 +24,9 @@
 /// Largest response body that is buffered before it is passed on, in bytes.
 const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
 
+/// Largest response body that is read to use its connection again, in bytes.
+const MAX_DISCARDED_BYTES: usize = 64 * 1024;
+
 /// A caller's request, ready to be sent to any target.
 #[derive(Debug, Clone)]
 pub(super) struct OutgoingRequest {
@@ -245,8 +249,7 @@
         ResponseClass::Failure => false,
         ResponseClass::NotRun | ResponseClass::WrongTarget => {
             let reason = format!("target rejected the request with status {}", parts.status);
-            let head = (framing, &parts.headers);
-            if read_full_body(body, head, plan.deadline).await.is_some() {
+            if discard_body(body, plan.deadline).await {
                 // A copy of a refusal that names no attempt can't be told from a refusal of the next
                 // request on the connection, which is therefore closed.
                 if shared.dialect.names_attempt(&parts.headers) {
@@ -276,20 +279,61 @@
     })
 }
 
-/// Reads a whole body; returns `None` if it breaks off, is too large or misses the deadline.
+/// Reads a whole body into memory of `lease`.
+///
+/// # Errors
+///
+/// Returns the reason if the body breaks off, is too large or misses the deadline.
 pub(super) async fn read_full_body(
     body: Incoming,
     (framing, headers): (Framing, &HeaderMap),
     deadline: Instant,
-) -> Option<Bytes> {
-    let collected = Limited::new(body, MAX_BUFFERED_BYTES).collect();
-    let body = timeout_at(deadline, collected).await.ok()?.ok()?.to_bytes();
+    lease: &mut BufferLease,
+) -> Result<Bytes, String> {
+    let mut received = BytesMut::new();
+    let reading = read_frames(body, |data| {
+        let bytes = received.len() + data.len();
+        if bytes > MAX_BUFFERED_BYTES {
+            return Err(format!("it has more than {MAX_BUFFERED_BYTES} bytes"));
+        }
+        lease.resize(bytes).map_err(|e| e.to_string())?;
+        received.extend_from_slice(&data);
+        Ok(())
+    });
+    match timeout_at(deadline, reading).await {
+        Ok(read) => read?,
+        Err(_) => return Err("it came too slowly".to_owned()),
+    }
     let content_type = headers.get(CONTENT_TYPE).and_then(|t| t.to_str().ok());
-    match check_body(framing, content_type.unwrap_or_default(), &body) {
-        Ok(()) => Some(body),
+    match check_body(framing, content_type.unwrap_or_default(), &received) {
+        Ok(()) => Ok(received.freeze()),
         Err(truncation) => {
-            log::info!(framing:%, bytes = body.len(), truncation:%; "response body truncated");
-            None
+            log::info!(framing:%, bytes = received.len(), truncation:%; "response body truncated");
+            Err(truncation.to_string())
+        }
+    }
+}
+
+/// Reads a body that nobody needs, so that its connection can be used again; returns whether it ended soon enough.
+async fn discard_body(body: Incoming, deadline: Instant) -> bool {
+    let mut left = MAX_DISCARDED_BYTES;
+    let reading = read_frames(body, |data| {
+        left = left.checked_sub(data.len()).ok_or_else(String::new)?;
+        Ok(())
+    });
+    matches!(timeout_at(deadline, reading).await, Ok(Ok(())))
+}
+
+/// Reads a body to its end, unless `take` returns an error for a part of it.
+async fn read_frames(
+    mut body: Incoming,
+    mut take: impl FnMut(Bytes) -> Result<(), String>,
+) -> Result<(), String> {
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| e.to_string())?;
+        if let Ok(data) = frame.into_data() {
+            take(data)?;
         }
     }
+    Ok(())
 }
--- a/crates/serving/src/entry/exchange.rs
+++ b/crates/serving/src/entry/exchange.rs
@@ -4,7 +4,6 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::header::HOST;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
@@ -26,11 +25,12 @@
 use super::quarantine::RunEnd;
 use super::relay::Relay;
 use super::response::{
-    ResponseBody, full_body, not_run_response, over_limit_response, text_response,
+    ResponseBody, buffered_body, not_run_response, over_limit_response, text_response,
     unauthorized_response,
 };
 use super::selection::Step;
 use super::state::{Shared, State};
+use kumquatkeel_daemon::buffer::BufferedBody;
 
 /// Largest `Retry-After` of a refusal, as a share of the caller's remaining time.
 const MAX_RETRY_AFTER_SHARE: f64 = 0.33;
@@ -447,7 +447,7 @@
             if !from_target.success {
                 let reason = format!("target failed with status {status}");
                 let failure = AttemptFailure::new(AttemptEnd::Failed, reason);
-                let mut response = Response::new(full_body(body));
+                let mut response = Response::new(buffered_body(body));
                 *response.status_mut() = status;
                 *response.headers_mut() = headers;
                 return self.recover(&failure, Some(response));
@@ -456,7 +456,7 @@
                 .instruments
                 .record_first_byte(from_target.predicted, from_target.sent.elapsed());
             self.set_outcome("served");
-            Response::new(full_body(body))
+            Response::new(buffered_body(body))
         };
         *response.status_mut() = status;
         *response.headers_mut() = headers;
@@ -468,16 +468,17 @@
         &self,
         body: Incoming,
         head: (Framing, &HeaderMap),
-    ) -> Result<Bytes, AttemptFailure> {
-        tokio::select! {
-            body = read_full_body(body, head, self.deadline) => {
-                let reason = "response body broke off, was too large or late";
-                body.ok_or_else(|| AttemptFailure::broken(reason))
+    ) -> Result<BufferedBody, AttemptFailure> {
+        let mut lease = self.shared.buffers.lease();
+        let body = tokio::select! {
+            body = read_full_body(body, head, self.deadline, &mut lease) => {
+                body.map_err(|reason| AttemptFailure::broken(format!("response body: {reason}")))
             }
             () = self.shared.wait_for_drain_deadline() => {
                 Err(AttemptFailure::new(AttemptEnd::Lost, "drain deadline reached"))
             }
-        }
+        };
+        Ok(BufferedBody::new(body?, lease))
     }
 
     /// Decides what follows a failed attempt; `None` means that another attempt follows.
--- a/crates/serving/src/entry/relay.rs
+++ b/crates/serving/src/entry/relay.rs
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use kumquatkeel_core::response::{EventIds, EventStreamCheck, Framing};
+use kumquatkeel_daemon::buffer::BufferLease;
 use tokio::time::{Instant, timeout_at};
 
 use super::attempt::{StreamForm, TargetResponse};
@@ -46,6 +47,8 @@
     started: Option<Instant>,
     /// Bytes of an incomplete event. Only resumable streams are buffered up to whole events.
     partial: BytesMut,
+    /// The memory for these bytes.
+    lease: BufferLease,
     /// The ids of the events passed on, and before them of those that the caller has.
     ids: EventIds,
     done: bool,
@@ -56,6 +59,7 @@
     pub(super) fn body(exchange: Exchange, response: TargetResponse) -> ResponseBody {
         let resume = exchange.request.resume.as_ref();
         let last_event = resume.and_then(|resume| resume.last_event.parse().ok());
+        let lease = exchange.shared.buffers.lease();
         let relay = Self {
             exchange,
             form: response.stream_form(),
@@ -68,6 +72,7 @@
             predicted: response.predicted,
             started: None,
             partial: BytesMut::new(),
+            lease,
             ids: EventIds::after(last_event),
             done: false,
         };
@@ -149,6 +154,9 @@
         if !self.exchange.is_resumable() {
             return ReadStep::Emit(data);
         }
+        if let Err(error) = self.lease.resize(self.partial.len() + data.len()) {
+            return ReadStep::Broken(error.to_string());
+        }
         self.partial.extend_from_slice(&data);
         self.take_events(complete)
     }
@@ -187,6 +195,7 @@
     /// Takes the complete events, which are the first `length` bytes, from the buffer.
     fn take_events(&mut self, length: usize) -> ReadStep {
         let events = self.partial.split_to(length).freeze();
+        self.lease.shrink_to(self.partial.len());
         if let Err(fault) = self.ids.check(&events) {
             return ReadStep::Broken(fault.to_string());
         }
--- a/crates/serving/src/entry/response.rs
+++ b/crates/serving/src/entry/response.rs
@@ -9,6 +9,8 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 
+use kumquatkeel_daemon::buffer::BufferedBody;
+
 /// The body of a response to a caller.
 pub(super) type ResponseBody = UnsyncBoxBody<Bytes, io::Error>;
 
@@ -19,6 +21,11 @@
         .boxed_unsync()
 }
 
+/// Makes a body from a target's, which has been buffered.
+pub(super) fn buffered_body(body: BufferedBody) -> ResponseBody {
+    body.map_err(|never| match never {}).boxed_unsync()
+}
+
 /// Makes a response with a status and a short text.
 pub(super) fn text_response(status: StatusCode, text: &'static str) -> Response<ResponseBody> {
     let mut response = Response::new(full_body(text));
--- a/crates/serving/src/entry/state.rs
+++ b/crates/serving/src/entry/state.rs
@@ -36,6 +36,7 @@
 use crate::objects::{KnownObjects, publish};
 use crate::origin_record::{OriginDuty, OriginKeeper};
 use crate::platform::{Dialect, VerdictStore};
+use kumquatkeel_daemon::buffer::BufferPool;
 
 /// Path cost within a data centre: the round trip.
 const LOCAL_PATH_COST: Duration = Duration::from_millis(1);
@@ -47,6 +48,8 @@
 
 /// Time without a heartbeat of any agent after which this entry does what agents would do for all entries.
 const AGENT_SILENCE: Duration = Duration::from_secs(3);
+/// Memory for the answers of targets that are buffered, in bytes.
+const BUFFERED_BYTES: usize = 24 * 1024 * 1024;
 /// Shortest interval between two writes of origins to the store by one entry of a site without agents.
 const ORIGIN_WRITE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -92,6 +95,8 @@
     pub(super) list: ListFeed,
     /// The record of software versions.
     pub(super) versions: VersionLookup,
+    /// The memory for answers of targets that are buffered.
+    pub(super) buffers: Arc<BufferPool>,
     /// Where trials of quarantined suspects are claimed.
     pub(super) verdict_store: OnceLock<Arc<dyn VerdictStore>>,
     /// The software versions that this entry records; `None` while agents do.
@@ -191,6 +196,7 @@
             clock,
             list: ListFeed::new(reader, clock),
             versions: VersionLookup::default(),
+            buffers: Arc::new(BufferPool::new(BUFFERED_BYTES)),
             verdict_store: OnceLock::new(),
             listed_versions: watch::Sender::new(None),
             recorded_versions: watch::Sender::default(),
--- a/crates/serving/src/net/abort.rs
+++ b/crates/serving/src/net/abort.rs
@@ -35,12 +35,22 @@
 pub(super) struct AbortStream {
     stream: TcpStream,
     busy: SharedFlag,
+    refused: SharedFlag,
 }
 
 impl AbortStream {
     /// Wraps a stream; `busy` is set while an exchange is in progress.
-    pub(super) const fn new(stream: TcpStream, busy: SharedFlag) -> Self {
-        Self { stream, busy }
+    pub(super) fn new(stream: TcpStream, busy: SharedFlag) -> Self {
+        Self {
+            stream,
+            busy,
+            refused: SharedFlag::default(),
+        }
+    }
+
+    /// Returns a flag that lets all further reads fail once it is set.
+    pub(super) fn refused(&self) -> SharedFlag {
+        self.refused.clone()
     }
 }
 
@@ -61,6 +71,9 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.refused.get() {
+            return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+        }
         Pin::new(&mut self.stream).poll_read(cx, buffer)
     }
 }
--- a/crates/serving/src/net/connection.rs
+++ b/crates/serving/src/net/connection.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -10,6 +11,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::ext::on_informational;
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
@@ -26,7 +28,9 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Largest head of a response.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
-/// Largest response body that [`call`] reads.
+/// Most informational heads before the last one.
+const MAX_INFORMATIONAL: usize = 16;
+/// Largest response body that [`call`] reads, unless its limits say otherwise.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 
 /// Why a call brought no response.
@@ -54,6 +58,8 @@
 pub struct Connection {
     sender: SendRequest<RequestBody>,
     busy: SharedFlag,
+    /// Set when the peer's bytes are of no use, which ends the connection.
+    refused: SharedFlag,
     /// When the last exchange ended, or when the connection was opened.
     pub last_used: Instant,
     /// Whether an exchange has already been completed on it.
@@ -75,7 +81,9 @@
     let mut builder = http1::Builder::new();
     let builder = builder.max_buf_size(MAX_HEAD_BYTES);
     let busy = SharedFlag::default();
-    let stream = TokioIo::new(AbortStream::new(stream, busy.clone()));
+    let stream = AbortStream::new(stream, busy.clone());
+    let refused = stream.refused();
+    let stream = TokioIo::new(stream);
     let (sender, driver) =
         (builder.handshake(stream).await).map_err(|e| CallError::Lost(e.to_string()))?;
     tokio::spawn(async move {
@@ -85,6 +93,7 @@
     Ok(Connection {
         sender,
         busy,
+        refused,
         last_used: Instant::now(),
         reused: false,
     })
@@ -115,6 +124,17 @@
         self.reused = true;
     }
 
+    /// Ends the connection when too many informational heads answer a request. The HTTP library reads any
+    /// number of them.
+    fn limit_informational(&self, request: &mut Request<RequestBody>) {
+        let (count, refused) = (AtomicUsize::new(0), self.refused.clone());
+        on_informational(request, move |_| {
+            if count.fetch_add(1, Ordering::Relaxed) >= MAX_INFORMATIONAL {
+                refused.set(true);
+            }
+        });
+    }
+
     /// Sends a request and waits for the head of its response until `deadline`.
     ///
     /// # Errors
@@ -123,10 +143,11 @@
     /// peer may have received it.
     pub async fn send(
         &mut self,
-        request: Request<RequestBody>,
+        mut request: Request<RequestBody>,
         deadline: Instant,
     ) -> Result<Response<Incoming>, CallError> {
         self.busy.set(true);
+        self.limit_informational(&mut request);
         let exchange = async {
             if self.sender.ready().await.is_err() {
                 return Err(CallError::NotSent);
@@ -157,17 +178,26 @@
     pub pause: Duration,
     /// Longest time for the whole response.
     pub total: Duration,
+    /// Largest body, in bytes.
+    pub bytes: usize,
 }
 
 impl CallLimits {
-    /// Returns limits that bound only the whole response.
+    /// Returns limits on the time of the whole response, and the usual one on its body of 8 MiB.
     pub const fn total(limit: Duration) -> Self {
         Self {
             head: limit,
             pause: limit,
             total: limit,
+            bytes: MAX_BODY_BYTES,
         }
     }
+
+    /// Sets the size of the largest body.
+    #[must_use]
+    pub const fn with_bytes(self, bytes: usize) -> Self {
+        Self { bytes, ..self }
+    }
 }
 
 /// Makes one call on the connection in `slot`, or on a new one, and reads the whole response.
@@ -176,8 +206,7 @@
 ///
 /// # Errors
 ///
-/// Returns an error when the response did not come within the limits, or its body is larger than
-/// 8 MiB.
+/// Returns an error when the response did not come within the limits.
 pub async fn call(
     slot: &mut Option<Connection>,
     address: SocketAddr,
@@ -191,25 +220,29 @@
     };
     let response = connection.send(request, started + limits.head).await?;
     let (parts, body) = response.into_parts();
-    let body = read_body(body, limits.pause, started + limits.total).await?;
+    let body = read_body(body, limits, started + limits.total).await?;
     connection.finish();
     *slot = Some(connection);
     Ok(Response::from_parts(parts, body))
 }
 
-/// Reads a body of at most [`MAX_BODY_BYTES`] until `end`, with pauses of at most `pause`.
-async fn read_body(mut body: Incoming, pause: Duration, end: Instant) -> Result<Bytes, CallError> {
+/// Reads a body within limits until `end`.
+async fn read_body(
+    mut body: Incoming,
+    limits: CallLimits,
+    end: Instant,
+) -> Result<Bytes, CallError> {
     let mut received = BytesMut::new();
     loop {
-        let deadline = end.min(Instant::now() + pause);
+        let deadline = end.min(Instant::now() + limits.pause);
         match timeout_at(deadline, body.frame()).await {
             Err(_) => return Err(CallError::Incomplete(received.len())),
             Ok(None) => return Ok(received.freeze()),
             Ok(Some(Err(error))) => return Err(CallError::Lost(error.to_string())),
             Ok(Some(Ok(frame))) => {
                 let data = frame.into_data().unwrap_or_default();
-                if received.len() + data.len() > MAX_BODY_BYTES {
-                    let reason = format!("the body has more than {MAX_BODY_BYTES} bytes");
+                if received.len() + data.len() > limits.bytes {
+                    let reason = format!("the body has more than {} bytes", limits.bytes);
                     return Err(CallError::Lost(reason));
                 }
                 received.extend_from_slice(&data);
--- a/crates/serving/tests/call.rs
+++ b/crates/serving/tests/call.rs
@@ -18,6 +18,7 @@
     head: Duration::from_millis(400),
     pause: Duration::from_millis(300),
     total: Duration::from_secs(1),
+    bytes: 8 * 1024 * 1024,
 };
 
 /// Starts a peer that answers with `head` and then sends a chunk after each pause, for as long as the
