fix(serving): objects with origins are removed unchanged only; one wait for the store

A relay removed another one's object by what it had read up to 20 s before, although the object may have grown since, with routes of short deadlines; streams of the last seconds would have lost their origins. Objects are now removed under the condition of their revision. an_object_that_has_changed_is_not_removed_by_another holds this; mutation origin-changed.

A relay also compares its objects with the store only while there is something to compare.

--- a/crates/core/src/serving/origin_journal.rs
+++ b/crates/core/src/serving/origin_journal.rs
@@ -82,10 +82,12 @@
         /// The revision of its last change.
         revision: Option<u64>,
     },
-    /// Remove an object.
+    /// Remove an object, unless it has changed.
     Remove {
         /// The object's name.
         name: Arc<str>,
+        /// The revision of its last known change.
+        revision: Option<u64>,
     },
     /// Nothing.
     Idle,
@@ -113,7 +115,8 @@
 /// The origins that a process keeps in the store.
 ///
 /// Each journal writes objects of its own, so that no two processes write the same one. An object that has not
-/// changed for as long as one of its streams may be resumed is removed by whichever journal notices first.
+/// changed for as long as one of its streams may be resumed is removed by whichever journal notices first, under
+/// the condition that it is still unchanged.
 ///
 /// # Examples
 ///
@@ -238,10 +241,12 @@
         (self.slices).retain(|_, slice| slice.until > now || slice.revision.is_some());
         let ended = |until: Timestamp| until <= now;
         let own = self.slices.iter().find(|(_, s)| ended(s.until));
-        let own = own.map(|(name, _)| name);
+        let own = own.map(|(name, slice)| (name, slice.revision));
         let foreign = self.foreign.iter().find(|(_, f)| ended(f.until));
-        if let Some(name) = own.or(foreign.map(|(name, _)| name)) {
-            return JournalStep::Remove { name: name.clone() };
+        let foreign = foreign.map(|(name, slice)| (name, Some(slice.revision)));
+        if let Some((name, revision)) = own.or(foreign) {
+            let name = name.clone();
+            return JournalStep::Remove { name, revision };
         }
         match self.slices.iter().find(|(_, slice)| slice.dirty) {
             None => JournalStep::Idle,
@@ -264,7 +269,8 @@
         }
     }
 
-    /// Records that an object has been removed.
+    /// Records that an object has been removed, or that its last change is not known here. In that case the next
+    /// comparison finds it again.
     pub fn record_removed(&mut self, name: &str) {
         self.slices.remove(name);
         self.foreign.remove(name);
@@ -273,6 +279,11 @@
         }
     }
 
+    /// Returns whether the journal has objects in the store, or knows some of others, or may get some.
+    pub fn is_in_use(&self) -> bool {
+        !(self.services.is_empty() && self.slices.is_empty() && self.foreign.is_empty())
+    }
+
     /// Returns when the next object is to be removed.
     pub fn next_removal(&self) -> Option<Timestamp> {
         let own = self.slices.values().map(|slice| slice.until);
--- a/crates/core/tests/serving_origin_journal.rs
+++ b/crates/core/tests/serving_origin_journal.rs
@@ -50,8 +50,10 @@
                     self.objects.insert(name.clone(), stored);
                     journal.record_written(&name, Some(revision));
                 }
-                JournalStep::Remove { name } => {
-                    self.objects.remove(&name);
+                JournalStep::Remove { name, revision } => {
+                    if self.objects.get(&name).map(|s| s.revision) == revision {
+                        self.objects.remove(&name);
+                    }
                     journal.record_removed(&name);
                 }
             }
@@ -121,6 +123,26 @@
     assert!(store.objects.is_empty());
 }
 
+/// The other process has not read the object since it grew.
+#[test]
+fn an_object_that_has_changed_is_not_removed_by_another() {
+    let (mut writer, mut store) = (OriginJournal::new("one"), Store::default());
+    writer.set_services(["assist".into()], at(0));
+    writer.record("a".into(), origin("assist"), at(11), at(0));
+    store.apply(&mut writer, at(0));
+    let mut other = OriginJournal::new("two");
+    other.compare(&store.list(), at(0));
+    writer.record("b".into(), origin("assist"), at(18), at(7));
+    store.apply(&mut writer, at(7));
+    for now in 8..18 {
+        store.apply(&mut other, at(now));
+        assert!(store.knows("b"), "after {now} s");
+    }
+    other.compare(&store.list(), at(17));
+    store.apply(&mut other, at(28));
+    assert!(store.objects.is_empty());
+}
+
 #[test]
 fn what_a_restored_store_has_lost_is_written_again() {
     let (mut journal, mut store) = (OriginJournal::new("one"), Store::default());
--- a/crates/serving/src/entry/origin.rs
+++ b/crates/serving/src/entry/origin.rs
@@ -14,6 +14,9 @@
 /// Longest wait for the answer to one query for an origin: a round trip to another region.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(120);
 
+/// Longest wait for the store, for the versions and for the origin together.
+const STORE_TIMEOUT: Duration = Duration::from_millis(500);
+
 impl Exchange {
     /// Limits a stream that its caller resumes to the version that began it, and to the service if
     /// the route still has it.
@@ -28,6 +31,7 @@
             Some(attempt) => self.find_origin(attempt).await,
             None => None,
         };
+        let store_end = Instant::now() + STORE_TIMEOUT;
         let versions = match &origin {
             Some(_) => None,
             None => self.possible_versions().await,
@@ -35,7 +39,7 @@
         let origin = match (&resumed.first_attempt, versions.as_deref()) {
             // It matters which of the versions began the stream, or they can't be found out.
             (Some(attempt), None | Some([_, _, ..])) if origin.is_none() => {
-                self.find_stored_origin(attempt).await
+                self.find_stored_origin(attempt, store_end).await
             }
             _ => origin,
         };
@@ -107,7 +111,7 @@
     }
 
     /// Looks for the origin in the platform's store, where it is once no process knows it.
-    async fn find_stored_origin(&self, attempt: &Arc<str>) -> Option<StreamOrigin> {
+    async fn find_stored_origin(&self, attempt: &Arc<str>, end: Instant) -> Option<StreamOrigin> {
         let shared = &self.shared;
         let found = |stored: Vec<StoredSlice>| {
             let now = shared.now();
@@ -119,7 +123,7 @@
                 }
             }
         };
-        shared.origin_lookup.refresh(self.arrival, found).await;
+        shared.origin_lookup.refresh(self.arrival, end, found).await;
         let now = shared.now();
         shared.lock().origins.get(attempt, now).cloned()
     }
--- a/crates/serving/src/entry/origin_lookup.rs
+++ b/crates/serving/src/entry/origin_lookup.rs
@@ -5,12 +5,10 @@
 
 use kumquatkeel_core::serving::StoredSlice;
 use tokio::sync::Mutex;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::platform::OriginStore;
 
-/// Longest wait for the store.
-const LOOKUP_TIMEOUT: Duration = Duration::from_millis(800);
 /// Shortest interval between two calls.
 const READ_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -34,8 +32,14 @@
         self.store.get()
     }
 
-    /// Passes on what the store holds, unless that was done with a call sent after `arrival`.
-    pub(super) async fn refresh(&self, arrival: Instant, found: impl FnOnce(Vec<StoredSlice>)) {
+    /// Passes on what the store holds, unless that was done with a call sent after `arrival`. Waits until `end`
+    /// at most.
+    pub(super) async fn refresh(
+        &self,
+        arrival: Instant,
+        end: Instant,
+        found: impl FnOnce(Vec<StoredSlice>),
+    ) {
         let Some(store) = self.store() else {
             return;
         };
@@ -56,7 +60,7 @@
                 Err(error) => log::info!(dependency = "store", error:%; "origins not read"),
             }
         };
-        if timeout(LOOKUP_TIMEOUT, read).await.is_err() {
+        if timeout_at(end, read).await.is_err() {
             log::info!(dependency = "store"; "origins not read in time");
         }
     }
--- a/crates/serving/src/origin_record.rs
+++ b/crates/serving/src/origin_record.rs
@@ -95,6 +95,9 @@
     ) {
         let mut batch = Vec::new();
         let (mut next_steps, mut next_compare) = (Instant::now(), Instant::now());
+        let mut on_duty = false;
+        // What others have left is only known after a comparison.
+        let mut is_compared = false;
         loop {
             let current = duty.borrow_and_update().clone();
             let now = self.clock.now();
@@ -102,9 +105,21 @@
                 .iter()
                 .flat_map(|duty| duty.services.iter().cloned());
             self.journal.set_services(services, now);
-            let on_duty = current.is_some();
+            if !std::mem::replace(&mut on_duty, current.is_some()) && on_duty {
+                (is_compared, next_compare) = (false, Instant::now());
+            }
+            let compares = on_duty && (!is_compared || self.journal.is_in_use());
             let steps_due = self.steps_due(now).max(next_steps);
             tokio::select! {
+                biased;
+                () = sleep_until(next_compare), if compares => {
+                    next_compare = Instant::now() + COMPARE_INTERVAL;
+                    is_compared |= self.compare().await;
+                }
+                () = sleep_until(steps_due) => {
+                    let interval = current.map_or(RETRY_PAUSE, |duty| duty.interval);
+                    next_steps = Instant::now() + self.take_steps(interval).await;
+                }
                 count = records.recv_many(&mut batch, BATCH) => {
                     if count == 0 {
                         return;
@@ -116,16 +131,6 @@
                         return;
                     }
                 }
-                () = sleep_until(steps_due) => {
-                    let interval = current.map_or(RETRY_PAUSE, |duty| duty.interval);
-                    next_steps = Instant::now() + self.take_steps(interval).await;
-                }
-                () = sleep_until(next_compare), if on_duty => {
-                    next_compare = Instant::now() + COMPARE_INTERVAL;
-                    if let Err(error) = self.compare().await {
-                        log::info!(dependency = "store", error:%; "origins not compared with the store");
-                    }
-                }
             }
         }
     }
@@ -177,17 +182,25 @@
                 log::debug!(object:% = name, count, revision; "origins written");
                 self.journal.record_written(&name, revision);
             }
-            JournalStep::Remove { name } => {
-                self.store.remove_origins(&name).await?;
+            JournalStep::Remove { name, revision } => {
+                self.store.remove_origins(&name, revision).await?;
                 self.journal.record_removed(&name);
             }
         }
         Ok(true)
     }
 
-    async fn compare(&mut self) -> Result<(), PlatformError> {
-        let stored = self.store.read_origins().await?;
-        self.journal.compare(&stored, self.clock.now());
-        Ok(())
+    /// Compares the journal with the store; returns whether the store could be read.
+    async fn compare(&mut self) -> bool {
+        match self.store.read_origins().await {
+            Ok(stored) => {
+                self.journal.compare(&stored, self.clock.now());
+                true
+            }
+            Err(error) => {
+                log::info!(dependency = "store", error:%; "origins not compared with the store");
+                false
+            }
+        }
     }
 }
--- a/crates/serving/src/platform.rs
+++ b/crates/serving/src/platform.rs
@@ -203,12 +203,12 @@
         revision: Option<u64>,
     ) -> Result<Option<u64>, PlatformError>;
 
-    /// Removes an object, if it exists.
+    /// Removes an object, unless it has another revision or doesn't exist.
     ///
     /// # Errors
     ///
-    /// Returns an error when the object may still exist.
-    async fn remove_origins(&self, name: &str) -> Result<(), PlatformError>;
+    /// Returns an error when the object may still exist and be unchanged.
+    async fn remove_origins(&self, name: &str, revision: Option<u64>) -> Result<(), PlatformError>;
 }
 
 /// What the entry adds to a caller's request when it forwards it to a target.
