test(review): bookings that another service's server runs, as case 11

Cause: X-Expect-Instance is left out where a target's id is no header value, and any name of an entry is taken as an id.

--- a/review/stand-ins-3/foreign.rs
+++ b/review/stand-ins-3/foreign.rs
@@ -1,4 +1,4 @@
-//! An entry of another writer whose name can't be read; see review/13/claim.txt.
+//! An entry of another writer whose name can't be read; see review/11/claim.txt.
 
 mod kit;
 
