--- a/review/stand-ins-3/first_release.rs
+++ b/review/stand-ins-3/first_release.rs
@@ -1,4 +1,4 @@
-//! All of the project's processes are killed at one moment, and the first servers of a second software version start.
+//! All of the project's processes are killed at one moment, and the first server of a second software version starts.
 
 #[path = "../stand-ins-2/common.rs"]
 mod common;
@@ -15,7 +15,8 @@
 const CONTACT_MS: u64 = 4_000;
 const ENTRIES: [u8; 3] = [2, 3, 4];
 const OLD: [(&str, u8); 2] = [("i-a1", 11), ("i-a2", 12)];
-const NEW: [(&str, u8); 2] = [("i-b1", 13), ("i-b2", 14)];
+/// One of two is replaced, so that one new server starts.
+const NEW: [(&str, u8); 1] = [("i-b1", 13)];
 const STREAMS: usize = 24;
 
 fn main() {
@@ -59,7 +60,7 @@
         *clients.break_at.lock().unwrap() = Some(unix_ms());
     }
     pause(500);
-    // A release of the service: the new servers start first.
+    // A release of the service: the new server starts first.
     for (id, host) in NEW {
         start(&mut site, id, host, "v2");
     }
--- a/review/stand-ins-3/foreign.rs
+++ b/review/stand-ins-3/foreign.rs
@@ -72,15 +72,19 @@
     let runs: Runs = Arc::default();
     let address = |number| SocketAddr::from((host(2, number), 8501));
     let born = unix_ms();
-    // Two servers of the desk, two of the board. The address of the second of the board was a desk server's before.
+    // Two servers of the desk, four of the board. The address of the second of the board was a desk server's before.
     let _desk1 = start_server("swap-desk", "i-0d000001", address(1), &runs);
     let _desk2 = start_server("swap-desk", "i-0d000002", address(2), &runs);
     let _board1 = start_server("notice-board", "i-0b000001", address(3), &runs);
     let board2 = start_server("notice-board", "i-0b000002", address(4), &runs);
+    let _board3 = start_server("notice-board", "i-0b000003", address(5), &runs);
+    let _board4 = start_server("notice-board", "i-0b000004", address(6), &runs);
     store.put("servers", b"i-0d000001", &entry_of("swap-desk", address(1), "ready", 1, born));
     store.put("servers", b"i-0d000002", &entry_of("swap-desk", address(2), "ready", 1, born));
     store.put("servers", b"i-0b000001", &entry_of("notice-board", address(3), "ready", 1, born));
     store.put("servers", b"i-0b000002", &entry_of("notice-board", address(4), "ready", 1, born));
+    store.put("servers", b"i-0b000003", &entry_of("notice-board", address(5), "ready", 1, born));
+    store.put("servers", b"i-0b000004", &entry_of("notice-board", address(6), "ready", 1, born));
     if trouble {
         // Another writer's entry: what the desk server said that had this address before, under a name of bytes that
         // can't be read. It names no server to use.
